Hold shortfall notes against the account's recent peak, not its present

Cause: a note of the share delivered is late and smoothed; by the time it came the account had already been shed, so the rest looked like a hidden shortfall and was shed again. Guards against shedding twice for one shortage, whatever made it; it could harm where a weak uplink begins right after a peak of our own.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -41,6 +41,7 @@
 LIFE = 30 * SECOND          # life left that is expected where no hint came
 AGE_RESERVE = 0.04          # mark given up for each tell period without news, twice over at most
 SHORT = 2 * SECOND          # a short-delivery note keeps new viewings off this long
+PINCH_LEAST = 1.15          # less than this over what the account showed is noise
 PINCH_FADE = 10 * SECOND    # a shortfall that the link's figure does not show is believed this long
 SHUT = SECOND // 2          # first pause after a failed tune-in, doubled for each one more
 SHUT_DOUBLINGS = 5
@@ -170,8 +171,8 @@
                 less_kb, less = (ladder.kb[r - 1], ladder.worth[r - 1]) if r > pack.floor else (0, 0)
                 steps[p, r] = pack.value * (worth - less) / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
-        place = {earns: i / max(1, len(order) - 1) for i, earns in enumerate(order)}
-        return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, MARK - MARK_SPREAD * place[earns], earns)
+        mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
+        return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
                 for (p, r), earns in steps.items()}
 
     # The events
@@ -560,8 +561,10 @@
         elif event.amount < 0.98:
             srv.short_until = self.now + SHORT
             asked = 1 / max(event.amount, 0.2)
-            shown = max(srv.link.base if srv.link.heard_at is not None else 0, srv.rack.use(), 0.5)
-            if asked > shown:
+            # The note is late and smoothed: what our account showed lately may explain it, also where
+            # that is shed by now. Only a shortfall beyond it is a weak uplink, a hang or the like.
+            shown = max(srv.link.peak(self.now), srv.rack.peak(self.now), 0.5)
+            if asked > PINCH_LEAST * shown:
                 srv.pinch, srv.pinch_at = asked / shown, self.now
         self.step_down(srv)
         if event.kind is NoteKind.LINK:
@@ -604,7 +607,7 @@
             gain = ladder.worth[vw.rung + 1] - ladder.worth[vw.rung]
             life = vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE
             more = rush * (self.rate(srv, vw, vw.rung + 1) - self.rate(srv, vw, vw.rung))
-            if (gain * life > PAYBACK * ladder.switch_cost
-                    and use + more / min(srv.link.kb, srv.rack.kb) <= self.marks[vw.ask.package, vw.rung + 1][1]):
+            after, mark = use + more / srv.link.kb, self.marks[vw.ask.package, vw.rung + 1][1]
+            if gain * life > PAYBACK * ladder.switch_cost and after <= mark:
                 self.set_rung(vw, vw.rung + 1)
                 use += more / srv.link.kb
