Unknown servers of a new manager take its share of the cold pace at any time, not in turns

Servers known to be cold keep to turns; the rest take our 1/peersTotal of the pace from the first moment, as no other manager holds back there. Could harm where several managers start at once on a server that restarted a moment before: each sends one at the same time.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -499,8 +499,12 @@
     def in_pace(self, srv):
         if not self.is_cold(srv):
             return True
-        turn = self.pace_turn(srv)
-        return turn % self.terms.peers == self.terms.me and srv.turn != turn
+        turn, peers = self.pace_turn(srv), self.terms.peers
+        # Known to be cold: all keep to their turns. Cold only for all that a new list can't tell: our
+        # share of the pace at any time, as nobody else holds back.
+        if srv.doubt_at is None and self.now >= srv.cold_until:
+            return srv.turn is None or turn - srv.turn >= peers
+        return turn % peers == self.terms.me and srv.turn != turn
 
     # What is heard of servers
 
