--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -34,7 +34,8 @@
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
 MARK = 0.93                 # mark for the rung step that earns most per kB ...
 MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least
-DROP_OVER = 0.06            # a playing viewing steps down only this far over the mark of its step
+SHED_OVER = 1.0             # only over this do playing viewings step down: less is the rates' own noise ...
+SHED_TO = 0.92              # ... and to here
 CALM = 5 * SECOND           # room must have lasted this long before a playing viewing steps up
 STEP_PAUSE = 6 * SECOND     # a viewing that stepped stays there this long before it steps up
 PAYBACK = 3                 # a step up must earn its price this many times over in the life expected
@@ -582,16 +583,16 @@
         self.recount(vw.server)
 
     def step_down(self, srv):
-        """Over its mark a link sheds the steps that earn least; each manager sheds its own part.
+        """A link that is short sheds the steps that earn least; each manager sheds its own part.
 
         What we shed lowers the use by our share of it: the others hear the same and do the same.
         """
         use = srv.use(self.now)
+        if use <= SHED_OVER:
+            return
         mine = [vw for vw in srv.viewings.values() if vw.playing and vw.rung > vw.floor]
-        while mine:
+        while mine and use > SHED_TO:
             vw = min(mine, key=lambda vw: (self.marks[vw.ask.package, vw.rung][2], vw.id))
-            if use <= self.marks[vw.ask.package, vw.rung][1] + DROP_OVER:
-                return
             before = srv.link.own
             self.set_rung(vw, vw.rung - 1)
             use *= max(0.0, srv.link.own / before) if before else 1
