One change a viewing however many rungs it spans; handed-over viewings rise at first news

Steps up and down are now planned whole and sent as one change; a handed-over viewing has no earlier step to rest from.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -217,6 +217,7 @@
     def hand_over(self, event):
         vw = self.viewings[event.viewing.id] = self.viewing(event.viewing)
         vw.nth, vw.rung, vw.playing, vw.answered = 0, vw.floor, True, True
+        vw.stepped_at -= STEP_PAUSE
         vw.life = self.life(vw)
         next(vw.life)
         self.occupy(vw, self.servers.get(event.server))
@@ -577,10 +578,13 @@
 
     # Rungs of what plays
 
-    def set_rung(self, vw, rung):
-        vw.rung, vw.stepped_at = rung, self.now
-        self.out.append(SetRung(vw.id, rung))
-        self.recount(vw.server)
+    def set_rungs(self, srv, plan):
+        """One change a viewing however many rungs it spans: each has its price."""
+        for vw in plan:
+            if plan[vw] != vw.rung:
+                vw.rung, vw.stepped_at = plan[vw], self.now
+                self.out.append(SetRung(vw.id, vw.rung))
+        self.recount(srv)
 
     def step_down(self, srv):
         """A link that is short sheds the steps that earn least; each manager sheds its own part.
@@ -588,15 +592,19 @@
         What we shed lowers the use by our share of it: the others hear the same and do the same.
         """
         use = srv.use(self.now)
-        if use <= SHED_OVER:
+        if use <= SHED_OVER or not srv.link.own:
             return
-        mine = [vw for vw in srv.viewings.values() if vw.playing and vw.rung > vw.floor]
-        while mine and use > SHED_TO:
-            vw = min(mine, key=lambda vw: (self.marks[vw.ask.package, vw.rung][2], vw.id))
-            before = srv.link.own
-            self.set_rung(vw, vw.rung - 1)
-            use *= max(0.0, srv.link.own / before) if before else 1
-            mine = [vw for vw in mine if vw.rung > vw.floor]
+        plan = {vw: vw.rung for vw in srv.viewings.values() if vw.playing}
+        own, part = srv.link.own, use / srv.link.own
+        while use > SHED_TO:
+            vw = min((vw for vw in plan if plan[vw] > vw.floor), default=None,
+                     key=lambda vw: (self.marks[vw.ask.package, plan[vw]][2], vw.id))
+            if vw is None:
+                break
+            own -= self.marks[vw.ask.package, plan[vw]][0] - self.marks[vw.ask.package, plan[vw] - 1][0]
+            plan[vw] -= 1
+            use = part * max(0.0, own)
+        self.set_rungs(srv, plan)
 
     def step_up(self, srv):
         """Lasting room goes to the steps that earn most; the others may be raising at the same news."""
@@ -605,14 +613,21 @@
         ladder = self.terms.ladder
         peak = max(srv.link.peak(self.now), srv.rack.peak(self.now))
         use = max(srv.use(self.now), peak) + self.age_reserve(srv)
-        rush = (1 + self.terms.peers) / 2
-        mine = [vw for vw in srv.viewings.values()
-                if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE]
-        for vw in sorted(mine, key=lambda vw: (-self.marks[vw.ask.package, vw.rung + 1][2], vw.id)):
-            gain = ladder.worth[vw.rung + 1] - ladder.worth[vw.rung]
+        rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
+        plan = {vw: vw.rung for vw in srv.viewings.values()
+                if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
+        open_to = set(plan)
+        while open_to:
+            vw = max(open_to, key=lambda vw: (self.marks[vw.ask.package, plan[vw] + 1][2], -vw.id))
+            kb, mark, _ = self.marks[vw.ask.package, plan[vw] + 1]
+            after = use + rush * (kb - self.marks[vw.ask.package, plan[vw]][0])
+            if after <= mark:
+                use, plan[vw] = after, plan[vw] + 1
+            if after > mark or plan[vw] == vw.top:
+                open_to.discard(vw)
+        for vw in plan:
+            gain = ladder.worth[plan[vw]] - ladder.worth[vw.rung]
             life = vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE
-            more = rush * (self.rate(srv, vw, vw.rung + 1) - self.rate(srv, vw, vw.rung))
-            after, mark = use + more / srv.link.kb, self.marks[vw.ask.package, vw.rung + 1][1]
-            if gain * life > PAYBACK * ladder.switch_cost and after <= mark:
-                self.set_rung(vw, vw.rung + 1)
-                use += more / srv.link.kb
+            if gain * life < PAYBACK * ladder.switch_cost:
+                plan[vw] = vw.rung
+        self.set_rungs(srv, plan)
