A new manager takes servers for warm that carry others' viewings

Symptom: from 0:35 on a third of all requests blocked, while links stood at 0.65 to 0.8; five managers restart one after another. Cause: a manager that has just started counts every server as cold and takes a fifth of the pace there, so the viewers of the dead one, who all come again at once, found every holder closed. Told from a lack of room by the link notes (0.7) and by where blocks fall: only at managers started less than a warm-up ago. Change: a link on which others ask a quarter or more is of a server that did not start just now; neither is one whose viewings were handed over. Also covers any start with a true list. It could harm where a server restarts and others fill a quarter of its cold link before we first look.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -49,6 +49,7 @@
 FULL_PAUSE = SECOND // 2    # a server that said full is left alone this long
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this unless patience ends before
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
+WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 BUCKET = 1_000
 SLOT_ALARM, LIST_ALARM = 0, 1
 
@@ -121,6 +122,7 @@
         self.doubt_at = None        # seen failing then, and not seen working since
         self.cold_until = 0
         self.turn = None            # the last turn of the cold pace that we used
+        self.seen_warm = False      # it carried viewings that we did not send
 
     def use(self, now):
         pinch = 1 + (self.pinch - 1) * max(0, 1 - (now - self.pinch_at) / PINCH_FADE)
@@ -184,22 +186,10 @@
             self.started_at = now
             if self.terms.asks_for_list:
                 self.out.append(KeepListed(True))
-        if isinstance(event, Asked):
-            self.take(event)
-        elif isinstance(event, Note):
-            self.note(event)
-        elif isinstance(event, Ended):
-            self.ended(event)
-        elif isinstance(event, Begun):
-            self.begun(event)
-        elif isinstance(event, Alarm):
-            self.alarm(event)
-        elif isinstance(event, Listing):
-            self.listing(event)
-        elif isinstance(event, HandedOver):
-            self.hand_over(event)
-        elif isinstance(event, Left):
-            self.left(event)
+        act = {Asked: self.take, Note: self.note, Ended: self.ended, Begun: self.begun, Alarm: self.alarm,
+               Listing: self.listing, HandedOver: self.hand_over, Left: self.left}.get(type(event))
+        if act:
+            act(event)
         return self.out
 
     def take(self, ask):
@@ -220,7 +210,10 @@
         vw.stepped_at -= STEP_PAUSE
         vw.life = self.life(vw)
         next(vw.life)
-        self.occupy(vw, self.servers.get(event.server))
+        srv = self.servers.get(event.server)
+        if srv:
+            srv.seen_warm = True
+        self.occupy(vw, srv)
 
     def left(self, event):
         vw = self.viewings.get(event.id)
@@ -290,20 +283,22 @@
             self.forget(vw)
             return
         if want == "seat":
-            vw.held = 0
             self.seat(vw)
         elif want != "play":
             self.tune(vw, *want[1])
 
     def seat(self, vw):
         """Waits for the slot, unless waiting would cost the join target or the viewer."""
-        slot_end = self.slot_at or self.now + SLOT
+        vw.held, slot_end = 0, self.slot_at or self.now + SLOT
         due = min(vw.deadline, vw.asked_at + self.terms.packages[vw.ask.package].join_target) - TRY_LEAST
         if vw.nth >= 0 or slot_end > due:
             spot = self.spot(vw)
             if spot or self.now + 2 * SLOT > vw.deadline - TRY_LEAST:
                 self.resume(vw, spot)
                 return
+        self.wait(vw)
+
+    def wait(self, vw):
         vw.waiting = True
         self.waiting.append(vw)
         if self.slot_at is None:
@@ -320,11 +315,8 @@
             if spot or vw.held:
                 self.resume(vw, spot)
             else:
-                vw.held, vw.waiting = 1, True
-                self.waiting.append(vw)
-        if self.waiting and self.slot_at is None:
-            self.slot_at = self.now + SLOT
-            self.out.append(Remind(SLOT_ALARM, SLOT))
+                vw.held = 1
+                self.wait(vw)
 
     def may_repeat(self, vw):
         pack = self.terms.packages[vw.ask.package]
@@ -487,9 +479,9 @@
             srv.doubt_at, srv.cold_until = None, max(srv.cold_until, self.now + self.rules.warm_within)
 
     def is_cold(self, srv):
-        # The list of a manager that has just started may not know of a restart.
+        # The list of a manager that has just started may not know of a restart; what it sees there may.
         return (srv.doubt_at is not None or self.now < srv.cold_until
-                or self.now < self.started_at + self.rules.warm_within)
+                or (not srv.seen_warm and self.now < self.started_at + self.rules.warm_within))
 
     def pace_turn(self, srv):
         """Turns of the time in which one set-up of all managers may go to a cold server."""
@@ -562,6 +554,7 @@
             lag = 0
         if event.kind is NoteKind.LINK:
             srv.link.heard(self.now, lag, event.amount)
+            srv.seen_warm |= event.amount - srv.link.own / srv.link.kb > WARM_SIGN
         elif event.kind is NoteKind.UPLINK:
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
