--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -74,8 +74,8 @@
         cell = self.cell(now)
         cell[1] = max(cell[1], amount)
 
-    def since(self, then, until=1 << 62):
-        return [amount for b, amount in self.cells if b >= 0 and then <= b * self.width < until]
+    def since(self, then):
+        return [amount for b, amount in self.cells if b >= 0 and b * self.width >= then]
 
 
 class Meter:
@@ -92,7 +92,6 @@
     def asks(self, now, own):
         self.changes.add(now, own - self.own)
         self.own = own
-        self.peaks.top(now, self.use())
 
     def use(self):
         # Before any figure came, the others are taken to ask as much as we do.
@@ -107,10 +106,7 @@
         self.base, self.own_then, self.heard_at = amount, then, now
         self.peaks.top(now, self.use())
 
-    def peak(self, now, then=0):
-        """The highest use in the calm time before now, or about a time then."""
-        if then:
-            return max(self.peaks.since(then - SECOND, then + SECOND // 2), default=self.use())
+    def peak(self, now):
         return max([self.use(), *self.peaks.since(now - CALM)])
 
 
@@ -566,8 +562,7 @@
             asked = 1 / max(event.amount, 0.2)
             # The note is late and smoothed: what our account showed lately may explain it, also where
             # that is shed by now. Only a shortfall beyond it is a weak uplink, a hang or the like.
-            then = self.now - lag
-            shown = max(srv.link.peak(self.now, then), srv.rack.peak(self.now, then), 0.5)
+            shown = max(srv.link.peak(self.now), srv.rack.peak(self.now), 0.5)
             if asked > PINCH_LEAST * shown:
                 srv.pinch, srv.pinch_at = asked / shown, self.now
         self.step_down(srv)
