Shortfalls no longer count as use; they only keep new viewings off a server

Cause: the share delivered is late and smoothed, so a shortfall beyond the account was mostly our own past, and counting it as use shed rungs a second time.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -42,8 +42,6 @@
 LIFE = 30 * SECOND          # life left that is expected where no hint came
 AGE_RESERVE = 0.04          # mark given up for each tell period without news, twice over at most
 SHORT = 2 * SECOND          # a short-delivery note keeps new viewings off this long
-PINCH_LEAST = 1.15          # less than this over what the account showed is noise
-PINCH_FADE = 10 * SECOND    # a shortfall that the link's figure does not show is believed this long
 SHUT = SECOND // 2          # first pause after a failed tune-in, doubled for each one more
 SHUT_DOUBLINGS = 5
 FULL_PAUSE = SECOND // 2    # a server that said full is left alone this long
@@ -118,15 +116,13 @@
         self.viewings = {}
         self.ills = 0               # failures not yet answered by as many successes
         self.shut_until = self.full_until = self.short_until = 0
-        self.pinch, self.pinch_at = 1.0, 0
         self.doubt_at = None        # seen failing then, and not seen working since
         self.cold_until = 0
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
 
-    def use(self, now):
-        pinch = 1 + (self.pinch - 1) * max(0, 1 - (now - self.pinch_at) / PINCH_FADE)
-        return max(self.link.use() * pinch, self.rack.use())
+    def use(self):
+        return max(self.link.use(), self.rack.use())
 
 
 class Viewing:
@@ -431,7 +427,7 @@
 
     def fit(self, srv, vw):
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
-        use = srv.use(self.now) + self.age_reserve(srv)
+        use = srv.use() + self.age_reserve(srv)
         cap = min(srv.link.kb, srv.rack.kb)
         for rung in range(vw.top, vw.floor - 1, -1):
             after = max(use + self.rate(srv, vw, rung) / srv.link.kb,
@@ -559,12 +555,6 @@
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
             srv.short_until = self.now + SHORT
-            asked = 1 / max(event.amount, 0.2)
-            # The note is late and smoothed: what our account showed lately may explain it, also where
-            # that is shed by now. Only a shortfall beyond it is a weak uplink, a hang or the like.
-            shown = max(srv.link.peak(self.now), srv.rack.peak(self.now), 0.5)
-            if asked > PINCH_LEAST * shown:
-                srv.pinch, srv.pinch_at = asked / shown, self.now
         self.step_down(srv)
         if event.kind is NoteKind.LINK:
             self.step_up(srv)
@@ -584,7 +574,7 @@
 
         What we shed lowers the use by our share of it: the others hear the same and do the same.
         """
-        use = srv.use(self.now)
+        use = srv.use()
         if use <= SHED_OVER or not srv.link.own:
             return
         plan = {vw: vw.rung for vw in srv.viewings.values() if vw.playing}
@@ -605,7 +595,7 @@
             return
         ladder = self.terms.ladder
         peak = max(srv.link.peak(self.now), srv.rack.peak(self.now))
-        use = max(srv.use(self.now), peak) + self.age_reserve(srv)
+        use = max(srv.use(), peak) + self.age_reserve(srv)
         rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
         plan = {vw: vw.rung for vw in srv.viewings.values()
                 if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
