Make room for a viewing about to be blocked from steps that earn less per kB

Cause: a crowd finds links full of upper rungs given out before it, under 1.2, so nothing steps down. Told from a fault by the bad tune-ins (none), from a stale list by its silence, from a lack of capacity by the rungs played meanwhile. Change: what found no room in its second slot gets it from our own viewings' steps that earn less per kB than its lowest rung, at the holder where fewest step down. Covers bursts, hot titles, returning viewers, lost servers. Could harm where others fill the same room first: the link is then short for a while and sheds.

Also checked at the placement now: further tune-ins and the keyed window, which a slot's wait could have overrun.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -130,15 +130,14 @@
 
     def __init__(self, ask, now):
         self.ask, self.id = ask, ask.id
-        self.asked_at, self.deadline = now, now + ask.left
+        self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
         self.nth = -1               # number of the last tune-in
         self.server = None          # where a tune-in is out or it plays
         self.playing = self.answered = self.waiting = False
         self.held = 0               # slots in which nothing fitted
         self.rung = self.floor = self.top = 0
         self.stepped_at = now
-        self.ran_at = None          # when a tune-in was sent that may have run
-        self.ran_near = None        # and the row of its server
+        self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
         self.life = None
 
 
@@ -146,12 +145,9 @@
     def __init__(self, terms):
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells = {}, {}, {}
-        self.viewings, self.waiting = {}, []
-        self.seats = {}
-        self.slot_at = None
-        self.started_at = None
-        self.draws = 0
-        self.list_tries = 0
+        self.viewings, self.waiting, self.seats = {}, [], {}
+        self.slot_at = self.started_at = None
+        self.draws = self.list_tries = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = Ring(-(-span // 16), 20), Ring(-(-span // 16), 20)
         self.marks = self.rung_marks()
@@ -242,7 +238,7 @@
         elif srv and event.how is How.FULL:
             srv.full_until = self.now + FULL_PAUSE
         if event.how not in (How.FULL, How.UNREACHED, How.MOOT):
-            vw.ran_at, vw.ran_near = vw.sent_at if vw.nth or not vw.playing else self.now, srv and srv.row
+            vw.ran_at, vw.ran_near = vw.sent_at, srv and srv.row
         self.vacate(vw)
         if event.over or vw.answered:
             self.forget(vw)
@@ -307,7 +303,7 @@
         queue.sort(key=lambda vw: (-self.marks[vw.ask.package, vw.floor][2], vw.asked_at, vw.id))
         for vw in queue:
             vw.waiting = False
-            spot = self.spot(vw)
+            spot = self.spot(vw) or (vw.held and self.squeeze(vw))
             if spot or vw.held:
                 self.resume(vw, spot)
             else:
@@ -318,9 +314,8 @@
         pack = self.terms.packages[vw.ask.package]
         if vw.nth + 1 >= self.allowed.tune_ins or self.now >= vw.deadline:
             return False
-        if vw.ran_at is not None and pack.effect == "unsafe":
-            return False
-        if vw.ran_at is not None and pack.effect == "keyed" and self.now - vw.ran_at >= pack.repeat_window:
+        if vw.ran_at is not None and pack.effect != "safe" and (
+                pack.effect == "unsafe" or self.now - vw.ran_at >= pack.repeat_window):
             return False
         if self.rules.further_span is None:
             return True
@@ -390,9 +385,19 @@
 
     def spot(self, vw):
         """The holder and rung of most immediate value; ties go to the roomiest holder."""
-        pack, best = self.terms.packages[vw.ask.package], None
-        if pack.seats and self.seats.get((vw.ask.title, vw.ask.package), 0) >= pack.seats:
-            return None
+        best = None
+        for srv in self.open_holders(vw):
+            rung, room = self.fit(srv, vw)
+            if rung is not None and (best is None or (rung, room) > best[:2]):
+                best = rung, room, srv
+        return best and (best[2], best[0])
+
+    def open_holders(self, vw):
+        """The holders of the title to which the rules and their health let a tune-in go now."""
+        pack = self.terms.packages[vw.ask.package]
+        if (pack.seats and self.seats.get((vw.ask.title, vw.ask.package), 0) >= pack.seats
+                or vw.nth >= 0 and not self.may_repeat(vw)):
+            return []
         fleet = self.terms.fleet
         holders = [srv for j in range(vw.ask.cells)
                    for srv in self.cells.get((vw.ask.first_cell + j) % fleet.cells, {}).values()
@@ -400,13 +405,26 @@
                    and len(srv.viewings) < fleet.slots[srv.row.kind]]
         sound = [srv for srv in holders if self.sound(srv)]
         # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        if not sound:
-            sound = sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
-        for srv in sound:
-            rung, room = self.fit(srv, vw)
-            if rung is not None and (best is None or (rung, room) > best[:2]):
-                best = rung, room, srv
-        return best and (best[2], best[0])
+        return sound or sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
+
+    def squeeze(self, vw):
+        """Room for a viewing that would be blocked, from steps of ours that earn less per kB than it will.
+
+        Against crowds that find the links full of rungs given out before them. Takes the holder where the
+        fewest viewings step down, as each has its price.
+        """
+        best, (kb, _, earns) = None, self.marks[vw.ask.package, vw.floor]
+        for srv in self.open_holders(vw):
+            excess = max(srv.use() - BRIM + kb / srv.link.kb, srv.rack.use() - BRIM + kb / srv.rack.kb)
+            excess *= min(srv.link.kb, srv.rack.kb)
+            plan, freed = self.shed(srv, excess, earns)
+            cost = sum(plan[o] != o.rung for o in plan)
+            if freed >= excess and (best is None or cost < best[0]):
+                best = cost, srv, plan
+        if best is None:
+            return None
+        self.set_rungs(*best[1:])
+        return best[1], vw.floor
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
@@ -577,23 +595,26 @@
         use = srv.use()
         if use <= SHED_OVER or not srv.link.own:
             return
-        plan = {vw: vw.rung for vw in srv.viewings.values() if vw.playing}
-        own, part = srv.link.own, use / srv.link.own
-        while use > SHED_TO:
+        plan, _ = self.shed(srv, srv.link.own * (1 - SHED_TO / use))
+        self.set_rungs(srv, plan)
+
+    def shed(self, srv, kb, below=float("inf")):
+        """Plan of rungs that frees so much, from the steps that earn least, and what it frees."""
+        plan, freed = {vw: vw.rung for vw in srv.viewings.values() if vw.playing}, 0.0
+        while freed < kb:
             vw = min((vw for vw in plan if plan[vw] > vw.floor), default=None,
                      key=lambda vw: (self.marks[vw.ask.package, plan[vw]][2], vw.id))
-            if vw is None:
+            if vw is None or self.marks[vw.ask.package, plan[vw]][2] >= below:
                 break
-            own -= self.marks[vw.ask.package, plan[vw]][0] - self.marks[vw.ask.package, plan[vw] - 1][0]
             plan[vw] -= 1
-            use = part * max(0.0, own)
-        self.set_rungs(srv, plan)
+            freed += self.marks[vw.ask.package, plan[vw] + 1][0] - self.marks[vw.ask.package, plan[vw]][0]
+        return plan, freed
 
     def step_up(self, srv):
         """Lasting room goes to the steps that earn most; the others may be raising at the same news."""
         if self.now < srv.short_until:
             return
-        ladder = self.terms.ladder
+        ladder, cap = self.terms.ladder, min(srv.link.kb, srv.rack.kb)
         peak = max(srv.link.peak(self.now), srv.rack.peak(self.now))
         use = max(srv.use(), peak) + self.age_reserve(srv)
         rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
