--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -617,7 +617,7 @@
         ladder, cap = self.terms.ladder, min(srv.link.kb, srv.rack.kb)
         peak = max(srv.link.peak(self.now), srv.rack.peak(self.now))
         use = max(srv.use(), peak) + self.age_reserve(srv)
-        rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
+        rush = (1 + self.terms.peers) / 2 / cap
         plan = {vw: vw.rung for vw in srv.viewings.values()
                 if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
         open_to = set(plan)
