A sole holder that just failed is tried again at the slot's end, not at once

Found in the trace of fast errors: all tune-ins of a viewing went to the same failing server in one instant. Guards against spending the tries on one failure that takes longer than a moment; it could harm where a server fails every other tune-in and time is short.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -7,27 +7,8 @@
 """
 from zlib import crc32
 
-from .interface import (
-    Abort,
-    Alarm,
-    Asked,
-    Begun,
-    Block,
-    CallOff,
-    Ended,
-    HandedOver,
-    How,
-    KeepListed,
-    Left,
-    Listing,
-    ListKind,
-    Note,
-    NoteKind,
-    Remind,
-    SetRung,
-    State,
-    TuneIn,
-)
+from . import interface as face
+from .interface import How, ListKind, NoteKind, State
 
 SECOND = 10_000
 SLOT = 2_000                # viewings gathered this long are placed together
@@ -181,9 +162,10 @@
         if self.started_at is None:
             self.started_at = now
             if self.terms.asks_for_list:
-                self.out.append(KeepListed(True))
-        act = {Asked: self.take, Note: self.note, Ended: self.ended, Begun: self.begun, Alarm: self.alarm,
-               Listing: self.listing, HandedOver: self.hand_over, Left: self.left}.get(type(event))
+                self.out.append(face.KeepListed(True))
+        act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
+               face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
+               face.Left: self.left}.get(type(event))
         if act:
             act(event)
         return self.out
@@ -216,10 +198,9 @@
         if vw is None:
             return
         vw.answered = True
-        if vw.waiting:
-            self.forget(vw)
-        elif vw.server and not vw.playing and self.allowed.call_off:
-            self.out.append(CallOff(vw.id, vw.nth))
+        self.forget(vw)
+        if vw.server and not vw.playing and self.allowed.call_off:
+            self.out.append(face.CallOff(vw.id, vw.nth))
 
     def begun(self, event):
         vw = self.viewings.get(event.id)
@@ -251,7 +232,7 @@
 
     def alarm(self, event):
         if event.token == LIST_ALARM:
-            self.out.append(KeepListed(True))
+            self.out.append(face.KeepListed(True))
         elif event.token == SLOT_ALARM:
             self.slot_at = None
             self.slot()
@@ -269,8 +250,8 @@
                 break
         if vw.playing:
             yield "play"
-            return
-        self.give_up(vw)
+        else:
+            self.give_up(vw)
 
     def resume(self, vw, result):
         try:
@@ -288,8 +269,10 @@
         vw.held, slot_end = 0, self.slot_at or self.now + SLOT
         due = min(vw.deadline, vw.asked_at + self.terms.packages[vw.ask.package].join_target) - TRY_LEAST
         if vw.nth >= 0 or slot_end > due:
-            spot = self.spot(vw)
-            if spot or self.now + 2 * SLOT > vw.deadline - TRY_LEAST:
+            # At once only where it should work: a sole holder that just failed gets till the slot's end.
+            last = self.now + 2 * SLOT > vw.deadline - TRY_LEAST
+            spot = self.spot(vw, bad_too=last)
+            if spot or last:
                 self.resume(vw, spot)
                 return
         self.wait(vw)
@@ -299,7 +282,7 @@
         self.waiting.append(vw)
         if self.slot_at is None:
             self.slot_at = self.now + SLOT
-            self.out.append(Remind(SLOT_ALARM, SLOT))
+            self.out.append(face.Remind(SLOT_ALARM, SLOT))
 
     def slot(self):
         """The slot's end: the waiting viewings in the order of what their lowest rung earns per kB."""
@@ -334,9 +317,9 @@
         vw.answered = True
         if vw.ran_at is None or pack.effect == "safe" or (pack.effect == "keyed" and pack.group == "all"):
             most = self.allowed.hold_off_most if self.allowed.hold_off else 0
-            self.out.append(Block(vw.id, most // 2 + int(self.chance() * (most // 2))))
+            self.out.append(face.Block(vw.id, most // 2 + int(self.chance() * (most // 2))))
         else:
-            self.out.append(Abort(vw.id))
+            self.out.append(face.Abort(vw.id))
 
     def chance(self):
         """Spreads what all managers would else do alike."""
@@ -357,9 +340,9 @@
         if self.is_cold(srv):
             srv.turn = self.pace_turn(srv)
         if rung != vw.floor or vw.rung != vw.floor:
-            self.out.append(SetRung(vw.id, rung))
+            self.out.append(face.SetRung(vw.id, rung))
         vw.rung = rung
-        self.out.append(TuneIn(vw.id, srv.row.server, expire))
+        self.out.append(face.TuneIn(vw.id, srv.row.server, expire))
         self.occupy(vw, srv)
 
     def occupy(self, vw, srv):
@@ -387,16 +370,16 @@
 
     # Placement
 
-    def spot(self, vw):
+    def spot(self, vw, bad_too=True):
         """The holder and rung of most immediate value; ties go to the roomiest holder."""
         best = None
-        for srv in self.open_holders(vw):
+        for srv in self.open_holders(vw, bad_too):
             rung, room = self.fit(srv, vw)
             if rung is not None and (best is None or (rung, room) > best[:2]):
                 best = rung, room, srv
         return best and (best[2], best[0])
 
-    def open_holders(self, vw):
+    def open_holders(self, vw, bad_too=True):
         """The holders of the title to which the rules and their health let a tune-in go now."""
         pack = self.terms.packages[vw.ask.package]
         if (pack.seats and self.seats.get((vw.ask.title, vw.ask.package), 0) >= pack.seats
@@ -409,7 +392,7 @@
                    and len(srv.viewings) < fleet.slots[srv.row.kind]]
         sound = [srv for srv in holders if self.sound(srv)]
         # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        return sound or sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
+        return sound or sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:int(bad_too)]
 
     def squeeze(self, vw):
         """Room for a viewing that would be blocked, from steps of ours that earn less per kB than it will.
@@ -439,8 +422,7 @@
 
     def rate(self, srv, vw, rung):
         """What the viewing would add at this server: less where it joins a live stream of ours."""
-        kb = self.marks[vw.ask.package, rung][0]
-        ask = vw.ask
+        ask, kb = vw.ask, self.marks[vw.ask.package, rung][0]
         if self.terms.packages[ask.package].live and any(
                 o.rung == rung and o.ask.title == ask.title and o.ask.package == ask.package and o is not vw
                 for o in srv.viewings.values()):
@@ -523,7 +505,7 @@
     def listing(self, event):
         if event.kind is ListKind.FAILED:
             self.list_tries += 1
-            self.out.append(Remind(LIST_ALARM, SECOND << min(self.list_tries, 3)))
+            self.out.append(face.Remind(LIST_ALARM, SECOND << min(self.list_tries, 3)))
             return
         self.list_tries = 0
         named = set()
@@ -588,7 +570,7 @@
         for vw in plan:
             if plan[vw] != vw.rung:
                 vw.rung, vw.stepped_at = plan[vw], self.now
-                self.out.append(SetRung(vw.id, vw.rung))
+                self.out.append(face.SetRung(vw.id, vw.rung))
         self.recount(srv)
 
     def step_down(self, srv):
