Steps of the worst-served packages earn more by the weight that the site's goal gives them

Value per kB alone leaves packages with dear steps low. Now each package's steps are weighed by what the goal adds for it, shared softly among those served nearly as badly, from our own viewings, once a second.

Could harm where other managers' traffic is served quite unlike ours.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -5,6 +5,7 @@
 order. The types of both stand in interface.py. Times are whole tenths of a millisecond. Nothing else goes
 in or out: no clock, no I/O, nothing shared between instances.
 """
+from math import exp
 from zlib import crc32
 
 from . import interface as face
@@ -29,6 +30,7 @@
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this unless patience ends before
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
+NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
 BUCKET = 1_000
 SLOT_ALARM, LIST_ALARM = 0, 1
 
@@ -49,10 +51,6 @@
     def add(self, now, amount):
         self.cell(now)[1] += amount
 
-    def top(self, now, amount):
-        cell = self.cell(now)
-        cell[1] = max(cell[1], amount)
-
     def since(self, then):
         return [amount for b, amount in self.cells if b >= 0 and b * self.width >= then]
 
@@ -87,7 +85,8 @@
         if self.heard_at is not None and trust < 1:
             amount = trust * amount + (1 - trust) * max(0.0, self.use() - (self.own - then) / self.kb)
         self.base, self.own_then, self.heard_at = amount, then, now
-        self.peaks.top(now, self.use())
+        peak = self.peaks.cell(now)
+        peak[1] = max(peak[1], self.use())
 
     def peak(self, now):
         return max([self.use(), *self.peaks.since(now - CALM)])
@@ -101,8 +100,7 @@
         self.viewings = {}
         self.ills = 0               # failures not yet answered by as many successes
         self.shut_until = self.full_until = self.short_until = 0
-        self.doubt_at = None        # seen failing then, and not seen working since
-        self.cold_until = 0
+        self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
 
@@ -119,8 +117,7 @@
         self.nth = -1               # number of the last tune-in
         self.server = None          # where a tune-in is out or it plays
         self.playing = self.answered = self.waiting = False
-        self.held = 0               # slots in which nothing fitted
-        self.rung = self.floor = self.top = 0
+        self.held = self.rung = self.floor = self.top = 0   # held: slots in which nothing fitted
         self.stepped_at = now
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
         self.life = None
@@ -132,13 +129,32 @@
         self.servers, self.racks, self.cells = {}, {}, {}
         self.viewings, self.waiting, self.seats = {}, [], {}
         self.slot_at = self.started_at = None
-        self.draws = self.list_tries = 0
+        self.draws = self.list_tries = self.weighed_at = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = Ring(-(-span // 16), 20), Ring(-(-span // 16), 20)
-        self.marks = self.rung_marks()
+        self.marks = self.rung_marks({})
         self.now, self.out = 0, []
 
-    def rung_marks(self):
+    def weigh(self):
+        """The site's goal counts the worst-served package apart: steps of those near it earn that much more.
+
+        Told from our own viewings; against a package whose steps cost more being left low by the order of
+        value per kB alone. Could harm where the others' traffic is served quite unlike ours.
+        """
+        goal, asked, served = self.terms.goal, {}, {}
+        for vw in self.viewings.values():
+            p = vw.ask.package
+            asked[p] = asked.get(p, 0) + self.terms.ladder.worth[vw.top]
+            served[p] = served.get(p, 0) + self.terms.ladder.worth[vw.rung] * vw.playing
+        if not asked or not goal.worst_package:
+            return
+        near = {p: exp(-served[p] / asked[p] / NEAR_WORST) for p in asked}
+        total = sum(self.terms.packages[p].value * asked[p] for p in asked)
+        self.marks = self.rung_marks({
+            p: 1 + goal.worst_package / max(goal.whole, 0.1) * near[p] / sum(near.values())
+            * total / (self.terms.packages[p].value * asked[p]) for p in asked})
+
+    def rung_marks(self, weights):
         """For each package and rung: its rate and its mark.
 
         The paper names only a moderate reserve; a lower mark for steps that earn less per kB keeps links
@@ -149,7 +165,8 @@
         for p, pack in enumerate(self.terms.packages):
             for r, (kb, worth) in enumerate(zip(ladder.kb, ladder.worth)):
                 less_kb, less = (ladder.kb[r - 1], ladder.worth[r - 1]) if r > pack.floor else (0, 0)
-                steps[p, r] = pack.value * (worth - less) / (max(kb - less_kb, 1e-9) * pack.scale)
+                value = pack.value * weights.get(p, 1)
+                steps[p, r] = value * (worth - less) / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
         mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
         return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
@@ -163,6 +180,9 @@
             self.started_at = now
             if self.terms.asks_for_list:
                 self.out.append(face.KeepListed(True))
+        if now >= self.weighed_at + SECOND:
+            self.weighed_at = now
+            self.weigh()
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
                face.Left: self.left}.get(type(event))
@@ -172,21 +192,18 @@
 
     def take(self, ask):
         self.taken.add(self.now, 1)
-        vw = self.viewings[ask.id] = self.viewing(ask)
-        vw.life = self.life(vw)
-        self.resume(vw, None)
+        self.resume(self.viewing(ask), None)
 
     def viewing(self, ask):
         vw, pack = Viewing(ask, self.now), self.terms.packages[ask.package]
-        vw.floor = pack.floor
+        self.viewings[ask.id], vw.life, vw.floor = vw, self.life(vw), pack.floor
         vw.top = max(vw.floor, min(ask.top, pack.top, len(self.terms.ladder.kb) - 1))
         return vw
 
     def hand_over(self, event):
-        vw = self.viewings[event.viewing.id] = self.viewing(event.viewing)
+        vw = self.viewing(event.viewing)
         vw.nth, vw.rung, vw.playing, vw.answered = 0, vw.floor, True, True
         vw.stepped_at -= STEP_PAUSE
-        vw.life = self.life(vw)
         next(vw.life)
         srv = self.servers.get(event.server)
         if srv:
@@ -234,7 +251,6 @@
         if event.token == LIST_ALARM:
             self.out.append(face.KeepListed(True))
         elif event.token == SLOT_ALARM:
-            self.slot_at = None
             self.slot()
 
     # One viewing, top to bottom
@@ -286,7 +302,7 @@
 
     def slot(self):
         """The slot's end: the waiting viewings in the order of what their lowest rung earns per kB."""
-        queue, self.waiting = self.waiting, []
+        queue, self.waiting, self.slot_at = self.waiting, [], None
         queue.sort(key=lambda vw: (-self.marks[vw.ask.package, vw.floor][2], vw.asked_at, vw.id))
         for vw in queue:
             vw.waiting = False
@@ -507,15 +523,11 @@
             self.list_tries += 1
             self.out.append(face.Remind(LIST_ALARM, SECOND << min(self.list_tries, 3)))
             return
-        self.list_tries = 0
-        named = set()
-        for row in event.entries:
-            named.add(row.server)
+        self.list_tries, named = 0, {row.server for row in event.entries}
+        left_out = [] if event.kind is ListKind.DELTA else [
+            srv.row._replace(state=State.GONE) for server, srv in self.servers.items() if server not in named]
+        for row in [*event.entries, *left_out]:
             self.listed(row)
-        if event.kind is not ListKind.DELTA:
-            for server, srv in self.servers.items():
-                if server not in named:
-                    self.listed(srv.row._replace(state=State.GONE))
 
     def listed(self, row):
         fleet, srv = self.terms.fleet, self.servers.get(row.server)
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -105,6 +105,13 @@
     peer: float
 
 
+class Goal(NamedTuple):
+    """What the site's service figure is made of."""
+    whole: float
+    worst_window: float
+    worst_package: float
+
+
 class SiteTerms(NamedTuple):
     """What a manager is told of its site when it starts."""
     me: int
@@ -118,6 +125,7 @@
     rules: RuleTerms
     allowed: Allowed
     prices: Prices
+    goal: Goal
 
 
 class Listed(NamedTuple):
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -38,6 +38,7 @@
     """The settings of a new_instance in our words; a missing key is a KeyError that names it."""
     top = json.loads(text)
     stream, rules, caps, prices = top["specifics"], top["obligations"], top["caps"], top["penalties"]
+    goal = top["objectiveMix"]
     packages = tuple(
         face.Package(
             join_target=span(row["goalTimeMs"]), patience=span(row["deadlineMs"]), value=row["worth"],
@@ -64,7 +65,8 @@
         allowed=face.Allowed(caps["tryLimit"], caps["cancelling"], caps["retryAfter"],
                              span(caps["maxRetryAfterMs"]), caps["peers"], caps["mayProbe"],
                              tenths(caps["dialTimeoutMs"])),
-        prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"]))
+        prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"]),
+        goal=face.Goal(goal["whole"], goal["worstWindow"], goal["worstClass"]))
 
 
 def listed(row, where):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -40,6 +40,15 @@
         self.compare()
 
 
+    def test_the_worst_served_package_steps_up_first_where_the_goal_says_so(self):
+        for part in (0.0, 0.4):
+            self.start(pack(value=1.5), pack(), servers=1, worst_package=part)
+            self.lines.append(f"-- worst package's weight {part}")
+            self.at(0, *self.handed(1, 1, rung=1), *self.handed(2, 1, package=1))
+            self.at(2 * S, self.link(1, 1, 0.65))
+        self.compare()
+
+
 class Rules(Drive):
     def test_one_answer_within_patience_against_silence(self):
         self.start(pack())
