Deep shortages that the account does not show are shed by the share delivered

Symptom: for ten to twenty seconds viewings play, nearly all in time, and earn a fifth of their worth; nothing in the change log. Told from one slow link by the link's figure (it would show), from a server that stands still by the share (not near zero). Change: a share between 0.25 and 0.8 is taken as the use (one over it) for shedding only, and only when what was shed last has had time to show (note lag plus 2 s). Covers late link figures, weak uplinks, shared bottlenecks. Could harm where the shortage ends within the lag.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -29,6 +29,8 @@
 FULL_PAUSE = SECOND // 2    # a server that said full is left alone this long
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this unless patience ends before
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
+DEEP, STILL = 0.8, 0.25      # shares of a deep shortage; under the lower nothing flows at all
+SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
 BUCKET = 1_000
@@ -99,7 +101,7 @@
         self.row, self.link, self.rack = row, link, rack
         self.viewings = {}
         self.ills = 0               # failures not yet answered by as many successes
-        self.shut_until = self.full_until = self.short_until = 0
+        self.shut_until = self.full_until = self.short_until = self.shed_at = 0
         self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
@@ -424,10 +426,9 @@
             cost = sum(plan[o] != o.rung for o in plan)
             if freed >= excess and (best is None or cost < best[0]):
                 best = cost, srv, plan
-        if best is None:
-            return None
-        self.set_rungs(*best[1:])
-        return best[1], vw.floor
+        if best:
+            self.set_rungs(*best[1:])
+        return best and (best[1], vw.floor)
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
@@ -561,9 +562,7 @@
             return
         if srv is None:
             return
-        lag = self.terms.fleet.note_lag
-        if vw and vw.playing and vw.stepped_at == self.now:
-            lag = 0
+        lag = 0 if vw and vw.playing and vw.stepped_at == self.now else self.terms.fleet.note_lag
         if event.kind is NoteKind.LINK:
             srv.link.heard(self.now, lag, event.amount)
             srv.seen_warm |= event.amount - srv.link.own / srv.link.kb > WARM_SIGN
@@ -571,7 +570,11 @@
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
             srv.short_until = self.now + SHORT
-        self.step_down(srv)
+        # A deep shortage that the account does not show: figures are late or the bottleneck is none of
+        # those reported. Not while what we shed last may not be in the share yet, nor where nothing flows.
+        hidden = (event.kind is NoteKind.DELIVERED and STILL < event.amount < DEEP
+                  and self.now >= srv.shed_at + lag + SETTLE)
+        self.step_down(srv, 1 / event.amount if hidden else 0)
         if event.kind is NoteKind.LINK:
             self.step_up(srv)
 
@@ -585,16 +588,16 @@
                 self.out.append(face.SetRung(vw.id, vw.rung))
         self.recount(srv)
 
-    def step_down(self, srv):
+    def step_down(self, srv, hidden=0):
         """A link that is short sheds the steps that earn least; each manager sheds its own part.
 
         What we shed lowers the use by our share of it: the others hear the same and do the same.
         """
-        use = srv.use()
+        use = max(srv.use(), hidden)
         if use <= SHED_OVER or not srv.link.own:
             return
-        plan, _ = self.shed(srv, srv.link.own * (1 - SHED_TO / use))
-        self.set_rungs(srv, plan)
+        srv.shed_at = self.now
+        self.set_rungs(srv, self.shed(srv, srv.link.own * (1 - SHED_TO / use))[0])
 
     def shed(self, srv, kb, below=float("inf")):
         """Plan of rungs that frees so much, from the steps that earn least, and what it frees."""
@@ -612,10 +615,9 @@
         """Lasting room goes to the steps that earn most; the others may be raising at the same news."""
         if self.now < srv.short_until:
             return
-        ladder, cap = self.terms.ladder, min(srv.link.kb, srv.rack.kb)
-        peak = max(srv.link.peak(self.now), srv.rack.peak(self.now))
-        use = max(srv.use(), peak) + self.age_reserve(srv)
-        rush = (1 + self.terms.peers) / 2 / cap
+        ladder = self.terms.ladder
+        use = max(srv.link.peak(self.now), srv.rack.peak(self.now)) + self.age_reserve(srv)
+        rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
         plan = {vw: vw.rung for vw in srv.viewings.values()
                 if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
         open_to = set(plan)
