A reported uplink's room is given out over all its servers at once, by value per kB

Steps up behind a reported uplink are now planned over all our viewings of the rack, once in a note lag plus 2 s. Could harm where one server of a rack is far behind with its figure.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -33,6 +33,7 @@
 SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
+REPORT_AGE, REPORT_TRUST = SECOND // 2, 0.4     # reports in outcomes are late and noisy
 BUCKET = 1_000
 SLOT_ALARM, LIST_ALARM = 0, 1
 
@@ -64,7 +65,7 @@
         self.kb, self.peers = max(kb, 1.0), peers
         self.own = 0.0              # kB a second that our viewings ask
         self.base = self.own_then = 0.0
-        self.heard_at = None
+        self.heard_at, self.raised_at = None, 0     # raised_at: when its room was last given out
         self.changes = Ring(BUCKET, 64)
         self.peaks = Ring(SECOND, 8)
 
@@ -134,8 +135,7 @@
         self.draws = self.list_tries = self.weighed_at = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = Ring(-(-span // 16), 20), Ring(-(-span // 16), 20)
-        self.marks = self.rung_marks({})
-        self.now, self.out = 0, []
+        self.now, self.out, self.marks = 0, [], self.rung_marks({})
 
     def weigh(self):
         """The site's goal counts the worst-served package apart: steps of those near it earn that much more.
@@ -143,7 +143,7 @@
         Told from our own viewings; against a package whose steps cost more being left low by the order of
         value per kB alone. Could harm where the others' traffic is served quite unlike ours.
         """
-        goal, asked, served = self.terms.goal, {}, {}
+        self.weighed_at, goal, asked, served = self.now, self.terms.goal, {}, {}
         for vw in self.viewings.values():
             p = vw.ask.package
             asked[p] = asked.get(p, 0) + self.terms.ladder.worth[vw.top]
@@ -183,7 +183,6 @@
             if self.terms.asks_for_list:
                 self.out.append(face.KeepListed(True))
         if now >= self.weighed_at + SECOND:
-            self.weighed_at = now
             self.weigh()
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
@@ -225,8 +224,7 @@
         vw = self.viewings.get(event.id)
         if vw is None or event.nth != vw.nth:
             return
-        vw.playing = vw.answered = True
-        vw.stepped_at = self.now
+        vw.playing, vw.answered, vw.stepped_at = True, True, self.now
         if vw.server:
             self.well(vw.server)
         self.resume(vw, How.OK)
@@ -335,22 +333,18 @@
         vw.answered = True
         if vw.ran_at is None or pack.effect == "safe" or (pack.effect == "keyed" and pack.group == "all"):
             most = self.allowed.hold_off_most if self.allowed.hold_off else 0
-            self.out.append(face.Block(vw.id, most // 2 + int(self.chance() * (most // 2))))
+            # Spread, or the viewers blocked together come again together.
+            self.draws += 1
+            chance = crc32(b"%d:%d" % (self.terms.seed, self.draws)) / 2 ** 32
+            self.out.append(face.Block(vw.id, most // 2 + int(chance * (most // 2))))
         else:
             self.out.append(face.Abort(vw.id))
 
-    def chance(self):
-        """Spreads what all managers would else do alike."""
-        self.draws += 1
-        return crc32(b"%d:%d" % (self.terms.seed, self.draws)) / 2 ** 32
-
     def tune(self, vw, srv, rung):
         pack = self.terms.packages[vw.ask.package]
         if vw.nth >= 0:
             self.further.add(self.now, 1)
-        vw.nth += 1
-        vw.sent_at = self.now
-        expire = vw.deadline
+        vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, vw.deadline
         # Against servers that answer nothing: leave time for another, except where it could not be used.
         if pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
             left = vw.deadline - self.now
@@ -542,16 +536,14 @@
         if row.started_at > srv.row.started_at and srv.doubt_at is not None and row.started_at > srv.doubt_at:
             srv.doubt_at, srv.ills, srv.shut_until = None, 0, 0
         srv.row = row
-        if row.started_at:
-            srv.cold_until = max(srv.cold_until, row.started_at + self.rules.warm_within)
+        srv.cold_until = max(srv.cold_until, row.started_at and row.started_at + self.rules.warm_within)
 
     def report(self, srv, load):
         told = dict(zip(self.terms.fleet.load_names, load))
-        link = told.get("x0", told.get("cpu_share"))
-        if link is not None:
-            srv.link.heard(self.now, BUCKET * 5, link, 0.4)
-        if "x1" in told:
-            srv.rack.heard(self.now, BUCKET * 5, told["x1"], 0.4)
+        link, rack = told.get("x0", told.get("cpu_share")), told.get("x1")
+        for meter, amount in ((srv.link, link), (srv.rack, rack)):
+            if amount is not None:
+                meter.heard(self.now, REPORT_AGE, amount, REPORT_TRUST)
 
     def note(self, event):
         vw, srv = self.viewings.get(event.id), self.servers.get(event.server)
@@ -575,8 +567,11 @@
         hidden = (event.kind is NoteKind.DELIVERED and STILL < event.amount < DEEP
                   and self.now >= srv.shed_at + lag + SETTLE)
         self.step_down(srv, 1 / event.amount if hidden else 0)
-        if event.kind is NoteKind.LINK:
-            self.step_up(srv)
+        if event.kind is NoteKind.LINK and srv.rack.heard_at is None:
+            self.step_up([srv])
+        elif event.kind is NoteKind.UPLINK and self.now >= srv.rack.raised_at + lag + SETTLE:
+            srv.rack.raised_at = self.now
+            self.step_up([o for o in self.servers.values() if o.rack is srv.rack])
 
     # Rungs of what plays
 
@@ -611,27 +606,34 @@
             freed += self.marks[vw.ask.package, plan[vw] + 1][0] - self.marks[vw.ask.package, plan[vw]][0]
         return plan, freed
 
-    def step_up(self, srv):
-        """Lasting room goes to the steps that earn most; the others may be raising at the same news."""
-        if self.now < srv.short_until:
-            return
-        ladder = self.terms.ladder
-        use = max(srv.link.peak(self.now), srv.rack.peak(self.now)) + self.age_reserve(srv)
-        rush = (1 + self.terms.peers) / 2 / min(srv.link.kb, srv.rack.kb)
-        plan = {vw: vw.rung for vw in srv.viewings.values()
+    def step_up(self, servers):
+        """Lasting room goes to the steps that earn most; the others may be raising at the same news.
+
+        A reported uplink's room is given out over all its servers at once, against the first server that
+        hears of it taking it all for its top rungs.
+        """
+        ladder, rack = self.terms.ladder, servers[0].rack
+        both = rack.peak(self.now)
+        use = {srv: max(srv.link.peak(self.now), both if rack.heard_at is None else 0) + self.age_reserve(srv)
+               for srv in servers if self.now >= srv.short_until}
+        rush = (1 + self.terms.peers) / 2
+        plan = {vw: vw.rung for srv in use for vw in srv.viewings.values()
                 if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
         open_to = set(plan)
         while open_to:
             vw = max(open_to, key=lambda vw: (self.marks[vw.ask.package, plan[vw] + 1][2], -vw.id))
             kb, mark, _ = self.marks[vw.ask.package, plan[vw] + 1]
-            after = use + rush * (kb - self.marks[vw.ask.package, plan[vw]][0])
-            if after <= mark:
-                use, plan[vw] = after, plan[vw] + 1
-            if after > mark or plan[vw] == vw.top:
+            kb = rush * (kb - self.marks[vw.ask.package, plan[vw]][0])
+            fits = max(use[vw.server] + kb / vw.server.link.kb, both + kb / rack.kb) <= mark
+            if fits:
+                use[vw.server], both = use[vw.server] + kb / vw.server.link.kb, both + kb / rack.kb
+                plan[vw] += 1
+            if not fits or plan[vw] == vw.top:
                 open_to.discard(vw)
         for vw in plan:
             gain = ladder.worth[plan[vw]] - ladder.worth[vw.rung]
             life = vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE
             if gain * life < PAYBACK * ladder.switch_cost:
                 plan[vw] = vw.rung
-        self.set_rungs(srv, plan)
+        for srv in use:
+            self.set_rungs(srv, {vw: plan[vw] for vw in plan if vw.server is srv})
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -40,6 +40,13 @@
         self.compare()
 
 
+    def test_uplink_room_is_given_out_over_all_its_servers(self):
+        self.start(pack(), uplink_kb=1500.0)
+        for id, server in ((1, 1), (2, 1), (3, 2), (4, 3)):
+            self.at(0, *self.handed(id, server))
+        self.at(2 * S, self.link(1, 1, 0.2), Note(1, 0, 1, NoteKind.UPLINK, 0.27))
+        self.compare()
+
     def test_the_worst_served_package_steps_up_first_where_the_goal_says_so(self):
         for part in (0.0, 0.4):
             self.start(pack(value=1.5), pack(), servers=1, worst_package=part)
