Managers tell each other their changes of asking where the site allows messages

Each change of what we ask of a server goes to the peers in eight bytes and moves their account until the next figure, which overrules it. Lost words and dead peers do no lasting harm; it could harm where messages come later than figures.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -77,6 +77,10 @@
             self.own_then += own - self.own
         self.own = own
 
+    def others(self, now, kb):
+        self.changes.add(now, kb)
+        self.own_then -= kb
+
     def use(self):
         # Before any figure came, the others are taken to ask as much as we do.
         if self.heard_at is None:
@@ -140,8 +144,7 @@
     def weigh(self):
         """The site's goal counts the worst-served package apart: steps of those near it earn that much more.
 
-        Told from our own viewings; against a package whose steps cost more being left low by the order of
-        value per kB alone. Could harm where the others' traffic is served quite unlike ours.
+        Against leaving a package with dear steps low. Could harm where the others' are served unlike ours.
         """
         self.weighed_at, goal, asked, served = self.now, self.terms.goal, {}, {}
         for vw in self.viewings.values():
@@ -159,9 +162,8 @@
     def rung_marks(self, weights):
         """For each package and rung: its rate and its mark.
 
-        The paper names only a moderate reserve; a lower mark for steps that earn less per kB keeps links
-        open for those that earn more (trunk reservation), against crowds that come after the rich rungs
-        are given out.
+        A lower mark for steps that earn less per kB (trunk reservation) keeps links open for those that earn
+        more, against crowds that come after the rich rungs are given out.
         """
         ladder, steps = self.terms.ladder, {}
         for p, pack in enumerate(self.terms.packages):
@@ -186,7 +188,7 @@
             self.weigh()
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
-               face.Left: self.left}.get(type(event))
+               face.Left: self.left, face.PeerSays: self.peer_says}.get(type(event))
         if act:
             act(event)
         return self.out
@@ -213,21 +215,19 @@
 
     def left(self, event):
         vw = self.viewings.get(event.id)
-        if vw is None:
-            return
-        vw.answered = True
-        self.forget(vw)
-        if vw.server and not vw.playing and self.allowed.call_off:
-            self.out.append(face.CallOff(vw.id, vw.nth))
+        if vw:
+            vw.answered = True
+            self.forget(vw)
+            if vw.server and not vw.playing and self.allowed.call_off:
+                self.out.append(face.CallOff(vw.id, vw.nth))
 
     def begun(self, event):
         vw = self.viewings.get(event.id)
-        if vw is None or event.nth != vw.nth:
-            return
-        vw.playing, vw.answered, vw.stepped_at = True, True, self.now
-        if vw.server:
-            self.well(vw.server)
-        self.resume(vw, How.OK)
+        if vw and event.nth == vw.nth:
+            vw.playing, vw.answered, vw.stepped_at = True, True, self.now
+            if vw.server:
+                self.well(vw.server)
+            self.resume(vw, How.OK)
 
     def ended(self, event):
         srv, vw = self.servers.get(event.server), self.viewings.get(event.id)
@@ -248,10 +248,10 @@
             self.resume(vw, event.how)
 
     def alarm(self, event):
-        if event.token == LIST_ALARM:
-            self.out.append(face.KeepListed(True))
-        elif event.token == SLOT_ALARM:
+        if event.token == SLOT_ALARM:
             self.slot()
+        else:
+            self.out.append(face.KeepListed(True))
 
     # One viewing, top to bottom
 
@@ -315,10 +315,9 @@
 
     def may_repeat(self, vw):
         pack = self.terms.packages[vw.ask.package]
-        if vw.nth + 1 >= self.allowed.tune_ins or self.now >= vw.deadline:
-            return False
-        if vw.ran_at is not None and pack.effect != "safe" and (
-                pack.effect == "unsafe" or self.now - vw.ran_at >= pack.repeat_window):
+        if vw.nth + 1 >= self.allowed.tune_ins or self.now >= vw.deadline or (
+                vw.ran_at is not None and pack.effect != "safe"
+                and (pack.effect == "unsafe" or self.now - vw.ran_at >= pack.repeat_window)):
             return False
         if self.rules.further_span is None:
             return True
@@ -409,8 +408,7 @@
     def squeeze(self, vw):
         """Room for a viewing that would be blocked, from steps of ours that earn less per kB than it will.
 
-        Against crowds that find the links full of rungs given out before them. Takes the holder where the
-        fewest viewings step down, as each has its price.
+        Against crowds that find links full of rungs given out before them. Each step down has its price.
         """
         best, (kb, _, earns) = None, self.marks[vw.ask.package, vw.floor]
         for srv in self.open_holders(vw):
@@ -427,18 +425,16 @@
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
         pack, ran = self.terms.packages[vw.ask.package], vw.ran_near
-        if pack.effect != "keyed" or vw.ran_at is None or pack.group == "all":
-            return True
-        return ran is not None and (row.zone == ran.zone if pack.group == "zone" else row.cell == ran.cell)
+        free = pack.effect != "keyed" or vw.ran_at is None or pack.group == "all"
+        return free or ran and (row.zone == ran.zone if pack.group == "zone" else row.cell == ran.cell)
 
     def rate(self, srv, vw, rung):
         """What the viewing would add at this server: less where it joins a live stream of ours."""
         ask, kb = vw.ask, self.marks[vw.ask.package, rung][0]
-        if self.terms.packages[ask.package].live and any(
-                o.rung == rung and o.ask.title == ask.title and o.ask.package == ask.package and o is not vw
-                for o in srv.viewings.values()):
-            return kb * self.terms.ladder.join
-        return kb
+        joins = self.terms.packages[ask.package].live and any(
+            o.rung == rung and o.ask.title == ask.title and o.ask.package == ask.package and o is not vw
+            for o in srv.viewings.values())
+        return kb * self.terms.ladder.join if joins else kb
 
     def fit(self, srv, vw):
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
@@ -453,10 +449,8 @@
 
     def age_reserve(self, srv):
         """Old figures hide what the other managers have sent since: keep more free, within bounds."""
-        every = self.terms.fleet.note_every
-        if not every or srv.link.heard_at is None:
-            return 0
-        return AGE_RESERVE * min(2, max(0, (self.now - srv.link.heard_at) / every - 1))
+        every, heard_at = self.terms.fleet.note_every, srv.link.heard_at
+        return AGE_RESERVE * min(2, max(0, (self.now - heard_at) / every - 1)) if every and heard_at else 0
 
     def recount(self, srv, new=True):
         """Our asking at a server, from its viewings: streams that are shared count once and a part."""
@@ -467,6 +461,8 @@
             streams[key] = streams.get(key, 0) + 1
         own = sum(self.marks[p, rung][0] * (1 + self.terms.ladder.join * (n - 1))
                   for (p, rung, _), n in streams.items())
+        if new and self.allowed.peers and own != srv.link.own:
+            self.out.append(face.TellPeers(srv.row.server, own - srv.link.own))
         srv.rack.asks(self.now, srv.rack.own + own - srv.link.own, new)
         srv.link.asks(self.now, own, new)
 
@@ -526,9 +522,9 @@
 
     def listed(self, row):
         fleet, srv = self.terms.fleet, self.servers.get(row.server)
+        if srv is None and row.state is State.GONE:
+            return
         if srv is None:
-            if row.state is State.GONE:
-                return
             rack = self.racks.setdefault(row.cell % fleet.racks, Meter(fleet.uplink_kb, self.terms.peers))
             link = Meter(row.weight * fleet.kb_per_weight, self.terms.peers)
             srv = self.servers[row.server] = Server(row, link, rack)
@@ -538,6 +534,14 @@
         srv.row = row
         srv.cold_until = max(srv.cold_until, row.started_at and row.started_at + self.rules.warm_within)
 
+    def peer_says(self, event):
+        """Another manager's change of asking, known before any figure shows it: against one rush to one room.
+
+        The next figure overrules it, so that a lost word or a dead peer does no lasting harm.
+        """
+        if event.server in self.servers:
+            self.servers[event.server].link.others(self.now, event.kb)
+
     def report(self, srv, load):
         told = dict(zip(self.terms.fleet.load_names, load))
         link, rack = told.get("x0", told.get("cpu_share")), told.get("x1")
@@ -609,8 +613,7 @@
     def step_up(self, servers):
         """Lasting room goes to the steps that earn most; the others may be raising at the same news.
 
-        A reported uplink's room is given out over all its servers at once, against the first server that
-        hears of it taking it all for its top rungs.
+        A reported uplink's room goes to all its servers at once, against the first to hear taking it all.
         """
         ladder, rack = self.terms.ladder, servers[0].rack
         both = rack.peak(self.now)
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -205,8 +205,10 @@
 
 
 class PeerSays(NamedTuple):
+    """Another manager asks so much more (or less) of a server."""
     peer: int
-    text: bytes
+    server: int
+    kb: float
 
 
 # Actions
@@ -261,9 +263,10 @@
     server: int
 
 
-class TellPeer(NamedTuple):
-    peer: int               # -1: all of them
-    text: bytes
+class TellPeers(NamedTuple):
+    """Tells all other managers that we ask so much more (or less) of a server."""
+    server: int
+    kb: float
 
 
 class Log(NamedTuple):
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -4,6 +4,7 @@
 """
 import json
 import math
+import struct
 import sys
 
 from . import interface as face
@@ -16,6 +17,7 @@
 LISTS = {0: face.ListKind.FAILED, 1: face.ListKind.FULL, 2: face.ListKind.DELTA, 4: face.ListKind.CACHED}
 NOTES = {1: face.NoteKind.DELIVERED, 2: face.NoteKind.RUNG, 3: face.NoteKind.LINK, 4: face.NoteKind.UPLINK}
 ALL_PEERS = 0xFFFFFFFF
+PEER_WORD = struct.Struct("<If")        # a server and kB a second
 MOVED, AGAIN, HINTED = 8, 16, 1
 
 
@@ -104,7 +106,9 @@
         return face.Probed(row["server"], known(HOWS, row["stateCode"], "outcome", where),
                            tenths(row["elapsedMs"]), row["usage"])
     if name == "neighbour_says":
-        return face.PeerSays(row["from"], row["msg"])
+        if len(row["msg"]) != PEER_WORD.size:       # a word of another version tells us nothing
+            return None
+        return face.PeerSays(row["from"], *PEER_WORD.unpack(row["msg"]))
     kind = known(LISTS, row["scope"], "list scope", where)
     if kind is face.ListKind.FAILED:
         return face.Listing(kind, ())
@@ -137,8 +141,8 @@
         return "inspect", (me, act.server)
     if isinstance(act, face.LetGo):
         return "let_go", (me, act.server)
-    if isinstance(act, face.TellPeer):
-        return "memo_to", (me, ALL_PEERS if act.peer < 0 else act.peer, act.text)
+    if isinstance(act, face.TellPeers):
+        return "memo_to", (me, ALL_PEERS, PEER_WORD.pack(act.server, act.kb))
     return "log", (me, act.text.encode())
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,5 +1,5 @@
 """Traces of decisions: the ordinary path, each rule, each kind of symptom. Read them in traces/."""
-from flaxscale.interface import How, Left, ListKind, Note, NoteKind, State
+from flaxscale.interface import How, Left, ListKind, Note, NoteKind, PeerSays, State
 from tests.drive import Drive, S, pack
 
 
@@ -155,6 +155,17 @@
         self.at(S)
         self.compare()
 
+    def test_peers_words_count_until_the_next_figure(self):
+        self.start(pack(), servers=2, peers=2, tells=True)
+        self.at(0, *self.handed(1, 1), *self.handed(2, 2))
+        self.at(2 * S, self.link(1, 1, 0.3), self.link(2, 2, 0.4))
+        self.at(S // 2, PeerSays(1, 1, 400.0), PeerSays(1, 77, 400.0), say="a peer takes the room of 1")
+        self.at(0, self.ask(3))
+        self.at(2 * S, self.link(1, 1, 0.3), say="the figure overrules it")
+        self.at(0, self.ask(4))
+        self.at(S)
+        self.compare()
+
     def test_a_swing_is_not_shed_a_jam_is(self):
         self.start(pack(), servers=1)
         for id in (1, 2, 3):
