The mark keeps 0.04 for unseen asking only where other managers don't tell theirs

What was one mark of 0.93 is 0.97 less 0.04 for what other managers ask unseen; where they tell each other nothing is kept for it. Could harm where messages are allowed but lost.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -14,8 +14,9 @@
 SECOND = 10_000
 SLOT = 2_000                # viewings gathered this long are placed together
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
-MARK = 0.93                 # mark for the rung step that earns most per kB ...
-MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least
+MARK = 0.97                 # mark for the rung step that earns most per kB ...
+MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least ...
+UNSEEN = 0.04               # ... and for all where the other managers don't tell what they ask
 SHED_OVER = 1.2             # only over this do playing viewings step down: less passes by itself ...
 SHED_TO = 1.1               # ... and to here
 CALM = 5 * SECOND           # room must have lasted this long before a playing viewing steps up
@@ -138,7 +139,7 @@
         self.slot_at = self.started_at = None
         self.draws = self.list_tries = self.weighed_at = 0
         span = terms.rules.further_span or SECOND
-        self.taken, self.further = Ring(-(-span // 16), 20), Ring(-(-span // 16), 20)
+        self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
         self.now, self.out, self.marks = 0, [], self.rung_marks({})
 
     def weigh(self):
@@ -172,7 +173,8 @@
                 value = pack.value * weights.get(p, 1)
                 steps[p, r] = value * (worth - less) / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
-        mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
+        most = MARK - UNSEEN * (not self.allowed.peers)
+        mark = {earns: most - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
         return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
                 for (p, r), earns in steps.items()}
 
@@ -214,8 +216,7 @@
         self.occupy(vw, srv)
 
     def left(self, event):
-        vw = self.viewings.get(event.id)
-        if vw:
+        if vw := self.viewings.get(event.id):
             vw.answered = True
             self.forget(vw)
             if vw.server and not vw.playing and self.allowed.call_off:
@@ -544,8 +545,7 @@
 
     def report(self, srv, load):
         told = dict(zip(self.terms.fleet.load_names, load))
-        link, rack = told.get("x0", told.get("cpu_share")), told.get("x1")
-        for meter, amount in ((srv.link, link), (srv.rack, rack)):
+        for meter, amount in ((srv.link, told.get("x0", told.get("cpu_share"))), (srv.rack, told.get("x1"))):
             if amount is not None:
                 meter.heard(self.now, REPORT_AGE, amount, REPORT_TRUST)
 
