Gone servers without viewings are forgotten

Found by reading the module whole: a fleet that replaces its machines would have filled the memory with the old ones.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -170,8 +170,8 @@
         for p, pack in enumerate(self.terms.packages):
             for r, (kb, worth) in enumerate(zip(ladder.kb, ladder.worth)):
                 less_kb, less = (ladder.kb[r - 1], ladder.worth[r - 1]) if r > pack.floor else (0, 0)
-                value = pack.value * weights.get(p, 1)
-                steps[p, r] = value * (worth - less) / (max(kb - less_kb, 1e-9) * pack.scale)
+                gain = pack.value * weights.get(p, 1) * (worth - less)
+                steps[p, r] = gain / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
         most = MARK - UNSEEN * (not self.allowed.peers)
         mark = {earns: most - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
@@ -210,8 +210,7 @@
         vw.nth, vw.rung, vw.playing, vw.answered = 0, vw.floor, True, True
         vw.stepped_at -= STEP_PAUSE
         next(vw.life)
-        srv = self.servers.get(event.server)
-        if srv:
+        if srv := self.servers.get(event.server):
             srv.seen_warm = True
         self.occupy(vw, srv)
 
@@ -493,17 +492,15 @@
 
     def pace_turn(self, srv):
         """Turns of the time in which one set-up of all managers may go to a cold server."""
-        rules = self.rules
-        rate = (PACE_SHARE * rules.tip_multiple * rules.start_capacity
-                * self.terms.fleet.slots[srv.row.kind] / rules.warm_within)
+        rules, places = self.rules, self.terms.fleet.slots[srv.row.kind]
+        rate = PACE_SHARE * rules.tip_multiple * rules.start_capacity * places / rules.warm_within
         return int(self.now * rate)
 
     def in_pace(self, srv):
+        turn, peers = self.pace_turn(srv), self.terms.peers
         if not self.is_cold(srv):
             return True
-        turn, peers = self.pace_turn(srv), self.terms.peers
-        # Known to be cold: all keep to their turns. Cold only for all that a new list can't tell: our
-        # share of the pace at any time, as nobody else holds back.
+        # Known to be cold: all keep to turns. Cold for all that a new list can't tell: our share at any time.
         if srv.doubt_at is None and self.now >= srv.cold_until:
             return srv.turn is None or turn - srv.turn >= peers
         return turn % peers == self.terms.me and srv.turn != turn
@@ -523,7 +520,10 @@
 
     def listed(self, row):
         fleet, srv = self.terms.fleet, self.servers.get(row.server)
-        if srv is None and row.state is State.GONE:
+        if row.state is State.GONE and not (srv and srv.viewings):
+            # Forgotten, or a fleet that replaces its machines would fill the memory with the old ones.
+            self.servers.pop(row.server, None)
+            self.cells.get(row.cell, {}).pop(row.server, None)
             return
         if srv is None:
             rack = self.racks.setdefault(row.cell % fleet.racks, Meter(fleet.uplink_kb, self.terms.peers))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -91,6 +91,7 @@
         self.at(S, self.list(3, kind=ListKind.FULL), say="a full list without 1 and 2")
         self.at(0, self.ask(3), self.ask(4))
         self.at(S)
+        self.lines.append(f"still held (2 has a tune-in out): {sorted(self.manager.servers)}")
         self.compare()
 
     def test_cold_server_takes_our_turns_of_the_pace(self):
