Fold repeated lookups; no decision changes

A viewing holds its package, seat, floor and top from the start instead of each place looking them up; one accessor for a rung's rate, mark and gain; changed rungs recount only the servers they touch, through one call for one or many servers; the rate in placement is computed once a rung, the pace turn only for cold servers. The package table no longer holds the patience, which nothing reads (graceMs bounds an answer).

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -5,6 +5,7 @@
 order. The types of both stand in interface.py. Times are whole tenths of a millisecond. Nothing else goes
 in or out: no clock, no I/O, nothing shared between instances.
 """
+from collections import Counter
 from math import exp
 from zlib import crc32
 
@@ -30,7 +31,7 @@
 FULL_PAUSE = 2 * SECOND     # a server that said full is left alone this long: places free as viewings end
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this unless patience ends before
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
-DEEP, STILL = 0.8, 0.25      # shares of a deep shortage; under the lower nothing flows at all
+DEEP, STILL = 0.8, 0.25     # shares of a deep shortage; under the lower nothing flows at all
 SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
@@ -119,13 +120,15 @@
 class Viewing:
     """One request for a viewing, from its arrival to its last outcome."""
 
-    def __init__(self, ask, now):
-        self.ask, self.id = ask, ask.id
+    def __init__(self, ask, pack, top, now):
+        self.ask, self.id, self.pack = ask, ask.id, pack
+        self.seat = ask.title, ask.package
+        self.floor, self.top = pack.floor, max(pack.floor, min(ask.top, pack.top, top))
         self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
         self.nth = -1               # number of the last tune-in
         self.server = None          # where a tune-in is out or it plays
         self.playing = self.answered = self.waiting = False
-        self.held = self.rung = self.floor = self.top = 0   # held: slots in which nothing fitted
+        self.held = self.rung = 0   # held: slots in which nothing fitted
         self.stepped_at = now
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
         self.life = None
@@ -135,7 +138,7 @@
     def __init__(self, terms):
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells = {}, {}, {}
-        self.viewings, self.waiting, self.seats = {}, [], {}
+        self.viewings, self.waiting, self.seats = {}, [], Counter()
         self.slot_at = self.started_at = None
         self.draws = self.list_tries = self.weighed_at = 0
         span = terms.rules.further_span or SECOND
@@ -161,7 +164,7 @@
             * total / (self.terms.packages[p].value * asked[p]) for p in asked})
 
     def rung_marks(self, weights):
-        """For each package and rung: its rate and its mark.
+        """For each package and rung: its rate, the mark of the step to it, and what that earns per kB.
 
         A lower mark for steps that earn less per kB (trunk reservation) keeps links open for those that earn
         more, against crowds that come after the rich rungs are given out.
@@ -178,6 +181,9 @@
         return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
                 for (p, r), earns in steps.items()}
 
+    def step(self, vw, rung):
+        return self.marks[vw.ask.package, rung]
+
     # The events
 
     def handle(self, now, event):
@@ -200,9 +206,8 @@
         self.resume(self.viewing(ask), None)
 
     def viewing(self, ask):
-        vw, pack = Viewing(ask, self.now), self.terms.packages[ask.package]
-        self.viewings[ask.id], vw.life, vw.floor = vw, self.life(vw), pack.floor
-        vw.top = max(vw.floor, min(ask.top, pack.top, len(self.terms.ladder.kb) - 1))
+        vw = Viewing(ask, self.terms.packages[ask.package], len(self.terms.ladder.kb) - 1, self.now)
+        self.viewings[ask.id], vw.life = vw, self.life(vw)
         return vw
 
     def hand_over(self, event):
@@ -283,7 +288,7 @@
     def seat(self, vw):
         """Waits for the slot, unless waiting would cost the join target or the viewer."""
         vw.held, slot_end = 0, self.slot_at or self.now + SLOT
-        due = min(vw.deadline, vw.asked_at + self.terms.packages[vw.ask.package].join_target) - TRY_LEAST
+        due = min(vw.deadline, vw.asked_at + vw.pack.join_target) - TRY_LEAST
         if vw.nth >= 0 or slot_end > due:
             # At once only where it should work: a sole holder that just failed gets till the slot's end.
             last = self.now + 2 * SLOT > vw.deadline - TRY_LEAST
@@ -303,7 +308,7 @@
     def slot(self):
         """The slot's end: the waiting viewings in the order of what their lowest rung earns per kB."""
         queue, self.waiting, self.slot_at = self.waiting, [], None
-        queue.sort(key=lambda vw: (-self.marks[vw.ask.package, vw.floor][2], vw.asked_at, vw.id))
+        queue.sort(key=lambda vw: (-self.step(vw, vw.floor)[2], vw.asked_at, vw.id))
         for vw in queue:
             vw.waiting = False
             spot = self.spot(vw) or (vw.held and self.squeeze(vw))
@@ -314,10 +319,9 @@
                 self.wait(vw)
 
     def may_repeat(self, vw):
-        pack = self.terms.packages[vw.ask.package]
         if vw.nth + 1 >= self.allowed.tune_ins or self.now >= vw.deadline or (
-                vw.ran_at is not None and pack.effect != "safe"
-                and (pack.effect == "unsafe" or self.now - vw.ran_at >= pack.repeat_window)):
+                vw.ran_at is not None and vw.pack.effect != "safe"
+                and (vw.pack.effect == "unsafe" or self.now - vw.ran_at >= vw.pack.repeat_window)):
             return False
         if self.rules.further_span is None:
             return True
@@ -328,8 +332,7 @@
 
     def give_up(self, vw):
         """The final answer, at once: a block wherever a repeat by the viewer is harmless."""
-        pack = self.terms.packages[vw.ask.package]
-        vw.answered = True
+        pack, vw.answered = vw.pack, True
         if vw.ran_at is None or pack.effect == "safe" or (pack.effect == "keyed" and pack.group == "all"):
             most = self.allowed.hold_off_most if self.allowed.hold_off else 0
             # Spread, or the viewers blocked together come again together.
@@ -340,14 +343,13 @@
             self.out.append(face.Abort(vw.id))
 
     def tune(self, vw, srv, rung):
-        pack = self.terms.packages[vw.ask.package]
         if vw.nth >= 0:
             self.further.add(self.now, 1)
         vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, vw.deadline
         # Against servers that answer nothing: leave time for another, except where it could not be used.
-        if pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
+        if vw.pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
             left = vw.deadline - self.now
-            expire = self.now + min(left, max(TRY_LEAST, min(left, pack.join_target) // 2))
+            expire = self.now + min(left, max(TRY_LEAST, min(left, vw.pack.join_target) // 2))
         if self.is_cold(srv):
             srv.turn = self.pace_turn(srv)
         if rung != vw.floor or vw.rung != vw.floor:
@@ -358,16 +360,16 @@
 
     def occupy(self, vw, srv):
         vw.server = srv
-        self.seats[vw.ask.title, vw.ask.package] = self.seats.get((vw.ask.title, vw.ask.package), 0) + 1
+        self.seats[vw.seat] += 1
         if srv:
             srv.viewings[vw.id] = vw
             self.recount(srv, new=not vw.playing)
 
     def vacate(self, vw):
-        srv, vw.server, seat = vw.server, None, (vw.ask.title, vw.ask.package)
-        self.seats[seat] -= 1
-        if not self.seats[seat]:
-            del self.seats[seat]
+        srv, vw.server = vw.server, None
+        self.seats[vw.seat] -= 1
+        if not self.seats[vw.seat]:
+            del self.seats[vw.seat]
         if srv:
             srv.viewings.pop(vw.id, None)
             self.recount(srv)
@@ -392,9 +394,7 @@
 
     def open_holders(self, vw, bad_too=True):
         """The holders of the title to which the rules and their health let a tune-in go now."""
-        pack = self.terms.packages[vw.ask.package]
-        if (pack.seats and self.seats.get((vw.ask.title, vw.ask.package), 0) >= pack.seats
-                or vw.nth >= 0 and not self.may_repeat(vw)):
+        if vw.pack.seats and self.seats[vw.seat] >= vw.pack.seats or vw.nth >= 0 and not self.may_repeat(vw):
             return []
         fleet = self.terms.fleet
         holders = [srv for j in range(vw.ask.cells)
@@ -402,15 +402,17 @@
                    if srv.row.state is State.READY and self.near_enough(vw, srv.row) and self.in_pace(srv)
                    and len(srv.viewings) < fleet.slots[srv.row.kind]]
         sound = [srv for srv in holders if self.sound(srv)]
+        if sound or not bad_too:
+            return sound
         # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        return sound or sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:int(bad_too)]
+        return sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
 
     def squeeze(self, vw):
         """Room for a viewing that would be blocked, from steps of ours that earn less per kB than it will.
 
         Against crowds that find links full of rungs given out before them. Each step down has its price.
         """
-        best, (kb, _, earns) = None, self.marks[vw.ask.package, vw.floor]
+        best, (kb, _, earns) = None, self.step(vw, vw.floor)
         for srv in self.open_holders(vw):
             excess = max(srv.use() - BRIM + kb / srv.link.kb, srv.rack.use() - BRIM + kb / srv.rack.kb)
             excess *= min(srv.link.kb, srv.rack.kb)
@@ -419,31 +421,31 @@
             if freed >= excess and (best is None or cost < best[0]):
                 best = cost, srv, plan
         if best:
-            self.set_rungs(*best[1:])
+            self.set_rungs(best[2])
         return best and (best[1], vw.floor)
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
-        pack, ran = self.terms.packages[vw.ask.package], vw.ran_near
+        pack, ran = vw.pack, vw.ran_near
         free = pack.effect != "keyed" or vw.ran_at is None or pack.group == "all"
         return free or ran and (row.zone == ran.zone if pack.group == "zone" else row.cell == ran.cell)
 
     def rate(self, srv, vw, rung):
         """What the viewing would add at this server: less where it joins a live stream of ours."""
-        ask, kb = vw.ask, self.marks[vw.ask.package, rung][0]
-        joins = self.terms.packages[ask.package].live and any(
-            o.rung == rung and o.ask.title == ask.title and o.ask.package == ask.package and o is not vw
-            for o in srv.viewings.values())
+        kb = self.step(vw, rung)[0]
+        joins = vw.pack.live and any(
+            o.rung == rung and o.seat == vw.seat and o is not vw for o in srv.viewings.values())
         return kb * self.terms.ladder.join if joins else kb
 
     def fit(self, srv, vw):
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
-        use = srv.use() + self.age_reserve(srv)
-        cap = min(srv.link.kb, srv.rack.kb)
+        # The rate, as a part of the link, on the larger use of the two: a link that reads emptier than its
+        # rack is not taken at its word, or all managers rush to it.
+        use, cap = srv.use() + self.age_reserve(srv), min(srv.link.kb, srv.rack.kb)
         for rung in range(vw.top, vw.floor - 1, -1):
-            after = max(use + self.rate(srv, vw, rung) / srv.link.kb,
-                        srv.rack.use() + self.rate(srv, vw, rung) / srv.rack.kb)
-            if after <= (self.marks[vw.ask.package, rung][1] if rung > vw.floor else BRIM):
+            kb = self.rate(srv, vw, rung)
+            after = max(use + kb / srv.link.kb, srv.rack.use() + kb / srv.rack.kb)
+            if after <= (self.step(vw, rung)[1] if rung > vw.floor else BRIM):
                 return rung, (1 - after) * cap
         return None, 0
 
@@ -456,8 +458,7 @@
         """Our asking at a server, from its viewings: streams that are shared count once and a part."""
         streams = {}
         for vw in srv.viewings.values():
-            live = self.terms.packages[vw.ask.package].live
-            key = (vw.ask.package, vw.rung, vw.ask.title if live else vw.id)
+            key = vw.ask.package, vw.rung, vw.ask.title if vw.pack.live else vw.id
             streams[key] = streams.get(key, 0) + 1
         own = sum(self.marks[p, rung][0] * (1 + self.terms.ladder.join * (n - 1))
                   for (p, rung, _), n in streams.items())
@@ -497,9 +498,9 @@
         return int(self.now * rate)
 
     def in_pace(self, srv):
-        turn, peers = self.pace_turn(srv), self.terms.peers
         if not self.is_cold(srv):
             return True
+        turn, peers = self.pace_turn(srv), self.terms.peers
         # Known to be cold: all keep to turns. Cold for all that a new list can't tell: our share at any time.
         if srv.doubt_at is None and self.now >= srv.cold_until:
             return srv.turn is None or turn - srv.turn >= peers
@@ -579,13 +580,14 @@
 
     # Rungs of what plays
 
-    def set_rungs(self, srv, plan):
+    def set_rungs(self, plan):
         """One change a viewing however many rungs it spans: each has its price."""
-        for vw in plan:
-            if plan[vw] != vw.rung:
-                vw.rung, vw.stepped_at = plan[vw], self.now
-                self.out.append(face.SetRung(vw.id, vw.rung))
-        self.recount(srv)
+        changed = [vw for vw in plan if plan[vw] != vw.rung]
+        for vw in changed:
+            vw.rung, vw.stepped_at = plan[vw], self.now
+            self.out.append(face.SetRung(vw.id, vw.rung))
+        for srv in dict.fromkeys(vw.server for vw in changed):
+            self.recount(srv)
 
     def step_down(self, srv, hidden=0):
         """A link that is short sheds the steps that earn least; each manager sheds its own part.
@@ -596,18 +598,18 @@
         if use <= SHED_OVER or not srv.link.own:
             return
         srv.shed_at = self.now
-        self.set_rungs(srv, self.shed(srv, srv.link.own * (1 - SHED_TO / use))[0])
+        self.set_rungs(self.shed(srv, srv.link.own * (1 - SHED_TO / use))[0])
 
     def shed(self, srv, kb, below=float("inf")):
         """Plan of rungs that frees so much, from the steps that earn least, and what it frees."""
         plan, freed = {vw: vw.rung for vw in srv.viewings.values() if vw.playing}, 0.0
         while freed < kb:
             vw = min((vw for vw in plan if plan[vw] > vw.floor), default=None,
-                     key=lambda vw: (self.marks[vw.ask.package, plan[vw]][2], vw.id))
-            if vw is None or self.marks[vw.ask.package, plan[vw]][2] >= below:
+                     key=lambda vw: (self.step(vw, plan[vw])[2], vw.id))
+            if vw is None or self.step(vw, plan[vw])[2] >= below:
                 break
             plan[vw] -= 1
-            freed += self.marks[vw.ask.package, plan[vw] + 1][0] - self.marks[vw.ask.package, plan[vw]][0]
+            freed += self.step(vw, plan[vw] + 1)[0] - self.step(vw, plan[vw])[0]
         return plan, freed
 
     def step_up(self, servers):
@@ -624,9 +626,9 @@
                 if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
         open_to = set(plan)
         while open_to:
-            vw = max(open_to, key=lambda vw: (self.marks[vw.ask.package, plan[vw] + 1][2], -vw.id))
-            kb, mark, _ = self.marks[vw.ask.package, plan[vw] + 1]
-            kb = rush * (kb - self.marks[vw.ask.package, plan[vw]][0])
+            vw = max(open_to, key=lambda vw: (self.step(vw, plan[vw] + 1)[2], -vw.id))
+            kb, mark, _ = self.step(vw, plan[vw] + 1)
+            kb = rush * (kb - self.step(vw, plan[vw])[0])
             fits = max(use[vw.server] + kb / vw.server.link.kb, both + kb / rack.kb) <= mark
             if fits:
                 use[vw.server], both = use[vw.server] + kb / vw.server.link.kb, both + kb / rack.kb
@@ -638,5 +640,4 @@
             life = vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE
             if gain * life < PAYBACK * ladder.switch_cost:
                 plan[vw] = vw.rung
-        for srv in use:
-            self.set_rungs(srv, {vw: plan[vw] for vw in plan if vw.server is srv})
+        self.set_rungs(plan)
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -44,7 +44,6 @@
 
 class Package(NamedTuple):
     join_target: int
-    patience: int
     value: float
     effect: str             # safe, keyed or unsafe
     group: str              # keyed: all, zone or cell
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -43,7 +43,7 @@
     goal = top["objectiveMix"]
     packages = tuple(
         face.Package(
-            join_target=span(row["goalTimeMs"]), patience=span(row["deadlineMs"]), value=row["worth"],
+            join_target=span(row["goalTimeMs"]), value=row["worth"],
             effect=row["effect"], group=row["group"], repeat_window=span(row["repeatWindowMs"]),
             floor=stream["lowestRung"][i], top=stream["highestRung"][i], scale=stream["scaleByClass"][i],
             seats=stream["licenceCap"][i], live=bool(stream["live"][i]))
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -12,7 +12,7 @@
 
 
 def pack(**changes):
-    row = dict(join_target=15_000, patience=30_000, value=1.0, effect="safe", group="all",
+    row = dict(join_target=15_000, value=1.0, effect="safe", group="all",
                repeat_window=5 * S, floor=0, top=2, scale=1.0, seats=0, live=False)
     return face.Package(**{**row, **changes})
 
@@ -85,6 +85,10 @@
         return (face.HandedOver(self.ask(id, **ask), server),
                 face.Note(id, 0, server, face.NoteKind.RUNG, float(rung)))
 
+    def plays(self, *ids, server=1, rung=2):
+        for id in ids:
+            self.at(0, *self.handed(id, server, rung))
+
     def compare(self):
         path = TRACES / f"{self._testMethodName.removeprefix('test_')}.txt"
         if os.environ.get("FLAXSCALE_KEEP"):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -169,8 +169,7 @@
 
     def test_a_swing_is_not_shed_a_jam_is(self):
         self.start(pack(), servers=1)
-        for id in (1, 2, 3):
-            self.at(0, *self.handed(id, 1, rung=2))
+        self.plays(1, 2, 3)
         self.at(S // 2, self.link(1, 1, 1.15), say="a swing, with all handed over in it")
         self.at(S, self.link(1, 1, 1.6), say="a jam")
         self.at(100, self.link(2, 1, 1.6), say="the same news again, heard late: already shed")
@@ -178,8 +177,7 @@
 
     def test_deep_shortage_that_the_account_hides_is_shed_once_it_settled(self):
         self.start(pack(), servers=1)
-        for id in (1, 2, 3):
-            self.at(0, *self.handed(id, 1, rung=2))
+        self.plays(1, 2, 3)
         self.at(S, self.link(1, 1, 0.6))
         for share in (0.9, 0.55, 0.6, 0.65, 0.7, 0.1):
             self.at(S, Note(1, 0, 1, NoteKind.DELIVERED, share), say=f"delivers {share}")
@@ -187,8 +185,7 @@
 
     def test_crowd_gets_room_from_rungs_that_earn_less(self):
         self.start(pack(), servers=1)
-        for id in (1, 2, 3):
-            self.at(0, *self.handed(id, 1, rung=2))
+        self.plays(1, 2, 3)
         self.at(S, self.link(1, 1, 0.96))
         self.at(0, self.ask(4))
         self.at(S)
@@ -196,8 +193,7 @@
 
     def test_lost_server_with_many_viewings_is_one_failure(self):
         self.start(pack())
-        for id in (1, 2, 3):
-            self.at(0, *self.handed(id, 1))
+        self.plays(1, 2, 3, rung=0)
         self.at(S, *(self.ended(id, 1, How.RESET, over=True) for id in (1, 2, 3)))
         self.lines.append(f"pause {(self.manager.servers[1].shut_until - self.now) / S} s")
         self.compare()
