--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -13,7 +13,7 @@
 from .interface import How, ListKind, NoteKind, State
 
 SECOND = 10_000
-SLOT = 2_000                # viewings gathered this long are placed together
+SLOT = 500                  # viewings gathered this long are placed together
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
 MARK = 0.97                 # mark for the rung step that earns most per kB ...
 MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least ...
@@ -31,7 +31,8 @@
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
 WORDS_COST = 0.005          # of the service figure, at most, for telling peers what we ask
 FEW, GUESS = 4, 0.5         # a manager with so few viewings half believes that links are so full
-SLOT_ALARM, LIST_ALARM = 0, 1
+SLOT_ALARM, LIST_ALARM, BEAT_ALARM = 0, 1, 2
+BEAT = SECOND // 4          # we look this often whether we stood still
 
 
 class Ring:
@@ -110,8 +111,7 @@
         self.ask, self.id, self.pack = ask, ask.id, pack
         self.seat = ask.title, ask.package
         self.floor, self.top = pack.floor, max(pack.floor, min(ask.top, pack.top, top))
-        self.asked_at = self.sent_at = self.expire_at = now
-        self.deadline = now + ask.left
+        self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
         self.nth = -1               # number of the last tune-in
         self.server = None          # where a tune-in is out or it plays
         self.playing = self.answered = self.waiting = False
@@ -132,7 +132,7 @@
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
         self.now, self.out, self.marks = 0, [], self.rung_marks({})
-        self.stood = Ring(8 * SECOND, 9)        # how late we found what was due
+        self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
         self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
 
     def weigh(self):
@@ -179,7 +179,8 @@
     def handle(self, now, event):
         self.now, self.out = now, []
         if self.started_at is None:
-            self.started_at = now
+            self.started_at = self.beat_at = now
+            self.out.append(face.Remind(BEAT_ALARM, BEAT))
             if self.terms.asks_for_list:
                 self.out.append(face.KeepListed(True))
         if now >= self.weighed_at + SECOND:
@@ -232,8 +233,6 @@
             self.ill(srv)
         elif srv and event.how is How.FULL:
             srv.rests_until = self.now + REST
-        if event.how is How.TIMEOUT:
-            self.late(vw.expire_at)
         if event.how not in (How.FULL, How.UNREACHED, How.MOOT):
             vw.ran_at, vw.ran_near = vw.sent_at, srv and srv.row
         self.vacate(vw)
@@ -245,6 +244,10 @@
     def alarm(self, event):
         if event.token == SLOT_ALARM and self.slot_at is not None:
             self.slot()
+        elif event.token == BEAT_ALARM:
+            longest = self.stood.cell(self.now)
+            longest[1], self.beat_at = max(longest[1], self.now - self.beat_at), self.now
+            self.out.append(face.Remind(BEAT_ALARM, BEAT))
         elif event.token == LIST_ALARM:
             self.out.append(face.KeepListed(True))
 
@@ -289,15 +292,12 @@
         self.wait(vw)
 
     def out_until(self, vw):
-        """How long a tune-in may be out: half the patience, or the longest we were late, is for the answer.
+        """How long a tune-in may be out: half the patience, or the longest we stood still, is for the answer.
 
-        Against outcomes that find us standing still. Could harm where set-ups take that long.
+        Against outcomes that find us standing still. A tune-in just after the request stays allowed.
         """
-        return vw.deadline - max(vw.ask.left // 2, *self.stood.since(self.now - 64 * SECOND), 0)
-
-    def late(self, due):
-        cell = self.stood.cell(self.now)
-        cell[1] = max(cell[1], self.now - due)
+        stood = max(vw.ask.left // 2, *self.stood.since(self.now - 64 * SECOND), 0)
+        return max(vw.deadline - stood, vw.asked_at + min(TRY_LEAST, vw.ask.left // 2))
 
     def wait(self, vw):
         vw.waiting = True
@@ -308,7 +308,6 @@
 
     def slot(self):
         """The slot's end: the waiting viewings in the order of what their lowest rung earns per kB."""
-        self.late(self.slot_at)
         queue, self.waiting, self.slot_at = self.waiting, [], None
         queue.sort(key=lambda vw: (-self.step(vw, vw.floor)[2], vw.asked_at, vw.id))
         for vw in queue:
@@ -350,17 +349,17 @@
     def tune(self, vw, srv, rung):
         if vw.nth >= 0:
             self.further.add(self.now, 1)
-        vw.nth, vw.sent_at, vw.expire_at = vw.nth + 1, self.now, self.out_until(vw)
+        vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, self.out_until(vw)
         # Against servers that answer nothing: leave time for another, except where it could not be used.
         if vw.pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
-            left = vw.expire_at - self.now
-            vw.expire_at = self.now + min(left, max(TRY_LEAST, vw.pack.join_target // 2))
+            left = expire - self.now
+            expire = self.now + min(left, max(TRY_LEAST, vw.pack.join_target // 2))
         if self.is_cold(srv):
             srv.turn = self.pace_turn(srv)
         if rung != vw.floor or vw.rung != vw.floor:
             self.out.append(face.SetRung(vw.id, rung))
         vw.rung = rung
-        self.out.append(face.TuneIn(vw.id, srv.row.server, vw.expire_at))
+        self.out.append(face.TuneIn(vw.id, srv.row.server, expire))
         self.occupy(vw, srv)
 
     def occupy(self, vw, srv):
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -38,7 +38,7 @@
         self.manager, self.alarms, self.now, self.quiet = Manager(site(packages, **terms)), [], 100 * S, quiet
         self.at(0, self.list(*range(1, servers + 1)))
         if warm:                # old enough to trust its list
-            self.now += 20 * S
+            self.at(20 * S)
 
     def list(self, *servers, kind=face.ListKind.CACHED, state=face.State.READY, started_at=0):
         return face.Listing(kind, tuple(
