Holders not heard of keep a fifth more free; figures are forgotten where we hold nothing

Now a dark holder's rung keeps 0.2 more free (times the part of the traffic that others place), the reserve on all marks is 0.06, and a figure of over two periods ago at a server where we hold nothing is forgotten. It should also cover lists that lag and servers come back; could harm where everything is light.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -17,7 +17,7 @@
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
 MARK = 0.97                 # mark for the rung step that earns most per kB ...
 MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least ...
-UNSEEN = 0.1               # ... and for all where the other managers don't tell what they ask
+UNSEEN = 0.06               # ... and for all where the other managers don't tell what they ask
 SHED_OVER = 1.1             # only over this do playing viewings step down: less passes by itself ...
 SHED_TO = 1.0               # ... and to here
 STEP_PAUSE = 3 * SECOND     # a viewing that stepped stays there this long before it steps up
@@ -26,6 +26,7 @@
 REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
+DARK = 0.2                  # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
@@ -68,7 +69,7 @@
         # What was handed over ran before: a late figure has it in already.
         if new:
             self.changes.add(now, own - self.own)
-        elif self.heard_at is not None:
+        else:
             self.own_then += own - self.own
         self.own = own
 
@@ -116,7 +117,7 @@
         self.server = None          # where a tune-in is out or it plays
         self.playing = self.answered = self.waiting = False
         self.held = self.rung = 0   # held: slots in which nothing fitted
-        self.stepped_at = now
+        self.stepped_at, self.begun_at = now, None
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
 
 
@@ -220,7 +221,7 @@
     def begun(self, event):
         vw = self.viewings.get(event.id)
         if vw and event.nth == vw.nth:
-            vw.playing, vw.answered, vw.stepped_at = True, True, self.now
+            vw.playing, vw.answered, vw.stepped_at, vw.begun_at = True, True, self.now, self.now
             if vw.server:
                 self.well(vw.server)
             self.resume(vw, How.OK)
@@ -319,9 +320,8 @@
                 vw.held = 1
                 self.wait(vw)
 
-    def chance(self):
+    def chance(self):           # multiplied, since the checksums of like seeds are alike
         self.draws += 1
-        # Multiplied, since the checksums of like seeds are alike.
         return crc32(b"%d:%d" % (self.terms.seed, self.draws)) * 0x9E3779B1 % 2 ** 32 / 2 ** 32
 
     def may_repeat(self, vw):
@@ -389,15 +389,16 @@
 
     def spot(self, vw, bad_too=True):
         """The holder and rung of most immediate value; ties go to the roomiest holder."""
-        best, holders = None, self.open_holders(vw, bad_too)
+        holders, old = self.open_holders(vw, bad_too), self.now - 2 * self.terms.fleet.note_every
+        for srv in holders:     # where we hold nothing no figure comes, and the last one misleads
+            if not srv.viewings and (srv.link.heard_at or 0) < old:
+                srv.link.heard_at = None
         dark = [srv for srv in holders if srv.link.heard_at is None]
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
-        drawn = dark and [min(dark, key=lambda srv: -log(self.chance() + 1e-9) / max(
-            srv.link.kb * (1 - srv.use()), 1))]
-        for srv in [srv for srv in holders if srv.link.heard_at is not None] + drawn:
-            rung, room = self.fit(srv, vw)
-            if rung is not None and (best is None or (rung, room) > best[:2]):
-                best = rung, room, srv
+        room = {srv: max(1.0, srv.link.kb * (1 - srv.use())) for srv in dark}
+        drawn = dark and [max(dark, key=lambda srv: log(self.chance() + 1e-9) / room[srv])]
+        fits = [(*self.fit(srv, vw), srv) for srv in holders if srv not in dark or srv in drawn]
+        best = max((fit for fit in fits if fit[0] is not None), key=lambda fit: fit[:2], default=None)
         return best and (best[2], best[0])
 
     def open_holders(self, vw, bad_too=True):
@@ -411,10 +412,9 @@
                    if srv.row.state is State.READY and self.near_enough(vw, srv.row) and self.in_pace(srv)
                    and len(srv.viewings) < fleet.slots[srv.row.kind]]
         sound = [srv for srv in holders if self.sound(srv)]
-        if sound or not bad_too:
-            return sound
         # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        return sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
+        last = sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
+        return sound or (last if bad_too else [])
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
@@ -433,7 +433,8 @@
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
         # The rate, as a part of the link, on the larger use of the two: a link that reads emptier than its
         # rack is not taken at its word, or all managers rush to it.
-        use, cap = srv.use(), min(srv.link.kb, srv.rack.kb)
+        dark = DARK * (1 - 1 / self.terms.peers) if srv.link.heard_at is None else 0
+        use, cap = srv.use() + dark, min(srv.link.kb, srv.rack.kb)
         for rung in range(vw.top, vw.floor - 1, -1):
             kb = self.rate(srv, vw, rung)
             after = max(use + kb / srv.link.kb, srv.rack.use() + kb / srv.rack.kb)
@@ -463,8 +464,7 @@
             self.usual_at, peers, few = self.now, self.terms.peers, FEW / (len(self.viewings) + FEW)
             n, told = (sum(ring.since(self.now - 8 * SECOND)) for ring in (self.tellings, self.told))
             own = sum(srv.link.own for srv in self.servers.values()) / self.links_kb
-            self.usual_use = told / n if n else (
-                (1 - few) * own * (peers - 1) + few * GUESS * (1 - 1 / peers))
+            self.usual_use = told / n if n else (peers - 1) * ((1 - few) * own + few * GUESS / peers)
         return self.usual_use
 
     def usual_uplink(self):
@@ -550,14 +550,13 @@
 
     def note(self, event):
         vw, srv = self.viewings.get(event.id), self.servers.get(event.server)
-        if event.kind is NoteKind.RUNG:
-            if vw and vw.server:
-                vw.rung = int(event.amount)
-                self.recount(vw.server, new=False)
-            return
-        if srv is None:
+        if event.kind is NoteKind.RUNG and vw and vw.server:
+            vw.rung = int(event.amount)
+            self.recount(vw.server, new=False)
+        if event.kind is NoteKind.RUNG or srv is None:
             return
-        lag = 0 if vw and vw.playing and vw.stepped_at == self.now else self.terms.fleet.note_lag
+        set_up = vw and vw.begun_at == self.now
+        lag = 0 if set_up else self.terms.fleet.note_lag
         if event.kind is NoteKind.LINK:
             srv.link.heard(self.now, lag, event.amount)
             self.told.add(self.now, max(0.0, event.amount - srv.link.own / srv.link.kb))
@@ -567,7 +566,7 @@
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
             srv.rests_until = self.now + REST
-        if not lag:
+        if set_up:
             self.settle(vw, srv)
         self.step_down(srv)
         if event.kind is NoteKind.LINK and srv.rack.heard_at is None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -200,6 +200,15 @@
             self.at(S)
         self.compare()
 
+    def test_a_figure_is_forgotten_where_nothing_is_held(self):
+        self.start(pack(), servers=2, peers=2)
+        self.at(0, *self.handed(1, 1), *self.handed(2, 2), self.link(1, 1, 0.9), self.link(2, 2, 0.9))
+        self.at(0, self.ended(1, 1, How.OK, over=True), say="nothing more is heard of 1, and 2 stays full")
+        for id in (3, 4):
+            self.at(0, self.ask(id))
+            self.at(8 * S, self.link(2, 2, 0.95))
+        self.compare()
+
     def test_a_manager_that_stands_still_answers_what_it_took(self):
         self.start(pack())
         self.at(0, self.ask(1, left=40_000))
