Marks spread by 0.3 over the steps; the reserve for the unseen dropped; the lowest rung spared from the dark one

Cause: at size the load that others place is not seen, and what it pushes aside should be the steps that earn least per kB; a reserve on all marks held back the dear ones as well. Marks now run from 0.97 to 0.67, dark holders keep 0.25 free for all but the lowest rung, and no other reserve is needed (one constant less). It should cover any crowd that comes after rich rungs are given out; could harm where the ladder is steep and demand light.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -16,8 +16,7 @@
 SLOT = 500                  # viewings gathered this long are placed together
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
 MARK = 0.97                 # mark for the rung step that earns most per kB ...
-MARK_SPREAD = 0.15          # ... and so much lower for the one that earns least ...
-UNSEEN = 0.06               # ... and for all where the other managers don't tell what they ask
+MARK_SPREAD = 0.3          # ... and so much lower for the one that earns least
 SHED_OVER = 1.1             # only over this do playing viewings step down: less passes by itself ...
 SHED_TO = 1.0               # ... and to here
 STEP_PAUSE = 3 * SECOND     # a viewing that stepped stays there this long before it steps up
@@ -26,7 +25,7 @@
 REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
-DARK = 0.2                  # kept free of a link that nothing was heard of, where others use it unseen
+DARK = 0.25                  # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
@@ -167,8 +166,7 @@
                 gain = pack.value * weights.get(p, 1) * (worth - less)
                 steps[p, r] = gain / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
-        most = MARK - UNSEEN * (not self.tells) * (1 - 1 / self.terms.peers) ** 2
-        mark = {earns: most - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
+        mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
         return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
                 for (p, r), earns in steps.items()}
 
@@ -438,7 +436,7 @@
         for rung in range(vw.top, vw.floor - 1, -1):
             kb = self.rate(srv, vw, rung)
             after = max(use + kb / srv.link.kb, srv.rack.use() + kb / srv.rack.kb)
-            if after <= (self.step(vw, rung)[1] if rung > vw.floor else BRIM):
+            if after <= (self.step(vw, rung)[1] if rung > vw.floor else BRIM + dark):
                 return rung, (1 - after) * cap
         return None, 0
 
