--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -138,7 +138,7 @@
         self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
 
     def weigh(self):
-        """The site's goal counts the worst-served package apart: steps of those near it earn that much more."""
+        """The site's goal counts the worst-served package apart: steps of those near it earn more."""
         self.weighed_at, goal, asked, served = self.now, self.terms.goal, {}, {}
         for vw in self.viewings.values():
             p = vw.ask.package
