One read of the whole change: no decision changes

Holders are sorted by their pause again only where none is sound; the draw among dark holders keeps one table; what others ask of a link is reckoned once a note; the newcomer's step down needs no check of its own, since shedding nothing is nothing; attributes are all set where their object is made.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -16,7 +16,7 @@
 SLOT = 500                  # viewings gathered this long are placed together
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
 MARK = 0.97                 # mark for the rung step that earns most per kB ...
-MARK_SPREAD = 0.3          # ... and so much lower for the one that earns least
+MARK_SPREAD = 0.3           # ... and so much lower for the one that earns least
 SHED_OVER = 1.1             # only over this do playing viewings step down: less passes by itself ...
 SHED_TO = 1.0               # ... and to here
 STEP_PAUSE = 3 * SECOND     # a viewing that stepped stays there this long before it steps up
@@ -25,7 +25,7 @@
 REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
-DARK = 0.25                  # kept free of a link that nothing was heard of, where others use it unseen
+DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 DEEP, STILL = 0.8, 0.25     # shares of a deep shortage; under the lower nothing flows at all
 SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
@@ -120,6 +120,7 @@
         self.held = self.rung = 0   # held: slots in which nothing fitted
         self.stepped_at, self.begun_at = now, None
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
+        self.life = None
 
 
 class Manager:
@@ -127,7 +128,7 @@
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells, self.links_kb = {}, {}, {}, 1.0
         self.viewings, self.waiting, self.seats = {}, [], Counter()
-        self.slot_at = self.started_at = self.usual_at = None
+        self.slot_at = self.started_at = self.beat_at = self.usual_at = None
         self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
@@ -390,11 +391,10 @@
         for srv in holders:     # where we hold nothing no figure comes, and the last one misleads
             if not srv.viewings and (srv.link.heard_at or 0) < old:
                 srv.link.heard_at = None
-        dark = [srv for srv in holders if srv.link.heard_at is None]
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
-        room = {srv: max(1.0, srv.link.kb * (1 - srv.use())) for srv in dark}
-        drawn = dark and [max(dark, key=lambda srv: log(self.chance() + 1e-9) / room[srv])]
-        fits = [(*self.fit(srv, vw), srv) for srv in holders if srv not in dark or srv in drawn]
+        dark = {srv: max(1.0, srv.link.kb * (1 - srv.use())) for srv in holders if srv.link.heard_at is None}
+        drawn = dark and max(dark, key=lambda srv: log(self.chance() + 1e-9) / dark[srv])
+        fits = [(*self.fit(srv, vw), srv) for srv in holders if srv not in dark or srv is drawn]
         best = max((fit for fit in fits if fit[0] is not None), key=lambda fit: fit[:2], default=None)
         return best and (best[2], best[0])
 
@@ -409,9 +409,10 @@
                    if srv.row.state is State.READY and self.near_enough(vw, srv.row) and self.in_pace(srv)
                    and len(srv.viewings) < fleet.slots[srv.row.kind]]
         sound = [srv for srv in holders if self.sound(srv)]
+        if sound or not bad_too:
+            return sound
         # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        last = sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
-        return sound or (last if bad_too else [])
+        return sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
@@ -556,9 +557,10 @@
         lag = 0 if set_up else self.terms.fleet.note_lag
         if event.kind is NoteKind.LINK:
             srv.link.heard(self.now, lag, event.amount)
-            self.told.add(self.now, max(0.0, event.amount - srv.link.own / srv.link.kb))
+            others = event.amount - srv.link.own / srv.link.kb
+            self.told.add(self.now, max(0.0, others))
             self.tellings.add(self.now, 1)
-            srv.seen_warm |= event.amount - srv.link.own / srv.link.kb > WARM_SIGN
+            srv.seen_warm |= others > WARM_SIGN
         elif event.kind is NoteKind.UPLINK:
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
@@ -591,8 +593,7 @@
 
         Against what other managers have sent since the last figure, and servers that we knew nothing of.
         """
-        if srv.use() > MARK:
-            self.set_rungs(self.shed([vw], (srv.use() - BRIM) * min(srv.link.kb, srv.rack.kb)))
+        self.set_rungs(self.shed([vw], (srv.use() - BRIM) * min(srv.link.kb, srv.rack.kb)))
 
     def step_down(self, srv, hidden):
         """A link that is short sheds the steps that earn least; each sheds its part, as all hear the same."""
--- a/tests/drive.py
+++ b/tests/drive.py
@@ -50,7 +50,8 @@
     def at(self, later, *events, say="", stands=False):
         """Moves the clock on (the alarms between ring first, or all at the end) and hands the events over."""
         until = self.now + later
-        self.now = until if stands else self.now
+        if stands:
+            self.now = until
         while self.alarms and min(self.alarms)[0] <= until:
             due = min(self.alarms)
             self.alarms.remove(due)
@@ -67,11 +68,11 @@
             if isinstance(act, face.Remind):
                 self.alarms.append((self.now + act.after, act.token))
                 continue
+            if self.quiet:
+                continue
             name, said = type(act).__name__, dict(act._asdict())
             if "expire_at" in said:
                 said["for"] = said.pop("expire_at") - self.now
-            if self.quiet:
-                continue
             told = " ".join(f"{key}={value}" for key, value in said.items())
             self.lines.append(f"{(self.now - 100 * S) / S:7.2f} {name} {told}")
 
