Tests that could not fail now do: forgotten figures, the newcomer's step down, standing still, groups of keyed

Found by taking each guarded line out of the module: the forgetting and the step down at set-up left their traces unchanged, the standstill's length did not show in a time-out, and the keyed test no longer told a zone from a server. Each now fails without its line.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -78,12 +78,12 @@
 
     def test_keyed_is_repeated_in_its_group_and_window_only(self):
         self.start(pack(effect="keyed", group="zone", repeat_window=S))
-        self.at(0, self.ask(1), self.ask(2, cells=1, first=1))
-        self.at(0, self.list(1, 3, kind=ListKind.DELTA, state=State.GONE), say="only 2 takes both")
+        self.at(0, self.ask(1), self.ask(2))
+        self.at(0, self.list(2, 3, kind=ListKind.DELTA, state=State.GONE), say="only 1 takes both")
         self.at(2_000)
-        self.at(0, self.list(1, 3, kind=ListKind.DELTA))
-        self.at(500, self.ended(1, 2, How.ERROR), say="server 2 is alone in its zone")
-        self.at(S, self.ended(2, 2, How.ERROR), say="past the window: aborted")
+        self.at(0, self.list(2, 3, kind=ListKind.DELTA))
+        self.at(500, self.ended(1, 1, How.ERROR), say="servers 1 and 3 are in one zone")
+        self.at(S, self.ended(2, 1, How.ERROR), say="past the window: aborted")
         self.compare()
 
     def test_nothing_new_to_drained_gone_or_unlisted(self):
@@ -188,7 +188,7 @@
     def test_a_full_server_learned_at_set_up_gets_the_lowest_rung(self):
         self.start(pack(), servers=1, peers=9)
         self.at(0, self.ask(1))
-        self.at(2_500, self.begun(1, 1), self.link(1, 1, 1.05), say="the figure that the set-up brought")
+        self.at(2_500, self.begun(1, 1), self.link(1, 1, 1.08), say="the figure that the set-up brought")
         self.compare()
 
     def test_many_managers_shed_and_take_their_parts_of_one_figure(self):
@@ -210,18 +210,18 @@
 
     def test_a_figure_is_forgotten_where_nothing_is_held(self):
         self.start(pack(), servers=2, peers=2)
-        self.at(0, *self.handed(1, 1), *self.handed(2, 2), self.link(1, 1, 0.9), self.link(2, 2, 0.9))
-        self.at(0, self.ended(1, 1, How.OK, over=True), say="nothing more is heard of 1, and 2 stays full")
+        self.at(0, *self.handed(1, 1), *self.handed(2, 2), self.link(1, 1, 1.2), self.link(2, 2, 0.4))
+        self.at(0, self.ended(1, 1, How.OK, over=True), say="full, and nothing more is heard of 1")
         for id in (3, 4):
-            self.at(0, self.ask(id))
-            self.at(8 * S, self.link(2, 2, 0.95))
+            self.at(0, self.ask(id, cells=1))
+            self.at(8 * S, self.link(2, 2, 0.4))
         self.compare()
 
     def test_a_manager_that_stands_still_answers_what_it_took(self):
         self.start(pack())
         self.at(0, self.ask(1, left=40_000))
         self.at(3 * S, say="stood still for three seconds: no tune-in can be answered in time", stands=True)
-        self.at(0, self.ask(2, left=40_000), self.ask(3, left=60_000), say="a second at most is left to 2")
+        self.at(0, self.ask(2, left=35_000), self.ask(3, left=60_000), say="half a second is left to 2")
         self.at(S)
         self.compare()
 
