--- /dev/null
+++ b/flaxscale/__main__.py
@@ -0,0 +1,4 @@
+from .cli.main import main
+
+if __name__ == "__main__":
+    main(prog_name="flaxscale")
--- /dev/null
+++ b/flaxscale/cli/days.py
@@ -0,0 +1,75 @@
+"""flaxscale day, check and config."""
+import pathlib
+import sys
+
+import click
+
+from ..lab.day import DayRun
+from ..lab.shapes import read_day
+from ..rules.check import RULES, check
+from ..rules.records import RecordError
+from ..site.load import evaluate
+from ..site.terms import read_site
+from . import BAD, BROKEN, service, site_errors
+from .logs import logger
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--seed", default=1, show_default=True)
+@click.option("--out", required=True, type=click.Path(), help="Folder for the records; must be empty or new.")
+def day(file, seed, out):
+    """Play a day of FILE (Jsonnet) on loopback and write what passed on the sockets."""
+    found = site_errors(lambda: read_day(file))
+    folder = pathlib.Path(out)
+    if folder.exists() and any(folder.iterdir()):
+        click.echo(f"flaxscale: {out}: an empty folder expected; nothing was written", err=True)
+        sys.exit(BAD)
+    run = DayRun(found, seed, out, logger("info", None))
+    service.run(run.run())
+    sys.exit(judge(out))
+
+
+@click.command("check")
+@click.argument("folder", type=click.Path())
+def check_command(folder):
+    """Judge the six rules from the records in FOLDER."""
+    sys.exit(judge(folder))
+
+
+def judge(folder):
+    try:
+        verdict = check(folder)
+    except RecordError as bad:
+        click.echo(f"flaxscale: {bad}", err=True)
+        return BAD
+    click.echo("players saw: " + ", ".join(f"{name} {n}" for name, n in sorted(verdict.counts.items())))
+    for b in verdict.breaks[:50]:
+        click.echo(f"rule {b.rule} ({RULES[b.rule - 1]}) broken: {b.detail}")
+    if len(verdict.breaks) > 50:
+        click.echo(f"... and {len(verdict.breaks) - 50} more")
+    click.echo(verdict.line())
+    return BROKEN if verdict.breaks else 0
+
+
+@click.group()
+def config():
+    """Look at configuration."""
+
+
+@config.command("check")
+@click.argument("file", type=click.Path())
+def config_check(file):
+    """Check a site's or a day's FILE."""
+    def run():
+        text = evaluate(file)
+        if '"demand"' in text and '"boxes"' in text:
+            found = read_day(file)
+            click.echo(f"{file}: a day of {found.length_s:g} s on {found.site.name}: {len(found.boxes)} boxes, "
+                       f"{found.site.managers} managers, {len(found.troubles)} troubles")
+        else:
+            found = read_site(file)
+            click.echo(f"{file}: the site {found.name}: {len(found.packages)} packages, {len(found.titles)} titles")
+    site_errors(run)
+
+
--- /dev/null
+++ b/flaxscale/cli/front.py
@@ -0,0 +1,50 @@
+"""flaxscale front: one session manager."""
+import pathlib
+import zlib
+
+import click
+
+from ..front.front import Front
+from ..site.load import SiteError
+from ..site.terms import Sense, read_site
+from . import ready, service, site_errors
+from .logs import LEVELS, logger
+
+
+@click.command()
+@click.argument("site", type=click.Path())
+@click.option("--me", default=0, show_default=True, help="This manager's number, from 0.")
+@click.option("--zone", default=None, help="The zone that it stands in; the site's first if left out.")
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=8080, show_default=True, help="0: any free one.")
+@click.option("--list", "list_address", required=True, metavar="HOST:PORT", help="The box list.")
+@click.option("--state", default=None, type=click.Path(), help="Folder for the last box list.")
+@click.option("--seed", default=None, type=int, help="Of the manager's chance; drawn anew if left out.")
+@click.option("--log-level", default="info", type=click.Choice(list(LEVELS)), show_default=True)
+@click.option("--log-file", default=None, type=click.Path())
+@click.option("--ready", "say_ready", is_flag=True, help="Print one JSON line with the address once it listens.")
+def front(site, me, zone, host, port, list_address, state, seed, log_level, log_file, say_ready):
+    """Serve WHIP and WHEP as one session manager of SITE (a Jsonnet file)."""
+    def sense():
+        found = read_site(site)
+        if found.allowed.peers:
+            raise SiteError(site, "allowed.peers", "false expected: managers have no way to talk yet")
+        if not 0 <= me < found.managers:
+            raise SiteError(site, "managers", f"more than {me} expected, the number given with --me")
+        if zone is not None and zone not in found.zones:
+            raise SiteError(site, "zones", f"the zone {zone!r} of --zone expected among them")
+        return Sense(found, me, found.zones.index(zone) if zone else 0,
+                     seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
+    made = site_errors(sense)
+    log = logger(log_level, log_file, manager=f"m{me}")
+
+    async def main():
+        app = Front(made, log, list_address, state)
+        address = await app.start(host, port)
+        log.info("serves", host=address[0], port=address[1])
+        if say_ready:
+            ready(*address)
+        await service.until_signal()
+        log.info("leaves")
+        await app.stop()
+    service.run(main())
--- /dev/null
+++ b/flaxscale/cli/standins.py
@@ -0,0 +1,88 @@
+"""flaxscale box and flaxscale boxlist: the stand-ins as programs."""
+import secrets
+import zlib
+
+import click
+
+from ..lab.records import Recorder
+from ..serve.clock import now
+from ..site.terms import read_site
+from ..standins.box import Box, Place, Site
+from ..standins.boxlist import BoxList
+from ..standins.boxserver import BoxServer
+from . import ready, service, site_errors
+
+
+def box_site(site):
+    """What a box is told of a site."""
+    rules = site.rules
+    return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
+                {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
+                site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
+                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
+
+
+def make_box(site, id, cell, kind, zone, weight, link_kb, up_ms, seed, work_ms, lease_ms, list_address, record):
+    place = Place(id, cell, cell % site.fleet.racks, zone, kind, weight, link_kb, site.fleet.kinds[kind])
+    box = Box(place, box_site(site), secrets.token_hex(4), now() - round(up_ms * 10), seed, round(work_ms * 10))
+    row = round(site.fleet.note_every_ms * 10), round(site.fleet.note_lag_ms * 10), round(lease_ms * 10)
+    return BoxServer(box, row, list_address, record, site.front.fleet_token)
+
+
+@click.command()
+@click.argument("site", type=click.Path())
+@click.option("--id", "id", required=True, type=int, help="Its id on the list.")
+@click.option("--cell", default=0, show_default=True)
+@click.option("--kind", default=None, help="Kind of machine; the site's first if left out.")
+@click.option("--zone", default=None)
+@click.option("--weight", default=1.0, show_default=True)
+@click.option("--link-kb", default=None, type=float, help="What its link gives; what its weight says if left out.")
+@click.option("--list", "list_address", default=None, metavar="HOST:PORT")
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, show_default=True)
+@click.option("--up-ms", default=0.0, show_default=True, help="How long it counts as having been up.")
+@click.option("--work-ms", default=15.0, show_default=True, help="What a set-up takes.")
+@click.option("--lease-ms", default=4000.0, show_default=True, help="Viewings end so long after their manager went.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--record", default=None, type=click.Path())
+@click.option("--ready", "say_ready", is_flag=True)
+def box(site, id, cell, kind, zone, weight, link_kb, list_address, host, port, up_ms, work_ms, lease_ms, seed,
+        record, say_ready):
+    """Run a media box stand-in. Troubles come as JSON lines on standard input: {"trouble": "hang", "value": 1}."""
+    found = site_errors(lambda: read_site(site))
+    kind, zone = kind or next(iter(found.fleet.kinds)), zone or found.zones[0]
+    if kind not in found.fleet.kinds or not 0 <= cell < found.fleet.cells or zone not in found.zones:
+        raise click.UsageError(f"--kind {kind}, --cell {cell} and --zone {zone} must be the site's")
+    link = link_kb if link_kb is not None else weight * found.fleet.kb_per_weight
+
+    async def main():
+        server = make_box(found, id, cell, kind, zone, weight, link, up_ms, zlib.crc32(b"%d:%d" % (seed, id)),
+                          work_ms, lease_ms, list_address, Recorder(record))
+        address = await server.start(host, port)
+        if say_ready:
+            ready(*address, id=id)
+        await service.until_signal(server.command)
+        server.die()
+    service.run(main())
+
+
+@click.command()
+@click.argument("site", type=click.Path())
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, show_default=True)
+@click.option("--late-ms", default=0.0, show_default=True, help="Until a change is told.")
+@click.option("--record", default=None, type=click.Path())
+@click.option("--ready", "say_ready", is_flag=True)
+def boxlist(site, host, port, late_ms, record, say_ready):
+    """Run the box list stand-in. Commands come as JSON lines on standard input: {"late_ms": 4000}."""
+    found = site_errors(lambda: read_site(site))
+
+    async def main():
+        app = BoxList({rack: found.fleet.uplink_kb for rack in range(found.fleet.racks)}, Recorder(record),
+                      round(late_ms * 10))
+        address = await app.start(host, port)
+        if say_ready:
+            ready(*address)
+        await service.until_signal(app.command)
+        app.server.abort_all()
+    service.run(main())
--- /dev/null
+++ b/flaxscale/front/boxes.py
@@ -0,0 +1,254 @@
+"""The front's side of its boxes: set-ups out, note streams in, what is owed to them. Sockets only.
+
+Wire between front and box (docs/signalling.md): a set-up is the client's own POST with an Idempotency-Key that
+names it before it is sent; /manager/notes is an event stream; /manager/orders ends set-ups and sets rungs.
+"""
+import asyncio
+
+import msgspec
+
+from ..interface import How, NoteKind
+from ..recovery.owed import Owed
+from ..recovery.watch import BoxWatch, Stream
+from ..serve import pool as wire
+from ..serve.clock import now
+from ..signalling import load
+
+RAN = "flaxscale-ran"           # "no" in an answer: the set-up never ran and never will
+
+
+class NoteEvent(msgspec.Struct):
+    """What a box tells of one of our viewings there."""
+    key: str
+    link: float | None = None
+    uplink: float | None = None
+    delivered: float | None = None
+
+
+class OverEvent(msgspec.Struct):
+    key: str
+    how: str                    # left, lost
+
+
+class HelloEvent(msgspec.Struct):
+    boot: str
+    keys: list[str]
+
+
+class Boxes:
+    """All boxes of one front. The owner (front) gives: held keys by box, and hears of notes and losses."""
+
+    def __init__(self, owner, sense, name, log):
+        self.owner, self.name, self.log = owner, name, log
+        site = sense.site
+        self.figures = {site.fleet.link_figure: NoteKind.LINK}
+        if site.fleet.uplink_figure:
+            self.figures[site.fleet.uplink_figure] = NoteKind.UPLINK
+        self.dial_s, self.seed = site.allowed.dial_timeout_ms / 1000, sense.seed
+        self.pool = wire.Pool(self.dial_s, site.front.box_connections)
+        self.token = [("Authorization", f"Bearer {site.front.fleet_token}")] if site.front.fleet_token else []
+        self.places, self.watches, self.streams = {}, {}, {}
+        self.playing, self.boots = {}, {}       # box: {key: viewing}; key: the start of the box that plays it
+        self.owed, self.orders_out = Owed(sense.seed), {}
+        self.pushing = None         # one wake-up for all orders of this turn of the loop
+
+    # The list
+
+    def placed(self, places):
+        """The list's places now. Boxes that went or moved are told from it."""
+        before, self.places = self.places, dict(places)
+        for box in before.keys() - places.keys():
+            self.lose(box, self.watch(box).listed_gone(self.keys(box)), "the list says gone")
+            if not self.keys(box):
+                self.close_stream(box)
+                self.owed.gone(box)
+        for box, place in places.items():
+            if box in self.watches:
+                self.watches[box].listed()
+                if box in before and before[box][:2] != place[:2]:
+                    self.close_stream(box)
+                    self.keep_stream(box)
+
+    def keys(self, box):
+        return self.playing.get(box, {})
+
+    def watch(self, box):
+        if box not in self.watches:
+            self.watches[box] = BoxWatch(box, self.seed)
+        return self.watches[box]
+
+    # Set-ups
+
+    def set_up(self, box, target, key, headers, body, done):
+        """One POST. done(how or None, took, answer or None, [(NoteKind, amount)]); None: it plays."""
+        place = self.places.get(box)
+        if place is None:
+            return None
+        self.keep_stream(box)
+        began = now()
+
+        def came(result):
+            took = now() - began
+            if isinstance(result, wire.Failed):
+                done(How.RESET if result.sent else How.UNREACHED, took, None, ())
+                return
+            done(self.how_of(result), took, result, self.notes_of(result.headers))
+        return self.pool.send(place.host, place.port, "POST", target, [*headers, *self.token], body, came)
+
+    def how_of(self, answer):
+        """An answer as an outcome. What is not said to have never run may have run."""
+        if answer.status == 201 and "location" in answer.headers:
+            return None
+        if answer.headers.get(RAN) == "no":
+            return How.FULL if answer.status == 503 else How.MOOT
+        return How.ERROR
+
+    def notes_of(self, headers):
+        figures = load.decode(headers.get(load.FIELD))
+        return [(kind, figures[name]) for name, kind in self.figures.items() if name in figures]
+
+    def plays(self, box, key, id, boot):
+        self.playing.setdefault(box, {})[key] = id
+        self.boots[key] = boot
+
+    def over(self, box, key):
+        """It plays no more, or we want it no more."""
+        self.boots.pop(key, None)
+        held = self.playing.get(box)
+        if held is not None:
+            held.pop(key, None)
+            if not held:
+                del self.playing[box]
+
+    # Orders
+
+    def end(self, box, key):
+        self.over(box, key)
+        self.owed.end(box, key)
+        self.push()
+
+    def set_rung(self, box, key, rung):
+        self.owed.rung(box, key, rung)
+        self.push()
+
+    def push(self):
+        if self.pushing is None:
+            self.pushing = asyncio.get_running_loop().call_soon(self.push_now)
+
+    def push_now(self):
+        self.pushing, time, soonest = None, now(), None
+        for box, at in self.owed.due():
+            if at > time:
+                soonest = at if soonest is None else min(soonest, at)
+                continue
+            place, batch = self.places.get(box), None
+            if place is not None:
+                batch = self.owed.take(box, time)
+            elif not self.keys(box):
+                self.owed.gone(box)
+                continue
+            if batch is not None:
+                self.send_orders(box, place, *batch)
+        if soonest is not None:
+            self.pushing = asyncio.get_running_loop().call_later(
+                max(0.001, (soonest - time) / 10_000), self.push_now)
+
+    def send_orders(self, box, place, ends, rungs):
+        def came(result):
+            late.cancel()
+            self.orders_out.pop(box, None)
+            good = isinstance(result, wire.Answer) and result.status == 200
+            self.owed.sent(box, good, now())
+            self.push()
+
+        def too_late():
+            call.cancel()
+            came(wire.Failed(True, "no answer to orders"))
+        late = asyncio.get_running_loop().call_later(2.0, too_late)
+        call = self.orders_out[box] = self.pool.send(
+            place.host, place.port, "POST", "/manager/orders",
+            [("Content-Type", "application/json"), ("Flaxscale-Manager", self.name), *self.token],
+            msgspec.json.encode({"end": ends, "rungs": rungs}), came)
+
+    # Notes
+
+    def keep_stream(self, box):
+        """A stream to each box that we use, for as long as the list names it."""
+        watch, place = self.watch(box), self.places.get(box)
+        if place is None or not watch.wants(now()):
+            return
+        watch.opening(self.keys(box))
+        self.streams[box] = stream = wire.EventStream(
+            place.host, place.port, "/manager/notes", [("Flaxscale-Manager", self.name), *self.token],
+            lambda: None, lambda event: self.heard(box, event),
+            lambda refused, detail: self.stream_closed(box, refused, detail))
+        stream.start(self.dial_s)
+
+    def stream_closed(self, box, refused, detail):
+        self.streams.pop(box, None)
+        watch = self.watch(box)
+        lost = watch.closed(refused, self.keys(box), now())
+        self.log.info("stream closed", box=box, refused=refused, detail=detail, lost=len(lost))
+        self.lose(box, lost, "its process does not run" if refused else "its stream ended and the list says gone")
+        if box in self.places:
+            asyncio.get_running_loop().call_later(max(0.0, (watch.retry_at - now()) / 10_000) + 0.001,
+                                                  self.keep_stream, box)
+
+    def close_stream(self, box):
+        if stream := self.streams.pop(box, None):
+            stream.cancel()
+        if box in self.watches:
+            self.watches[box].state = Stream.OFF
+
+    def heard(self, box, event):
+        try:
+            if event.name == "note":
+                note = msgspec.json.decode(event.data, type=NoteEvent)
+            elif event.name == "over":
+                over = msgspec.json.decode(event.data, type=OverEvent)
+            elif event.name == "hello":
+                hello = msgspec.json.decode(event.data, type=HelloEvent)
+            else:
+                return
+        except msgspec.MsgspecError as bad:
+            self.log.warning("note not read", box=box, detail=str(bad)[:200])
+            return
+        if event.name == "hello":
+            keys = self.keys(box)
+            lost = self.watch(box).hello(hello.boot, set(hello.keys), {key: self.boots.get(key) for key in keys})
+            self.lose(box, lost, "the box does not know it")
+            for key in hello.keys:          # a set-up of ours that we know nothing of any more
+                if key not in keys and not self.owner.is_out(key):
+                    self.end(box, key)
+            return
+        if event.name == "over":
+            id = self.keys(box).get(over.key)
+            self.owed.over(box, over.key)
+            if id is not None:
+                self.over(box, over.key)
+                self.owner.session_over(id, How.RESET if over.how == "lost" else How.OK)
+            return
+        id = self.keys(box).get(note.key)
+        if id is None:
+            return
+        if note.delivered is not None:
+            self.owner.noted(id, NoteKind.DELIVERED, note.delivered)
+        if note.link is not None:
+            self.owner.noted(id, NoteKind.LINK, note.link)
+        if note.uplink is not None and NoteKind.UPLINK in self.figures.values():
+            self.owner.noted(id, NoteKind.UPLINK, note.uplink)
+
+    def lose(self, box, keys, why):
+        for key in list(keys):
+            id = self.keys(box).get(key)
+            if id is not None:
+                self.over(box, key)
+                self.log.info("viewing lost", viewing=id, box=box, why=why)
+                self.owner.session_over(id, How.RESET)
+
+    async def close(self):
+        if self.pushing is not None:
+            self.pushing.cancel()
+        for box in list(self.streams):
+            self.close_stream(box)
+        await self.pool.close()
--- /dev/null
+++ b/flaxscale/front/front.py
@@ -0,0 +1,399 @@
+"""One session manager on sockets: HTTP requests become events of the runner, its actions become requests to boxes.
+
+This is the runner's port. Which box, which rung, when to try again, when to give up and what to answer is the
+module's; what is read and written here has no choice in it.
+"""
+import asyncio
+import json
+import secrets
+from urllib.parse import quote
+
+import xxhash
+
+from .. import interface as face
+from ..http1 import fields
+from ..http1.server import Limits
+from ..interface import How
+from ..recovery.boxes import BoxBook
+from ..recovery.keys import Clash, Joined, Kept, KeyBook
+from ..run import Fate, Runner
+from ..serve.clock import now
+from ..serve.server import Server, Times
+from ..signalling import endpoint
+from ..signalling.endpoint import Refusal
+from .boxes import Boxes
+from .listing import ListFollower
+
+AGAIN = 300_000             # a viewer of the same title within half a minute comes again
+PATCH_S = 5.0               # a PATCH that the box leaves unanswered so long is given up
+
+
+class Viewing:
+    """A viewing as the sockets have it."""
+    __slots__ = ("id", "offer", "askers", "name", "key", "call", "came", "box", "path", "place", "tries",
+                 "plays", "done", "asked_at", "began")
+
+    def __init__(self, id, offer, exchange):
+        self.id, self.offer, self.askers = id, offer, [exchange]
+        self.name = f"{id:x}-{secrets.token_urlsafe(12)}"
+        self.key = self.call = self.came = self.box = self.path = self.place = None
+        self.tries, self.plays, self.done, self.asked_at, self.began = 0, False, False, now(), None
+
+
+class Front:
+    def __init__(self, sense, log, list_address=None, state=None, tap=None):
+        self.sense, self.site, self.lines = sense, sense.site, log
+        self.boot, self.name = secrets.token_hex(4), f"m{sense.me}"
+        self.runner = Runner(sense.terms, self, tap)
+        self.boxes = Boxes(self, sense, self.name, log)
+        fleet = self.site.fleet
+        self.book = BoxBook(sense.kinds, sense.zones, fleet.cells, sense.terms.rules.warm_within)
+        self.follower = ListFollower(list_address, self.name, self.book, state, self.listed,
+                                     log) if list_address else None
+        row = self.site.front
+        self.keys = KeyBook(round(row.keep_answers_ms * 10))
+        self.server = Server(self.handle, Limits(row.head_bytes, 64, 2048, row.body_bytes),
+                             Times(round(row.head_ms * 10), round(row.body_ms * 10), round(row.idle_ms * 10)),
+                             row.connections)
+        self.viewings, self.names, self.by_key, self.seen = {}, {}, {}, {}
+        self.ids, self.timer, self.loop, self.address = 0, None, None, None
+        self.counts = dict.fromkeys(("taken", "plays", "blocked", "aborted", "left", "refused", "joined"), 0)
+        self.title_ids = {}
+        self.housekeeping = None
+
+    # Life
+
+    async def start(self, host, port):
+        self.loop = asyncio.get_running_loop()
+        if self.follower:
+            self.follower.start()
+        self.address = await self.server.listen(host, port)
+        self.keep_house()
+        return self.address
+
+    def keep_house(self):
+        self.boxes.pool.sweep()
+        old = now() - AGAIN
+        for seen in [seen for seen, at in self.seen.items() if at < old]:
+            del self.seen[seen]
+        self.keys.clear(now())
+        self.housekeeping = self.loop.call_later(5.0, self.keep_house)
+
+    async def stop(self, grace=3.0):
+        """No new viewing; what is in work gets its answer; what plays is ended at its boxes."""
+        self.server.stop_listening()
+        self.server.stopping = True
+        until = self.loop.time() + grace
+        while any(not vw.plays for vw in self.viewings.values()) and self.loop.time() < until:
+            await asyncio.sleep(0.01)
+        for id in list(self.viewings):
+            self.runner.left(id)
+        while self.boxes.owed.count() and self.loop.time() < until:
+            await asyncio.sleep(0.01)
+        if self.follower:
+            self.follower.stop()
+        for timer in (self.housekeeping, self.timer):
+            if timer is not None:
+                timer.cancel()
+        await self.server.stop()
+        await self.boxes.close()
+
+    # From clients
+
+    def handle(self, exchange):
+        try:
+            segments, args = endpoint.split(exchange.request.target)
+            if segments[0] not in ("whep", "whip", "session"):
+                self.other(exchange, segments)
+                return
+            want = endpoint.read(exchange.request, segments, args, self.site.front.tokens)
+            if isinstance(want, endpoint.Offer):
+                self.offered(exchange, want)
+            elif isinstance(want, endpoint.Options):
+                exchange.respond(204, endpoint.options_headers(want))
+            elif isinstance(want, endpoint.Delete):
+                self.delete(exchange, want)
+            else:
+                self.patch(exchange, want)
+        except Refusal as no:
+            self.counts["refused"] += 1
+            exchange.respond(no.status, [("Content-Type", "application/problem+json"), *no.headers,
+                                         *endpoint.CORS], no.body())
+        except Exception as fault:      # one request's fault is that request's alone
+            self.lines.error("fault", error=f"{type(fault).__name__}: {fault}", target=exchange.request.target[:100])
+            exchange.refuse(500, "An error of ours")
+
+    def other(self, exchange, segments):
+        if segments == ["state"] and exchange.request.method == "GET":
+            exchange.respond(200, [("Content-Type", "application/json")], self.state())
+            return
+        raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
+
+    def offered(self, exchange, offer):
+        row = self.site.titles.get(offer.title)
+        package = row and (row.push if offer.sends else row.view)
+        if package is None:
+            raise Refusal(404, f"no title {offer.title[:60]!r} to {'push' if offer.sends else 'watch'}")
+        if self.server.stopping:
+            raise Refusal(503, "this manager is leaving service", [("Retry-After", "1")])
+        if len(self.viewings) >= self.site.front.held_most:
+            raise Refusal(503, "this manager holds as many viewings as it may", [("Retry-After", "1")])
+        viewer = self.viewer_of(exchange, offer)
+        if offer.key is not None and self.meets(exchange, offer, viewer):
+            return
+        number = self.sense.packages[package]
+        self.ids += 1
+        vw = self.viewings[self.ids] = Viewing(self.ids, offer, exchange)
+        self.names[vw.name] = vw
+        exchange.gone = lambda: self.asker_gone(vw, exchange)
+        if offer.key is not None:
+            self.keys.begin((viewer, offer.title, offer.key), xxhash.xxh3_64_intdigest(offer.body), vw.id)
+        time = now()
+        again = time - self.seen.get((viewer, offer.title), -AGAIN) < AGAIN
+        self.seen[viewer, offer.title] = time
+        self.counts["taken"] += 1
+        vw.asked_at = exchange.arrived
+        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived)
+        rungs = len(self.site.ladder.kb) - 1
+        self.runner.asked(face.Asked(
+            vw.id, number, self.title_id(offer.title), viewer, max(0, patience),
+            rungs if offer.top is None else min(offer.top, rungs), row.first_cell, row.cells,
+            round(offer.length * 10_000) if offer.length else 0, False, again))
+
+    def title_id(self, title):
+        if title not in self.title_ids:
+            self.title_ids[title] = xxhash.xxh3_64_intdigest(title.encode())
+        return self.title_ids[title]
+
+    def viewer_of(self, exchange, offer):
+        """A viewer id that stays: the stated one, else one of the address and the player's own name."""
+        if offer.viewer:
+            said = "v:" + offer.viewer
+        else:
+            peer = exchange.line.transport.get_extra_info("peername") or ("",)
+            said = f"a:{peer[0]}:{exchange.request.headers.get('user-agent', '')}"
+        return xxhash.xxh3_64_intdigest(said.encode())
+
+    def meets(self, exchange, offer, viewer):
+        """A retry under the same key joins its first try, or gets the answer kept for it."""
+        key = viewer, offer.title, offer.key
+        met = self.keys.meet(key, xxhash.xxh3_64_intdigest(offer.body), now())
+        if isinstance(met, Clash):
+            raise Refusal(422, "this Idempotency-Key came with another offer before")
+        if isinstance(met, Joined) and (vw := self.viewings.get(met.id)):
+            self.counts["joined"] += 1
+            vw.askers.append(exchange)
+            exchange.gone = lambda: self.asker_gone(vw, exchange)
+            return True
+        if isinstance(met, Kept) and met.id in self.viewings:
+            self.counts["joined"] += 1
+            exchange.respond(*met.answer)
+            return True
+        return False
+
+    def asker_gone(self, vw, exchange):
+        if exchange in vw.askers:
+            vw.askers.remove(exchange)
+        if not vw.askers and not vw.plays:
+            self.runner.left(vw.id)
+
+    def delete(self, exchange, want):
+        vw = self.names.get(want.name)
+        if vw is None or not vw.plays:
+            raise Refusal(404, "no such session plays here")
+        self.lines.info("ended by its client", viewing=vw.id)
+        self.runner.left(vw.id)
+        exchange.respond(200, endpoint.CORS)
+
+    def patch(self, exchange, want):
+        """Passed on to the box that holds the session; its answer is the answer."""
+        vw = self.names.get(want.name)
+        if vw is None or not vw.plays:
+            raise Refusal(404, "no such session plays here")
+
+        def came(result):
+            late.cancel()
+            if not hasattr(result, "status"):
+                exchange.refuse(502, "The video server failed", result.detail)
+                return
+            keep = [(name.title(), result.headers[name]) for name in ("etag", "content-type", "accept-patch")
+                    if name in result.headers]
+            exchange.respond(result.status, [*keep, *endpoint.CORS], result.body)
+
+        def too_late():
+            call.cancel()
+            exchange.refuse(504, "No video server answered in time")
+        late = self.loop.call_later(PATCH_S, too_late)
+        host, port = vw.place
+        call = self.boxes.pool.send(host, port, "PATCH", vw.path,
+                                    [("Content-Type", endpoint.FRAGMENT), ("If-Match", want.match),
+                                     ("Flaxscale-Manager", self.name), *self.boxes.token], want.body, came)
+
+        def gone():
+            late.cancel()
+            call.cancel()
+        exchange.gone = gone
+
+    # The runner's port
+
+    def now(self):
+        return now()
+
+    def wake(self, at):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(max(0, at - now()) / 10_000, self.ring)
+
+    def ring(self):
+        self.timer = None
+        self.runner.tick()
+
+    def tune_in(self, id, nth, server, rung, left):
+        vw = self.viewings[id]
+        vw.key, vw.box, vw.tries, vw.began = f"{self.name}.{self.boot}.{id:x}.{nth}", server, nth + 1, now()
+        self.by_key[vw.key] = id
+        offer = vw.offer
+        headers = [("Content-Type", endpoint.SDP), ("Idempotency-Key", f'"{vw.key}"'),
+                   ("Flaxscale-Manager", self.name), ("Flaxscale-Rung", str(rung)),
+                   ("Flaxscale-Patience", str(left // 10))]
+        if offer.trace:
+            headers.append(("traceparent", offer.trace))
+        title = offer.title if offer.title.isalnum() else quote(offer.title, safe="")
+        key, place = vw.key, self.boxes.places.get(server)
+        vw.call = self.boxes.set_up(server, f"/{'whip' if offer.sends else 'whep'}/{title}", key, headers,
+                                    offer.body, lambda *what: self.came(vw, nth, server, place, key, *what))
+        if vw.call is None:         # the list has just dropped it
+            self.by_key.pop(key, None)
+            self.loop.call_soon(self.runner.ended, id, nth, How.UNREACHED, 0)
+
+    def came(self, vw, nth, server, place, key, how, took, answer, notes):
+        """The outcome of a set-up."""
+        vw.call = None
+        if how is not None:
+            if how in (How.RESET, How.ERROR):
+                self.boxes.end(server, key)         # it may have run: whatever stands there is ended
+            self.by_key.pop(key, None)
+            self.lines.info("tune-in failed", viewing=vw.id, nth=nth, box=server, how=how.value, took=took)
+            if vw.done:
+                self.dismiss(vw)
+            self.runner.ended(vw.id, nth, how, took)
+            return
+        vw.came, vw.path, vw.place = answer, answer.headers["location"], place[:2]
+        self.boxes.plays(server, key, vw.id, answer.headers.get("flaxscale-boot"))
+        if not self.runner.begun(vw.id, nth, took, notes):
+            self.boxes.end(server, key)
+            self.dismiss(vw)
+
+    def abandon(self, id, nth, server):
+        vw = self.viewings[id]
+        call, vw.call = vw.call, None
+        sent = call.cancel() if call is not None else False
+        if sent:
+            self.boxes.end(server, vw.key)
+        self.by_key.pop(vw.key, None)
+        if vw.done:
+            self.dismiss(vw)
+        self.lines.info("tune-in given up", viewing=id, nth=nth, box=server, sent=sent)
+        return sent
+
+    def end(self, id, nth, server):
+        vw = self.viewings[id]
+        self.boxes.end(server, vw.key)
+        self.dismiss(vw)
+
+    def set_rung(self, id, nth, server, rung):
+        self.boxes.set_rung(server, self.viewings[id].key, rung)
+
+    def answer(self, id, answer):
+        vw = self.viewings[id]
+        self.counts[answer.fate.value] += 1
+        if answer.fate is Fate.PLAYS:
+            vw.plays = True
+            reply = self.played(vw)
+            self.keys.answered(id, reply, now())
+        else:
+            self.keys.answered(id, None, now())
+            reply = self.turned_away(answer) if answer.fate is not Fate.LEFT else None
+            vw.done = True
+            if vw.call is None:     # else it is kept until its tune-in is called off or comes back
+                self.dismiss(vw)
+        self.lines.info("answered", viewing=id, fate=answer.fate.value, box=answer.server, rung=answer.rung,
+                      tries=vw.tries, after=now() - vw.asked_at, overdue=answer.overdue)
+        askers, vw.askers = vw.askers, []
+        for exchange in askers:
+            if reply is not None:
+                exchange.respond(*reply)
+
+    def played(self, vw):
+        came = vw.came
+        rows = [("Content-Type", endpoint.SDP), ("Location", f"/session/{vw.name}")]
+        rows += [(name.title(), came.headers[name]) for name in ("etag", "link") if name in came.headers]
+        rows.append(("Accept-Patch", endpoint.FRAGMENT))
+        if vw.offer.wait is not None:
+            rows.append(("Preference-Applied", f"wait={vw.offer.wait}"))
+        return 201, [*rows, *endpoint.CORS], came.body
+
+    def turned_away(self, answer):
+        if answer.fate is Fate.BLOCKED:
+            rows = [("Retry-After", str(max(1, fields.seconds_up(answer.hold_off))))] if answer.hold_off else []
+            no = Refusal(503, "nothing that holds this title has room", rows,
+                         fate="blocked", hold_off_ms=answer.hold_off / 10)
+        elif answer.overdue or answer.how in (How.TIMEOUT, How.CANCELLED, None):
+            no = Refusal(504, "no video server answered in time", fate="aborted")
+        else:
+            no = Refusal(502, f"the video server failed: {answer.how.value}", fate="aborted")
+        return no.status, [("Content-Type", "application/problem+json"), *no.headers, *endpoint.CORS], no.body()
+
+    def dismiss(self, vw):
+        """Nothing of this viewing is left to hear of."""
+        self.viewings.pop(vw.id, None)
+        self.names.pop(vw.name, None)
+        self.keys.forget(vw.id)
+        self.by_key.pop(vw.key, None)
+
+    def list_wanted(self, on):
+        pass                        # the list is pushed here
+
+    def tell_peers(self, server, kb):
+        pass                        # no way between managers yet: terms that allow one are refused at the start
+
+
+    def log(self, text):
+        self.lines.warning("runner", text=text)
+
+    # From boxes
+
+    def is_out(self, key):
+        return key in self.by_key
+
+    def noted(self, id, kind, amount):
+        self.runner.note(id, kind, amount)
+
+    def session_over(self, id, how):
+        vw, held = self.viewings.get(id), self.runner.held.get(id)
+        if vw is None:
+            return
+        self.dismiss(vw)
+        self.lines.info("over", viewing=id, how=how.value)
+        if held is not None:
+            self.runner.ended(id, held.nth, how, now() - held.sent_at)
+
+    def listed(self, kind, entries):
+        self.boxes.placed(self.book.places)
+        self.lines.info("listed", kind=kind.value, boxes=len(entries), version=self.book.version)
+        self.runner.listing(kind, entries)
+
+    def state(self):
+        boxes = {}
+        for id, row in self.book.rows.items():
+            srv = self.runner.manager.servers.get(id)
+            watch = self.boxes.watches.get(id)
+            boxes[id] = {"address": row.address, "state": row.state, "cell": row.cell,
+                         "viewings": len(srv.viewings) if srv else 0,
+                         "use": round(srv.use(), 3) if srv else None,
+                         "stream": watch.state.value if watch else "off"}
+        age = None if self.book.told_at is None else (now() - self.book.told_at) / 10_000
+        return json.dumps({"manager": self.name, "boot": self.boot, "list_version": self.book.version,
+                           "list_heard_s_ago": age, "viewings": len(self.viewings), "counts": self.counts,
+                           "owed": self.boxes.owed.count(), "faults": self.runner.faults,
+                           "overdue": self.runner.overdue, "boxes": boxes}).encode()
--- /dev/null
+++ b/flaxscale/http1/server.py
@@ -0,0 +1,158 @@
+"""The server's side of a connection: bytes in, requests and refusals out (RFC 9112, RFC 9110)."""
+from typing import NamedTuple
+
+import httptools
+
+REASONS = {
+    100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 304: "Not Modified",
+    307: "Temporary Redirect", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
+    405: "Method Not Allowed", 406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 410: "Gone",
+    412: "Precondition Failed", 413: "Content Too Large", 414: "URI Too Long", 415: "Unsupported Media Type",
+    417: "Expectation Failed", 422: "Unprocessable Content", 428: "Precondition Required",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+    505: "HTTP Version Not Supported"}
+
+
+class Limits(NamedTuple):
+    """What one request may be. Bytes and counts."""
+    head: int = 8192            # request line and header fields together
+    fields: int = 64
+    target: int = 2048
+    body: int = 65536
+
+
+class Request(NamedTuple):
+    method: str
+    target: str                 # as sent: path and query
+    headers: dict               # names in lower case; a field that came twice is joined by ", " (RFC 9110, 5.3)
+    body: bytes
+    keep_alive: bool
+
+
+class GoOn(NamedTuple):
+    """The client waits for 100 before it sends its body (RFC 9110, 10.1.1)."""
+
+
+class Refused(NamedTuple):
+    """The bytes are no request that we take. The connection can't go on after it."""
+    status: int
+    detail: str
+
+
+class Stop(Exception):
+    """Ends the parse from within it; never leaves this module."""
+
+
+class ServerSide:
+    """One connection. `phase` is idle, head or body, for whoever sets the time limits."""
+
+    def __init__(self, limits=Limits()):
+        self.limits, self.phase, self.events, self.fault = limits, "idle", [], None
+        self.parser = httptools.HttpRequestParser(self)
+        self.clear()
+
+    def clear(self):
+        self.url, self.headers, self.head, self.body, self.size = b"", {}, 0, [], 0
+
+    def feed(self, data):
+        """The events that these bytes complete, in order. After a Refused nothing more comes."""
+        if self.fault:
+            return []
+        if self.phase != "body":
+            self.head += len(data)      # a head that never ends must not gather in the parser
+        try:
+            self.parser.feed_data(data)
+            if self.phase == "head" and self.head > self.limits.head:
+                self.refuse(431, f"the header is over {self.limits.head} bytes")
+        except Stop:
+            pass
+        except httptools.HttpParserUpgrade:
+            # We speak no other protocol: what is complete gets its answer, and the connection ends there.
+            self.fault = Refused(501, "this server upgrades to no other protocol")
+            self.events = [e._replace(keep_alive=False) if isinstance(e, Request) else e for e in self.events]
+            if not self.events:
+                self.events.append(self.fault)
+        except httptools.HttpParserError as bad:
+            if self.fault is None:      # raised in a callback, ours comes wrapped and is noted already
+                self.fault = Refused(400, f"not HTTP/1.1: {str(bad)[:120]}")
+                self.events.append(self.fault)
+        events, self.events = self.events, []
+        return events
+
+    def refuse(self, status, detail):
+        self.fault = Refused(status, detail)
+        self.events.append(self.fault)
+        raise Stop
+
+    # Called by the parser
+
+    def on_message_begin(self):
+        self.phase = "head"
+        self.url, self.headers, self.body, self.size, self.fields = b"", {}, [], 0, 0
+        self.head = 0
+
+    def on_url(self, url):
+        self.url += url
+        if len(self.url) > self.limits.target:
+            self.refuse(414, f"the target is over {self.limits.target} bytes")
+
+    def on_header(self, name, value):
+        self.fields += 1
+        self.head += len(name) + len(value) + 4
+        if self.head > self.limits.head or self.fields > self.limits.fields:
+            self.refuse(431, f"the header is over {self.limits.head} bytes or {self.limits.fields} fields")
+        name, value = name.decode("latin-1").lower(), value.decode("latin-1").strip()
+        self.headers[name] = f"{self.headers[name]}, {value}" if name in self.headers else value
+
+    def on_headers_complete(self):
+        self.phase = "body"
+        if self.parser.get_http_version() not in ("1.1", "1.0"):
+            self.refuse(505, "only HTTP/1.1 and 1.0 are spoken here")
+        if self.parser.get_http_version() == "1.1" and "host" not in self.headers:
+            self.refuse(400, "an HTTP/1.1 request without Host (RFC 9112, 3.2)")
+        length = self.headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.limits.body:
+            self.refuse(413, f"the body is over {self.limits.body} bytes")
+        expect = self.headers.get("expect")
+        if expect is not None:
+            if expect.lower() != "100-continue":
+                self.refuse(417, "the only expectation met here is 100-continue")
+            self.events.append(GoOn())
+
+    def on_body(self, data):
+        self.size += len(data)
+        if self.size > self.limits.body:
+            self.refuse(413, f"the body is over {self.limits.body} bytes")
+        self.body.append(data)
+
+    def on_message_complete(self):
+        self.phase = "idle"
+        self.events.append(Request(self.parser.get_method().decode("ascii"), self.url.decode("latin-1"),
+                                   self.headers, b"".join(self.body), self.parser.should_keep_alive()))
+        self.clear()
+
+
+def response(status, headers=(), body=b"", keep_alive=True, date=None, head_only=False):
+    """The bytes of a response. headers: (name, value) pairs. Statuses without content send no length."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+    if date:
+        lines.append(f"Date: {date}")
+    lines += [f"{name}: {value}" for name, value in headers]
+    if status >= 200 and status not in (204, 304):
+        lines.append(f"Content-Length: {len(body)}")
+    if not keep_alive:
+        lines.append("Connection: close")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+    return head if head_only or status in (204, 304) or status < 200 else head + body
+
+
+def stream_head(headers=(), date=None):
+    """The head of an answer without end, in chunks (RFC 9112, 7.1)."""
+    lines = ["HTTP/1.1 200 OK"] + ([f"Date: {date}"] if date else [])
+    lines += [f"{name}: {value}" for name, value in headers] + ["Transfer-Encoding: chunked"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/flaxscale/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Days on loopback: records, clients, troubles and who plays them."""
--- /dev/null
+++ b/flaxscale/lab/day.py
@@ -0,0 +1,270 @@
+"""Plays a day on sockets: list, boxes and managers as processes, players and troubles on time.
+
+All chance of the day itself (who asks for what and when, who leaves, which boxes are struck) comes from its seed
+through one door. What the machine adds (scheduling, ports) differs between two runs: the same seed gives the same
+demand and the same troubles at the same times, and the rules must hold in every run; figures are those of a run.
+"""
+import asyncio
+import json
+import math
+import pathlib
+import signal
+from zlib import crc32
+
+import msgspec
+
+from ..serve.clock import now
+from .players import Player, Wish, trace_of
+from .processes import Process
+from .records import Recorder
+
+START_AT_ONCE = 8
+
+
+class Dice:
+    """Chance by seed, stream and counter: a stream's draws do not move when another draws more."""
+
+    def __init__(self, seed, stream):
+        self.seed, self.stream, self.n = seed, stream, 0
+
+    def draw(self):
+        self.n += 1
+        return crc32(f"{self.seed}:{self.stream}:{self.n}".encode()) * 0x9E3779B1 % 2 ** 32 / 2 ** 32
+
+    def between(self, pair):
+        return pair[0] + (pair[1] - pair[0]) * self.draw()
+
+    def pick(self, weights):
+        """A key by weight."""
+        at = self.draw() * sum(weights.values())
+        for key, weight in weights.items():
+            at -= weight
+            if at < 0:
+                return key
+        return key
+
+    def some(self, items, count):
+        """`count` of the items, without repeats, in their order."""
+        ranked = sorted(items, key=lambda item: (self.draw(), item))
+        return sorted(ranked[:count])
+
+
+def arrivals(day, seed):
+    """(seconds, Wish without n) of a day's first tries, in order: Poisson, thinned where a crowd is on."""
+    dice, demand, at, out = Dice(seed, "arrivals"), day.demand, 0.0, []
+    crowds = [t for t in day.troubles if t.what == "crowd"]
+    peak = demand.rate * max([1.0, *(t.value for t in crowds)])
+    while True:
+        at -= math.log(1 - dice.draw()) / peak
+        if at >= day.length_s:
+            return out
+        on = [t for t in crowds if t.at_s <= at < t.at_s + t.for_s]
+        rate = demand.rate * max([1.0, *(t.value for t in on)])
+        weights = demand.titles
+        if dice.draw() * peak >= rate:
+            continue
+        crowd = next((t for t in on if t.titles), None)
+        if crowd and dice.draw() < 1 - 1 / crowd.value:
+            weights = dict.fromkeys(crowd.titles, 1.0)
+        out.append((at, wish(day, dice, dice.pick(weights), f"v{len(out)}")))
+
+
+def wish(day, dice, title, viewer):
+    row = day.site.packages[day.site.titles[title].view]
+    rungs = len(day.site.ladder.kb)
+    top = rungs // 2 if dice.draw() < day.demand.small else None
+    leaves = dice.draw() * row.patience_ms / 2000 if dice.draw() < day.demand.leave else None
+    return Wish(0, title, False, viewer, row.patience_ms / 1000 * dice.between(day.demand.patience),
+                dice.between(day.demand.play_s), leaves, top)
+
+
+class DayRun:
+    def __init__(self, day, seed, out, log):
+        self.day, self.seed, self.out, self.log = day, seed, pathlib.Path(out), log
+        self.out.mkdir(parents=True, exist_ok=True)
+        self.lab = Recorder(self.out / "lab.jsonl")
+        self.record = Recorder(self.out / "clients.jsonl")
+        token = day.site.front.tokens[0] if day.site.front.tokens else None
+        self.player = Player(self.record, token)
+        self.list, self.boxes, self.fronts, self.starts = None, {}, {}, {}
+        self.tasks, self.count, self.up = set(), 0, set()
+        self.stopping = False
+
+    # Processes
+
+    async def begin(self):
+        day = self.day
+        (self.out / "site.json").write_bytes(msgspec.json.encode(day.site))
+        self.list = await Process(["boxlist", str(self.out / "site.json"), "--late-ms", str(day.list_late_ms),
+                                   "--record", str(self.out / "boxlist.jsonl"), "--ready"],
+                                  self.out / "boxlist.log").start()
+        self.list_address = "%s:%d" % self.list.address
+        for first in range(0, len(day.boxes), START_AT_ONCE):
+            await asyncio.gather(*(self.start_box(n, not day.boxes[n].cold) for n in range(
+                first, min(first + START_AT_ONCE, len(day.boxes)))))
+        await asyncio.gather(*(self.start_front(m) for m in range(day.site.managers)))
+        (self.out / "day.json").write_text(json.dumps({
+            "seed": self.seed, "site": msgspec.to_builtins(day.site),
+            "managers": {f"m{m}": list(p.address) for m, p in self.fronts.items()}}))
+
+    async def start_box(self, n, warm, port=0):
+        row, starts = self.day.boxes[n], self.starts
+        starts[n] = starts.get(n, 0) + 1
+        link = row.link_kb if row.link_kb is not None else row.weight * self.day.site.fleet.kb_per_weight
+        up = self.day.site.rules.warm_within_ms * 2 if warm else 0
+        self.boxes[n] = await Process(
+            ["box", str(self.out / "site.json"), "--id", str(n + 1), "--cell", str(row.cell), "--kind", row.kind,
+             "--zone", row.zone, "--weight", str(row.weight), "--link-kb", str(link), "--list", self.list_address,
+             "--up-ms", str(up), "--seed", str(self.seed), "--port", str(port), "--lease-ms",
+             str(self.day.lease_ms), "--work-ms", str(self.day.work_ms),
+             "--record", str(self.out / f"box-{n + 1}-{starts[n]}.jsonl"), "--ready"],
+            self.out / f"box-{n + 1}.log").start()
+
+    async def start_front(self, m, port=0):
+        self.fronts[m] = await Process(
+            ["front", str(self.out / "site.json"), "--me", str(m), "--list", self.list_address, "--seed",
+             str(self.seed * 1000 + m + len(self.starts) * 7), "--state", str(self.out / "state"),
+             "--port", str(port), "--ready"], self.out / f"front-{m}.log").start()
+        self.up.add(m)
+
+    # Players
+
+    def own(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def play(self, wish, dice, tries):
+        """One player: asks some manager, plays, comes again after a break or a block."""
+        while not self.stopping:
+            managers = sorted(self.fronts)
+            m = managers[int(dice.draw() * len(managers))]
+            self.count += 1
+            wish = wish._replace(n=self.count, trace=trace_of(self.seed, self.count))
+            seen = await self.player.ask(self.fronts[m].address, f"m{m}", wish)
+            if seen.fate == "plays":
+                whole = await self.player.hold(self.fronts[m].address, f"m{m}", wish, seen)
+                if whole:
+                    return
+            elif seen.fate in ("left", "gave_up", "refused"):
+                return
+            tries -= 1
+            if tries <= 0 or dice.draw() >= self.day.demand.returns:
+                return
+            wish = wish._replace(leaves=None)
+            await asyncio.sleep(dice.between(self.day.demand.back_s))
+
+    async def push(self, title, dice):
+        """A camera that pushes all day; it comes again whenever its push ends."""
+        row = self.day.site.packages[self.day.site.titles[title].push]
+        while not self.stopping:
+            managers = sorted(self.fronts)
+            m = managers[int(dice.draw() * len(managers))]
+            self.count += 1
+            wish = Wish(self.count, title, True, f"camera-{title}", row.patience_ms / 1000,
+                        dice.between(self.day.demand.play_s), None, None, None, trace_of(self.seed, self.count))
+            seen = await self.player.ask(self.fronts[m].address, f"m{m}", wish)
+            if seen.fate == "plays":
+                await self.player.hold(self.fronts[m].address, f"m{m}", wish, seen)
+            await asyncio.sleep(0.2)
+
+    async def crowd(self):
+        began = now()
+        for n, (at, wish) in enumerate(arrivals(self.day, self.seed)):
+            await asyncio.sleep(max(0.0, at - (now() - began) / 10_000))
+            self.own(self.play(wish, Dice(self.seed, f"player-{n}"), self.day.demand.tries))
+
+    # Troubles
+
+    def struck(self, n, row, items, named):
+        if named is not None:
+            return named
+        count = max(1, round(len(items) * (row.share if row.share is not None else 1)))
+        return Dice(self.seed, f"trouble-{n}").some(items, count)
+
+    async def trouble(self, n, row):
+        await asyncio.sleep(row.at_s)
+        boxes = self.struck(n, row, range(len(self.day.boxes)), row.boxes)
+        managers = self.struck(n, row, range(self.day.site.managers), row.managers)
+        hit = managers if row.what.startswith("manager") else boxes
+        self.lab.put("trouble", what=row.what, value=row.value, hit=list(hit), for_s=row.for_s)
+        self.log.info("trouble", what=row.what, hit=list(hit), for_s=row.for_s)
+        if row.what == "crash":
+            ports = {b: self.boxes[b].address[1] for b in boxes}
+            for b in boxes:
+                self.lab.put("kill", box=b + 1)
+            await asyncio.gather(*(self.boxes[b].kill() for b in boxes))
+            await asyncio.sleep(row.for_s)
+            await asyncio.gather(*(self.start_box(b, False, ports[b]) for b in boxes))
+        elif row.what == "manager_crash":
+            ports = {m: self.fronts[m].address[1] for m in managers}
+            for m in managers:
+                self.lab.put("kill", manager=f"m{m}")
+            await asyncio.gather(*(self.fronts[m].kill() for m in managers))
+            await asyncio.sleep(row.for_s)
+            await asyncio.gather(*(self.start_front(m, ports[m]) for m in managers))
+            for m in managers:
+                self.lab.put("back", manager=f"m{m}")
+        elif row.what == "manager_stall":
+            for m in managers:
+                self.lab.put("stall", manager=f"m{m}")
+                self.fronts[m].signal(signal.SIGSTOP)
+            await asyncio.sleep(row.for_s)
+            for m in managers:
+                self.fronts[m].signal(signal.SIGCONT)
+                self.lab.put("go_on", manager=f"m{m}")
+        elif row.what == "list_late":
+            self.list.say(late_ms=row.value)
+            await asyncio.sleep(row.for_s)
+            self.list.say(late_ms=self.day.list_late_ms)
+        elif row.what == "list_frozen":
+            self.list.say(frozen=True)
+            await asyncio.sleep(row.for_s)
+            self.list.say(frozen=False)
+        elif row.what == "uplink":
+            self.list.say(rack=row.rack or 0, uplink=self.day.site.fleet.uplink_kb * row.value)
+            await asyncio.sleep(row.for_s)
+            self.list.say(rack=row.rack or 0, uplink=self.day.site.fleet.uplink_kb)
+        elif row.what != "crowd":
+            for b in boxes:
+                self.boxes[b].say(trouble=row.what, value=row.value)
+            await asyncio.sleep(row.for_s)
+            off = 1.0 if row.what in ("slow", "link", "lie") else 0.0
+            for b in boxes:
+                self.boxes[b].say(trouble=row.what, value=off)
+
+    # The day
+
+    async def run(self):
+        """Plays it all; returns the counts of what players saw."""
+        await self.begin()
+        try:
+            await asyncio.sleep(self.day.settle_s)
+            self.lab.put("begin")
+            troubles = [asyncio.ensure_future(self.trouble(n, row)) for n, row in enumerate(self.day.troubles)]
+            pushes = [asyncio.ensure_future(self.push(title, Dice(self.seed, f"push-{title}")))
+                      for title in self.day.demand.pushes]
+            await self.crowd()
+            for done in await asyncio.gather(*troubles, return_exceptions=True):
+                if isinstance(done, Exception):
+                    raise done
+            if self.tasks:          # players still at it get their answers; long viewings are cut
+                most = max(p.patience_ms for p in self.day.site.packages.values()) / 1000
+                await asyncio.wait(set(self.tasks), timeout=most * max(self.day.demand.patience) + 0.5)
+            self.stopping = True
+            self.lab.put("end")
+            for task in [*self.tasks, *pushes]:
+                task.cancel()
+            await asyncio.gather(*self.tasks, *pushes, return_exceptions=True)
+        finally:
+            await self.finish()
+
+    async def finish(self):
+        await self.player.pool.close()
+        await asyncio.gather(*(p.stop() for p in self.fronts.values()))
+        await asyncio.gather(*(p.stop() for p in self.boxes.values()))
+        if self.list is not None:
+            await self.list.stop()
+        self.lab.close()
+        self.record.close()
--- /dev/null
+++ b/flaxscale/lab/processes.py
@@ -0,0 +1,48 @@
+"""Processes of a day: started, spoken to by lines, stopped by their own id. Whoever starts one waits for it."""
+import asyncio
+import json
+import os
+import signal
+import sys
+
+
+class Process:
+    """One program of ours, started with --ready: its first line on standard output is JSON and says its address."""
+
+    def __init__(self, args, log):
+        self.args, self.log, self.child, self.address, self.ready = args, log, None, None, None
+
+    async def start(self, within=20.0):
+        with open(self.log, "ab") as err:
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "flaxscale", *self.args, stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE, stderr=err, env={**os.environ, "PYTHONUNBUFFERED": "1"})
+        line = await asyncio.wait_for(self.child.stdout.readline(), within)
+        if not line:
+            await self.child.wait()
+            raise RuntimeError(f"{' '.join(self.args[:2])} ended with {self.child.returncode}; see {self.log}")
+        self.ready = json.loads(line)
+        self.address = self.ready["host"], self.ready["port"]
+        return self
+
+    def say(self, **row):
+        if self.child is not None and self.child.returncode is None and not self.child.stdin.is_closing():
+            self.child.stdin.write(json.dumps(row).encode() + b"\n")
+
+    def signal(self, number):
+        if self.child is not None and self.child.returncode is None:
+            self.child.send_signal(number)
+
+    async def kill(self):
+        """Outright, as a crash does."""
+        self.signal(signal.SIGKILL)
+        if self.child is not None:
+            await self.child.wait()
+
+    async def stop(self, within=6.0):
+        self.signal(signal.SIGTERM)
+        if self.child is not None:
+            try:
+                await asyncio.wait_for(self.child.wait(), within)
+            except asyncio.TimeoutError:
+                await self.kill()
--- /dev/null
+++ b/flaxscale/lab/shapes.py
@@ -0,0 +1,106 @@
+"""The shape of a day's file: a site, a fleet, demand and troubles on a time line. Played on sockets here."""
+from typing import Literal
+
+import msgspec
+
+from ..site.load import SiteError, evaluate, shape
+from ..site.shapes import Site, Struct
+from ..site.terms import checked
+from ..standins.box import Trouble
+
+
+class BoxRow(Struct, forbid_unknown_fields=True):
+    cell: int
+    kind: str
+    zone: str = "one"
+    weight: float = 1.0
+    link_kb: float | None = None        # none: what its weight says
+    cold: bool = False                  # it starts with the day
+
+
+class DemandRow(Struct, forbid_unknown_fields=True):
+    rate: float                         # new viewings a second
+    titles: dict[str, float]            # weight by title
+    pushes: list[str] = []              # titles that are pushed through the day
+    play_s: list[float] = msgspec.field(default_factory=lambda: [4.0, 9.0])
+    patience: list[float] = msgspec.field(default_factory=lambda: [1.0, 1.0])  # times the package's
+    returns: float = 0.9                # come again after a break or a block
+    back_s: list[float] = msgspec.field(default_factory=lambda: [0.5, 2.0])
+    tries: int = 3
+    leave: float = 0.02                 # go before they are answered
+    small: float = 0.2                  # can use the lower half of the rungs only
+
+
+class TroubleRow(Struct, forbid_unknown_fields=True):
+    at_s: float
+    what: str
+    for_s: float = 0
+    value: float = 1
+    share: float | None = None          # of the boxes or managers, drawn by the seed
+    boxes: list[int] | None = None
+    managers: list[int] | None = None
+    titles: list[str] | None = None
+    rack: int | None = None
+
+
+class Day(Struct, forbid_unknown_fields=True):
+    site: Site
+    boxes: list[BoxRow]
+    demand: DemandRow
+    length_s: float
+    troubles: list[TroubleRow] = []
+    settle_s: float = 2.0               # before the day begins
+    list_late_ms: float = 300
+    lease_ms: float = 4000
+    work_ms: float = 15
+
+
+BOX_TROUBLES = frozenset(vars(Trouble()))
+WHOLE = {"crash", "manager_crash", "manager_stall", "list_late", "list_frozen", "crowd", "uplink"}
+Kinds = Literal["boxes", "managers"]
+MOST_PROCESSES = 400
+
+
+def faults(day):
+    out = []
+
+    def want(good, key, expected):
+        if not good:
+            out.append((key, expected))
+
+    site = day.site
+    want(day.boxes, "boxes", "at least one box")
+    want(len(day.boxes) + site.managers <= MOST_PROCESSES, "boxes",
+         f"at most {MOST_PROCESSES} processes with the managers; this day would start "
+         f"{len(day.boxes) + site.managers}")
+    want(day.length_s > 0, "length_s", "over 0")
+    want(day.demand.rate > 0, "demand.rate", "over 0")
+    for n, box in enumerate(day.boxes):
+        want(0 <= box.cell < site.fleet.cells, f"boxes.{n}.cell", f"0 to {site.fleet.cells - 1}")
+        want(box.kind in site.fleet.kinds, f"boxes.{n}.kind", f"one of {', '.join(site.fleet.kinds)}")
+        want(box.zone in site.zones, f"boxes.{n}.zone", f"one of {', '.join(site.zones)}")
+    for title in [*day.demand.titles, *day.demand.pushes]:
+        want(title in site.titles, f"demand.titles.{title}", "a title of the site")
+    for key in ("play_s", "patience", "back_s"):
+        pair = getattr(day.demand, key)
+        want(len(pair) == 2 and 0 < pair[0] <= pair[1], f"demand.{key}", "two figures, rising, over 0")
+    for n, row in enumerate(day.troubles):
+        at = f"troubles.{n}"
+        want(row.what in BOX_TROUBLES | WHOLE, f"{at}.what", f"one of {', '.join(sorted(BOX_TROUBLES | WHOLE))}")
+        want(0 <= row.at_s <= day.length_s, f"{at}.at_s", f"within the day, 0 to {day.length_s:g}")
+        want(row.share is None or 0 < row.share <= 1, f"{at}.share", "over 0, at most 1")
+        want(row.boxes is None or all(0 <= b < len(day.boxes) for b in row.boxes), f"{at}.boxes",
+             f"numbers of boxes, 0 to {len(day.boxes) - 1}")
+        want(row.managers is None or all(0 <= m < site.managers for m in row.managers), f"{at}.managers",
+             f"numbers of managers, 0 to {site.managers - 1}")
+    return out
+
+
+def read_day(file, **given):
+    """The Day of a file, or SiteError with file, key and what was expected."""
+    day = shape(file, evaluate(file, **given), Day)
+    checked(file, day.site, "site.")
+    if found := faults(day):
+        more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
+        raise SiteError(file, found[0][0], f"{found[0][1]} expected{more}")
+    return day
--- /dev/null
+++ b/flaxscale/recovery/boxes.py
@@ -0,0 +1,131 @@
+"""The box list as one manager holds it: full lists, deltas, gaps, restarts, and the last list kept on disk.
+
+The list names boxes with their age; a manager's own clock dates their start, once a start, so that a row that
+comes again moves nothing. Against wall clocks that jump and differ: no time of another machine is read.
+"""
+from typing import Literal, NamedTuple
+
+import msgspec
+
+from .. import interface as face
+from ..interface import ListKind, State
+
+STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class Row(msgspec.Struct):
+    """One box as the list tells it."""
+    id: int
+    address: str                # host:port
+    kind: str
+    cell: int
+    zone: str
+    weight: float
+    boot: str                   # another one at each start of the box
+    up_ms: float                # how long it had been up when the list was written
+    state: Literal["ready", "draining", "gone"]
+
+
+class Told(msgspec.Struct):
+    """A message of the list: all boxes, or those that changed since a version."""
+    version: int
+    boxes: list[Row]
+    since: int | None = None    # of a delta: the version that it changes
+
+
+class Place(NamedTuple):
+    """Where a box is reached, and which start of it the list knows."""
+    host: str
+    port: int
+    boot: str
+    state: State
+
+
+class BookError(ValueError):
+    """The message can't be used; the list that stands is kept."""
+
+
+class BoxBook:
+    """Keeps rows by id. `kinds` and `zones` give the terms' numbers of names; cells is their count."""
+
+    def __init__(self, kinds, zones, cells, warm_within):
+        self.kinds, self.zones, self.cells, self.warm_within = kinds, zones, cells, warm_within
+        self.rows, self.starts, self.places, self.version = {}, {}, {}, None
+        self.told_at = None
+
+    def apply(self, name, text, now):
+        """(ListKind, entries) of a `full` or `delta` message, or None where it says nothing new.
+
+        BookError: it can't be read, or a delta does not follow what we hold; then only a full list helps.
+        """
+        try:
+            told = msgspec.json.decode(text, type=Told)
+        except msgspec.MsgspecError as bad:
+            raise BookError(f"the box list sent a {name} that can't be read: {bad}") from None
+        for row in told.boxes:
+            self.check(row)
+        if name == "delta":
+            if self.version is None or told.since is None or told.since > self.version:
+                raise BookError(f"a delta since {told.since} on version {self.version}")
+            if told.version <= self.version:
+                return None
+        elif name != "full":
+            return None
+        self.version, self.told_at = told.version, now
+        entries = tuple(self.listed(row, now) for row in told.boxes)
+        if name == "full":
+            named = {row.id for row in told.boxes}
+            for id in [id for id in self.rows if id not in named]:
+                self.drop(id)
+            return ListKind.FULL, entries
+        return ListKind.DELTA, entries
+
+    def check(self, row):
+        if row.kind not in self.kinds:
+            raise BookError(f"box {row.id}: the kind {row.kind!r} is none of the terms'")
+        if row.zone not in self.zones:
+            raise BookError(f"box {row.id}: the zone {row.zone!r} is none of the terms'")
+        if not 0 <= row.cell < self.cells:
+            raise BookError(f"box {row.id}: cell {row.cell} is not under {self.cells}")
+        if not 0 <= row.id < 1 << 32 or not row.weight > 0:
+            raise BookError(f"box {row.id}: id or weight out of range")
+        host, _, port = row.address.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise BookError(f"box {row.id}: the address {row.address!r} is no host:port")
+
+    def listed(self, row, now):
+        state = STATES[row.state]
+        if state is State.GONE:
+            self.drop(row.id)
+        else:
+            self.rows[row.id] = row
+            host, _, port = row.address.rpartition(":")
+            self.places[row.id] = Place(host, int(port), row.boot, state)
+        return face.Listed(row.id, self.kinds[row.kind], row.cell, self.zones[row.zone], row.weight,
+                           self.started_at(row, now), state)
+
+    def started_at(self, row, now):
+        """When it started by our clock; 0 where it is warm already, whatever the exact time."""
+        if row.up_ms * 10 >= self.warm_within:
+            return 0
+        boot, at = self.starts.get(row.id, (None, 0))
+        if boot != row.boot:
+            at = max(1, now - round(row.up_ms * 10))
+            self.starts[row.id] = row.boot, at
+        return at
+
+    def drop(self, id):
+        self.rows.pop(id, None)
+        self.places.pop(id, None)
+        self.starts.pop(id, None)
+
+    # The last list, for a start without the service
+
+    def dump(self):
+        return msgspec.json.encode(Told(self.version or 0, list(self.rows.values())))
+
+    def load(self, text, now):
+        """(CACHED, entries) of a kept list. The version is not taken over: the next full list counts."""
+        _, entries = self.apply("full", text, now)
+        self.version = None
+        return ListKind.CACHED, entries
--- /dev/null
+++ b/flaxscale/recovery/keys.py
@@ -0,0 +1,76 @@
+"""Idempotency keys of clients: a retry that carries its first try's key gets that try's answer, not a second set-up.
+
+draft-ietf-httpapi-idempotency-key-header, 2.6: the same key with another content is refused (422). A retry that
+meets its first try still in work joins it; one that comes within the keeping time gets the kept answer, for as
+long as what that answer tells of still plays.
+"""
+from collections import OrderedDict
+from typing import NamedTuple
+
+MOST = 50_000
+
+
+class Joined(NamedTuple):
+    id: int                     # the viewing in work
+
+
+class Kept(NamedTuple):
+    id: int
+    answer: object
+
+
+class Clash(NamedTuple):
+    """The key came with another content."""
+
+
+class Entry:
+    __slots__ = "print", "id", "answer", "until"
+
+    def __init__(self, print, id):
+        self.print, self.id, self.answer, self.until = print, id, None, None
+
+
+class KeyBook:
+    def __init__(self, keep):
+        """keep: how long an answer is known, in tenths of a millisecond."""
+        self.keep, self.entries, self.by_id = keep, OrderedDict(), {}
+
+    def meet(self, key, print, now):
+        """What an asker with this key meets: Joined, Kept, Clash, or None where it is new."""
+        self.clear(now)
+        entry = self.entries.get(key)
+        if entry is None:
+            return None
+        if entry.print != print:
+            return Clash()
+        return Joined(entry.id) if entry.answer is None else Kept(entry.id, entry.answer)
+
+    def begin(self, key, print, id):
+        self.entries[key] = Entry(print, id)
+        self.by_id[id] = key
+        while len(self.entries) > MOST:
+            _, old = self.entries.popitem(last=False)
+            self.by_id.pop(old.id, None)
+
+    def answered(self, id, answer, now):
+        """Only what plays is kept: after a block or an abort the same key may try anew."""
+        key = self.by_id.get(id)
+        if key is None:
+            return
+        if answer is None:
+            self.forget(id)
+            return
+        entry = self.entries[key]
+        entry.answer, entry.until = answer, now + self.keep
+
+    def forget(self, id):
+        if (key := self.by_id.pop(id, None)) is not None:
+            self.entries.pop(key, None)
+
+    def clear(self, now):
+        while self.entries:
+            key, entry = next(iter(self.entries.items()))
+            if entry.until is None or entry.until > now:
+                return
+            del self.entries[key]
+            self.by_id.pop(entry.id, None)
--- /dev/null
+++ b/flaxscale/rules/check.py
@@ -0,0 +1,195 @@
+"""Judges the six rules from records of sockets alone; it believes nothing that a manager says of itself.
+
+Times are tenths of a millisecond of the machine's monotonic clock. SLACK is what two sockets of one machine may
+differ by when a manager closes one connection and opens the next in the same instant.
+"""
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from .records import read
+
+SLACK = 500
+FINAL = ("plays", "blocked", "aborted", "refused")
+RULES = ("no viewing is lost", "no set-up happens twice", "drains are kept", "a cold box is not pushed over",
+         "terms are kept", "further tune-ins stay within the budget")
+
+
+class Break(NamedTuple):
+    rule: int                   # 1 to 6
+    at: int
+    detail: str
+
+
+class Verdict(NamedTuple):
+    breaks: list
+    requests: int               # that were owed an answer
+    answered: int
+    counts: Counter             # what clients saw
+
+    def line(self):
+        broken = len({b.rule for b in self.breaks})
+        return (f"rules kept: {6 - broken}, broken: {broken}; "
+                f"requests {self.requests}, answered once {self.answered}")
+
+
+def check(folder):
+    records = read(folder)
+    breaks, requests, answered = rule_1(records)
+    for rule in (rule_2, rule_3, rule_4, rule_5, rule_6):
+        breaks += rule(records)
+    return Verdict(sorted(breaks, key=lambda b: (b.rule, b.at)), requests, answered,
+                   Counter(a.fate or "unseen" for a in records.asked))
+
+
+def within(spans, at):
+    return any(a <= at <= b for a, b in spans)
+
+
+def rule_1(records):
+    """One answer within the viewer patience, from a manager that ran all that time."""
+    breaks, requests, answered = [], 0, 0
+    for a in records.asked:
+        due = a.at + a.patience
+        kills = records.kills.get(a.manager, ())
+        died = any(a.at - SLACK <= killed <= min(a.seen_at, due) + SLACK for killed, _ in kills) or within(kills, a.at)
+        stood = within(records.stalls.get(a.manager, ()), due)
+        if a.fate in ("left", "unreached") or (a.fate is None and due > records.end):
+            continue                    # not owed: the client went, or nobody took the request
+        if a.fate not in FINAL and (died or stood):
+            continue
+        requests += 1
+        if a.fate not in FINAL:
+            breaks.append(Break(1, a.at, f"request {a.n} at {a.manager}: {a.fate or 'no answer was seen'}"))
+        elif a.seen_at - a.at > a.patience:
+            breaks.append(Break(1, a.at, f"request {a.n} at {a.manager}: answered after its patience"))
+        elif a.status == 500:
+            breaks.append(Break(1, a.at, f"request {a.n} at {a.manager}: status 500 is no answer"))
+        else:
+            answered += 1
+    return breaks, requests, answered
+
+
+def rule_2(records):
+    """Never two tune-ins out; no second set-up of an unsafe package, nor a block, once one may have run."""
+    breaks, by_trace = [], defaultdict(list)
+    effects = {name: row["effect"] for name, row in records.site["packages"].items()}
+    fates = {a.trace: a for a in records.asked}
+    for t in records.tune_ins:
+        by_trace[t.trace].append(t)
+    for trace, made in by_trace.items():
+        for one, two in zip(made, made[1:]):
+            if two.at + SLACK < one.out_until:
+                breaks.append(Break(2, two.at, f"{trace}: two tune-ins out, {one.key} and {two.key}"))
+            # `ran` is False only where the answer said that it never ran.
+            if effects.get(two.package) == "unsafe" and one.ran:
+                breaks.append(Break(2, two.at, f"{trace}: {two.key} after {one.key}, which may have run"))
+        asked = fates.get(trace)
+        if asked and asked.fate == "blocked" and effects.get(made[-1].package) == "unsafe" and any(
+                t.ran for t in made):
+            breaks.append(Break(2, asked.at, f"{trace}: blocked although {made[-1].key} may have run"))
+    return breaks
+
+
+def rule_3(records):
+    """Nothing new to a box later than the grace after its manager was told that it drains or is gone."""
+    grace = round(records.site["rules"]["drain_grace_ms"] * 10)
+    bad_since = defaultdict(dict)       # manager: {box: told at}
+    known = defaultdict(set)
+    breaks = []
+    events = sorted([(at, 0, ("told", m, kind, boxes)) for at, m, kind, boxes in records.told]
+                    + [(killed, 0, ("kill", m, None, None)) for m, s in records.kills.items() for killed, _ in s]
+                    + [(t.at, 1, ("tune-in", t, None, None)) for t in records.tune_ins], key=lambda e: e[:2])
+    for at, _, (what, who, kind, boxes) in events:
+        if what == "kill":              # whoever comes back was told nothing yet
+            bad_since.pop(who, None)
+            known.pop(who, None)
+        elif what == "told":
+            named = set()
+            for box, state, _ in boxes:
+                named.add(box)
+                if state == "ready":
+                    bad_since[who].pop(box, None)
+                else:
+                    bad_since[who].setdefault(box, at)
+            if kind == "full":
+                for box in known[who] - named:
+                    bad_since[who].setdefault(box, at)
+            known[who] |= named
+        else:
+            since = bad_since[who.manager].get(who.box)
+            if since is not None and at > since + grace + SLACK:
+                breaks.append(Break(3, at, f"{who.key} to box {who.box} {(at - since) / 10:.0f} ms after {who.manager} "
+                                    "was told that it drains or is gone"))
+    return breaks
+
+
+def rule_4(records):
+    """All managers together under the multiple of the pace while a box warms."""
+    rules, breaks = records.site["rules"], []
+    warm, fall = rules["warm_within_ms"] * 10, round(rules["fall_ms"] * 10)
+    for start in records.starts:
+        if start.fell is not None:
+            breaks.append(Break(4, start.fell, f"box {start.box} fell over"))
+        seen = []
+        for t in (t for t in records.tune_ins if t.box == start.box and start.at <= t.at <= start.dead):
+            age = t.at - start.at + start.up
+            if age >= warm:
+                break
+            seen = [at for at in seen if at > t.at - fall] + [t.at]
+            share = rules["start_capacity"] + (1 - rules["start_capacity"]) * age / warm
+            allowed = rules["tip_multiple"] * start.slots / warm * share * fall
+            if len(seen) > int(allowed) + 1:
+                breaks.append(Break(4, t.at, f"box {start.box}: {len(seen)} set-ups within {fall / 10:.0f} ms, "
+                                    f"{allowed:.1f} allowed"))
+                break
+    return breaks
+
+
+def rule_5(records):
+    """No rung under the floor; no manager with more of a title and package than its seats."""
+    breaks, packages = [], records.site["packages"]
+    held = defaultdict(list)
+    for t in records.tune_ins:
+        row = packages.get(t.package)
+        if row is None:
+            continue
+        for at, rung in t.rungs:
+            if rung < row["floor"] and at <= t.freed_at:
+                breaks.append(Break(5, at, f"{t.key}: rung {rung} under the floor {row['floor']} of {t.package}"))
+        if row["seats"]:
+            ends = [k for k, _ in records.kills.get(t.manager, ()) if k >= t.at]
+            until = min([t.freed_at, *ends])
+            held[t.manager, t.title, t.package] += [(t.at, 1), (max(t.at, until - SLACK), -1)]
+    for (manager, title, package), changes in held.items():
+        count, seats = 0, packages[package]["seats"]
+        for at, change in sorted(changes):
+            count += change
+            if count > seats:
+                breaks.append(Break(5, at, f"{manager} holds {count} of {title!r} in {package}, seats {seats}"))
+                break
+    return breaks
+
+
+def rule_6(records):
+    """Further tune-ins of one manager in any window: a few, plus a share of the viewings that it took."""
+    further = records.site["rules"].get("further")
+    if not further:
+        return []
+    span, breaks = round(further["span_ms"] * 10), []
+    made, taken, first = defaultdict(list), defaultdict(list), set()
+    for t in records.tune_ins:
+        if t.trace in first:
+            made[t.manager].append(t.at)
+        first.add(t.trace)
+    for a in records.asked:
+        if a.fate != "unreached":
+            taken[a.manager].append(a.at)
+    for manager, times in made.items():
+        for n, at in enumerate(times):
+            count = sum(1 for other in times[:n + 1] if other > at - span)
+            took = sum(1 for other in taken[manager] if at - span - SLACK < other <= at)
+            if count > further["free"] + further["share"] * took:
+                breaks.append(Break(6, at, f"{manager}: {count} further tune-ins within {span / 10:.0f} ms, "
+                                    f"{took} viewings taken"))
+                break
+    return breaks
--- /dev/null
+++ b/flaxscale/rules/records.py
@@ -0,0 +1,171 @@
+"""Reads the records of a day. The file's name, line and field are named where something can't be used."""
+import json
+import pathlib
+from typing import NamedTuple
+
+FAR = 1 << 62
+
+
+class RecordError(Exception):
+    """file, line and what is wrong there."""
+
+
+class Asked(NamedTuple):
+    n: int
+    at: int
+    manager: str
+    title: str
+    sends: bool
+    trace: str
+    patience: int
+    fate: str | None            # as the client saw it; None: the day ended first
+    status: int
+    seen_at: int
+
+
+class TuneIn(NamedTuple):
+    """One set-up as the box's socket saw it."""
+    key: str
+    trace: str
+    manager: str
+    title: str
+    package: str | None
+    box: int
+    at: int
+    status: int | None          # of the answer; None: none went out
+    ran: bool                   # the answer did not prove that it never ran
+    out_until: int              # answered, or its connection closed, or the box died
+    freed_at: int               # its session ended, or its end was ordered, or it never came to one
+    rungs: tuple                # (time, rung), the first at the set-up
+
+
+class Start(NamedTuple):
+    """One start of a box."""
+    box: int
+    at: int
+    up: int                     # how long it had been up then
+    slots: int
+    fell: int | None
+    dead: int
+
+
+class Records(NamedTuple):
+    site: dict
+    asked: list
+    tune_ins: list
+    starts: list
+    told: list                  # (time, manager, kind, [(box, state, boot)])
+    kills: dict                 # manager: [(killed, back)]
+    stalls: dict                # manager: [(stopped, went on)]
+    end: int
+
+
+def rows_of(file):
+    """The rows of a file; a torn last line of a killed process is passed over, any other bad line is an error."""
+    text = file.read_bytes()
+    lines = text.split(b"\n")
+    torn = lines.pop()
+    out = []
+    for number, line in enumerate(lines, 1):
+        try:
+            row = json.loads(line)
+            row["at"], row["what"]
+        except (ValueError, KeyError, TypeError) as bad:
+            raise RecordError(f"{file}: line {number}: not a record with at and what: {bad}") from None
+        out.append(row)
+    if torn:
+        try:
+            out.append(json.loads(torn))
+        except ValueError:
+            pass
+    return out
+
+
+def read(folder):
+    folder = pathlib.Path(folder)
+    try:
+        site = json.loads((folder / "day.json").read_text())["site"]
+        clients = rows_of(folder / "clients.jsonl")
+        told = rows_of(folder / "boxlist.jsonl")
+        lab = rows_of(folder / "lab.jsonl")
+    except OSError as bad:
+        raise RecordError(f"{bad.filename}: can't be read: {bad.strerror}") from None
+    except (ValueError, KeyError) as bad:
+        raise RecordError(f"{folder / 'day.json'}: not a day: {bad}") from None
+    files = sorted(folder.glob("box-*.jsonl"))
+    if not files:
+        raise RecordError(f"{folder}: no box-*.jsonl")
+    end = next((r["at"] for r in lab if r["what"] == "end"), FAR)
+    killed_boxes = [(r["at"], r["box"]) for r in lab if r["what"] == "kill" and "box" in r]
+    tune_ins, starts = [], []
+    for file in files:
+        start, made = read_box(file, rows_of(file), killed_boxes)
+        starts.append(start)
+        tune_ins += made
+    return Records(site, read_clients(folder / "clients.jsonl", clients), sorted(tune_ins, key=lambda t: t.at),
+                   starts, [(r["at"], r["manager"], r["kind"], [tuple(b) for b in r["boxes"]])
+                            for r in told if r["what"] == "told"],
+                   spans(lab, "kill", "back"), spans(lab, "stall", "go_on"), end)
+
+
+def spans(lab, begin, finish):
+    out = {}
+    for row in lab:
+        if row["what"] == begin and "manager" in row:
+            out.setdefault(row["manager"], []).append((row["at"], FAR))
+        elif row["what"] == finish and out.get(row.get("manager")):
+            out[row["manager"]][-1] = (out[row["manager"]][-1][0], row["at"])
+    return out
+
+
+def read_clients(file, rows):
+    seen, out = {}, []
+    for row in rows:
+        if row["what"] == "seen":
+            if row["n"] in seen:
+                raise RecordError(f"{file}: request {row['n']} was seen twice")
+            seen[row["n"]] = row
+    for row in rows:
+        if row["what"] == "asked":
+            got = seen.get(row["n"])
+            out.append(Asked(row["n"], row["at"], row["manager"], row["title"], row["sends"], row["trace"],
+                             row["patience"], got and got["fate"], got["status"] if got else 0,
+                             got["at"] if got else FAR))
+    return out
+
+
+def read_box(file, rows, killed):
+    """The start of the box that this file is of, and its set-ups."""
+    first = next((r for r in rows if r["what"] == "start"), None)
+    if first is None:
+        raise RecordError(f"{file}: no start of a box")
+    box = first["box"]
+    dead = min([r["at"] for r in rows if r["what"] == "dead"]
+               + [at for at, b in killed if b == box and at >= first["at"]], default=FAR)
+    fell = next((r["at"] for r in rows if r["what"] == "fell"), None)
+    made = {}
+    for row in rows:
+        what = row["what"]
+        if what == "setup":
+            made[row["key"]] = {"row": row, "rungs": [(row["at"], row["rung"])], "status": None, "ran": True,
+                                "out": dead, "freed": dead, "plays": False}
+            continue
+        for key in row["keys"] if what == "ordered" else [row.get("key")]:
+            m = made.get(key)
+            if m is None:
+                continue
+            if what == "answer":
+                m["status"], m["ran"] = row["status"], row["ran"]
+                m["out"] = min(m["out"], row["at"])
+                if row["status"] != 201:
+                    m["freed"] = min(m["freed"], row["at"])
+            elif what == "closed":
+                m["out"], m["freed"] = min(m["out"], row["at"]), min(m["freed"], row["at"])
+            elif what in ("over", "ordered"):
+                m["freed"] = min(m["freed"], row["at"])
+            elif what == "rung":
+                m["rungs"].append((row["at"], row["rung"]))
+    out = [TuneIn(key, m["row"]["trace"] or key, m["row"]["manager"], m["row"]["title"], m["row"]["package"], box,
+                  m["row"]["at"], m["status"], m["ran"], m["out"], max(m["freed"], m["row"]["at"]),
+                  tuple(m["rungs"])) for key, m in made.items()]
+    return Start(box, first["at"], first["up"], first["slots"], fell, dead), out
--- /dev/null
+++ b/flaxscale/run.py
@@ -0,0 +1,286 @@
+"""The core runner: one Manager in any clock, with its actions carried out through a port.
+
+The front on sockets, a replay and a model in virtual time all drive the module through this class, so that a
+decision made in one is the decision made in the others. It holds what stands between the module and the world:
+which viewing is in which phase, when its tune-in expires, which answer it got. It decides nothing; what it
+refuses (a second tune-in while one is out, a second answer) is a fault of whoever asked for it, counted and said.
+
+Times are whole tenths of a millisecond of the port's clock.
+"""
+import heapq
+from collections import deque
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from . import interface as face
+from .decide import Manager
+from .interface import How, NoteKind
+
+GUARD = 50                  # an answer that the module still owes this long before the patience ends is an abort
+
+
+class Phase(Enum):
+    """Where a viewing stands."""
+    WAITS = "waits"
+    OUT = "out"             # a tune-in is out
+    PLAYS = "plays"
+
+
+class Fate(Enum):
+    """The one answer that a viewing gets."""
+    PLAYS = "plays"
+    BLOCKED = "blocked"
+    ABORTED = "aborted"
+    LEFT = "left"           # the client went first: nobody is there to be told
+
+
+class Answer(NamedTuple):
+    fate: Fate
+    server: int | None      # where it plays
+    rung: int
+    hold_off: int           # blocked: how long to stay away; 0: no advice
+    how: How | None         # how the last tune-in ended, for whoever must tell why
+    overdue: bool = False   # the module had not answered when the patience ended
+
+
+class Port(Protocol):
+    """What a runner needs of the world. Nothing here may call the runner back before it returns."""
+
+    def now(self) -> int: ...
+    def wake(self, at: int) -> None: ...                                  # call tick() at this time
+    def tune_in(self, id: int, nth: int, server: int, rung: int, left: int) -> None: ...
+    def abandon(self, id: int, nth: int, server: int) -> bool: ...        # nobody waits for it; had it been sent?
+    def end(self, id: int, nth: int, server: int) -> None: ...            # end what plays
+    def set_rung(self, id: int, nth: int, server: int, rung: int) -> None: ...
+    def answer(self, id: int, answer: Answer) -> None: ...
+    def list_wanted(self, on: bool) -> None: ...
+    def tell_peers(self, server: int, kb: float) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Held:
+    """One viewing as the runner knows it."""
+    __slots__ = "ask", "phase", "nth", "server", "rung", "deadline", "answered", "sent_at", "how", "moving"
+
+    def __init__(self, ask, deadline):
+        self.ask, self.phase, self.deadline = ask, Phase.WAITS, deadline
+        self.nth, self.server, self.rung, self.sent_at = -1, None, 0, 0
+        self.answered = self.moving = False
+        self.how = None
+
+
+EXPIRE, ALARM, OVERDUE = range(3)
+
+
+class Runner:
+    """Drives one Manager. Every call takes the clock once, so that what comes together is heard together."""
+
+    def __init__(self, terms, port, tap=None):
+        """tap(now, event, actions), if given, sees all that goes into the module and comes out."""
+        self.manager, self.port, self.tap = Manager(terms), port, tap
+        self.held, self.queue, self.timers = {}, deque(), []
+        self.seq = self.faults = self.overdue = 0
+        self.now, self.woken, self.busy = 0, None, False
+        # What came of each action, by its type: one look-up an action, since this is the hot path.
+        self.does = {face.TuneIn: self.tune_in, face.SetRung: self.set_rung, face.Block: self.block,
+                     face.Abort: self.abort, face.CallOff: self.call_off, face.Move: self.move,
+                     face.Remind: self.remind, face.KeepListed: lambda act: port.list_wanted(act.on),
+                     face.FetchList: lambda act: port.list_wanted(True),
+                     face.TellPeers: lambda act: port.tell_peers(act.server, act.kb),
+                     face.Log: lambda act: port.log(act.text)}
+
+    # What the world tells
+
+    def listing(self, kind, entries):
+        self.step(face.Listing(kind, tuple(entries)))
+
+    def asked(self, ask):
+        """A viewing is taken: from here on it gets exactly one answer."""
+        if ask.id in self.held:
+            raise ValueError(f"viewing {ask.id} is held already")
+        self.now = self.port.now()
+        self.held[ask.id] = Held(ask, self.now + ask.left)
+        self.at(self.now + max(0, ask.left - GUARD), OVERDUE, ask.id, 0)
+        self.step(ask, self.now)
+
+    def handed_over(self, ask, server, rung):
+        """A viewing that plays already, from before this runner was made."""
+        self.now = self.port.now()
+        held = self.held[ask.id] = Held(ask, self.now + ask.left)
+        held.phase, held.nth, held.server, held.rung, held.answered = Phase.PLAYS, 0, server, rung, True
+        self.step(face.HandedOver(ask, server), self.now)
+        self.step(face.Note(ask.id, 0, server, NoteKind.RUNG, float(rung)), self.now)
+
+    def begun(self, id, nth, took, load=()):
+        """The box plays it. False: nobody waits for this tune-in any more, so the caller must end it there.
+
+        load: (NoteKind, amount) pairs that the answer brought.
+        """
+        held = self.held.get(id)
+        if held is None or held.nth != nth or held.phase is not Phase.OUT:
+            return False
+        now, server = self.port.now(), held.server
+        if held.answered:       # the client left while the tune-in was out and it could not be called off
+            held.phase = Phase.WAITS
+            self.port.end(id, nth, server)
+            self.step(face.Ended(id, nth, server, How.CANCELLED, took, True, ()), now)
+            self.forget(id)
+            return True
+        held.phase = Phase.PLAYS
+        self.tell(id, held, Answer(Fate.PLAYS, server, held.rung, 0, None))
+        self.step(face.Begun(id, nth, server, took), now)
+        for kind, amount in load:
+            self.step(face.Note(id, nth, server, kind, amount), now)
+        return True
+
+    def ended(self, id, nth, how, took, load=()):
+        """The tune-in failed, or what played is over. False: it was over before."""
+        held = self.held.get(id)
+        if held is None or held.nth != nth or held.phase is Phase.WAITS:
+            return False
+        over, server = held.phase is Phase.PLAYS or held.answered, held.server
+        held.phase, held.server, held.how = Phase.WAITS, None, how
+        if over:
+            self.held.pop(id)
+        self.step(face.Ended(id, nth, server, how, took, over, load))
+        return True
+
+    def left(self, id):
+        """The client is gone, or ends what plays."""
+        held = self.held.get(id)
+        if held is None:
+            return
+        now = self.port.now()
+        if held.phase is Phase.PLAYS:
+            self.port.end(id, held.nth, held.server)
+            self.held.pop(id)
+            self.step(face.Ended(id, held.nth, held.server, How.CANCELLED, now - held.sent_at, True, ()), now)
+            return
+        if not held.answered:
+            self.tell(id, held, Answer(Fate.LEFT, None, 0, 0, held.how))
+            self.step(face.Left(id), now)
+            self.forget(id)
+
+    def note(self, id, kind, amount):
+        """News of a box, told on a viewing of ours that plays there."""
+        held = self.held.get(id)
+        if held is not None and held.phase is Phase.PLAYS:
+            self.step(face.Note(id, held.nth, held.server, kind, amount))
+
+    def peer_says(self, peer, server, kb):
+        self.step(face.PeerSays(peer, server, kb))
+
+    def tick(self):
+        """Timers that are due."""
+        now, self.woken = self.port.now(), None
+        while self.timers and self.timers[0][0] <= now:
+            _, _, kind, id, nth = heapq.heappop(self.timers)
+            if kind == ALARM:
+                self.step(face.Alarm(id), now)
+                continue
+            held = self.held.get(id)
+            if held is None:
+                continue
+            if kind == EXPIRE and held.phase is Phase.OUT and held.nth == nth:
+                # What never left us never ran: an unsafe set-up may then be tried elsewhere.
+                sent = self.port.abandon(id, nth, held.server)
+                self.ended(id, nth, How.TIMEOUT if sent else How.UNREACHED, now - held.sent_at)
+            elif kind == OVERDUE and not held.answered:
+                self.overdue += 1
+                self.port.log(f"viewing {id}: no answer when its patience ended")
+                self.tell(id, held, Answer(Fate.ABORTED, None, 0, 0, held.how, True))
+                self.step(face.Left(id), now)
+                self.forget(id)
+        self.set_alarm()
+
+    # What the module wants
+
+    def step(self, event, now=None):
+        """One event in, its actions out; what the actions cause is heard after them, in order."""
+        self.queue.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        self.now = self.port.now() if now is None else now
+        try:
+            while self.queue:
+                event = self.queue.popleft()
+                acts = self.manager.handle(self.now, event)
+                if self.tap:
+                    self.tap(self.now, event, acts)
+                for act in acts:
+                    self.does[type(act)](act)
+        finally:
+            self.busy = False
+        self.set_alarm()
+
+    def tune_in(self, act):
+        held = self.held.get(act.id)
+        if held is None or held.answered or held.phase is not Phase.WAITS:
+            self.fault(f"viewing {act.id}: a tune-in while it is "
+                       f"{'not held' if held is None else 'answered' if held.answered else held.phase.value}")
+            return
+        held.nth += 1
+        held.phase, held.server, held.sent_at = Phase.OUT, act.server, self.now
+        expire = min(act.expire_at, held.deadline)
+        self.at(expire, EXPIRE, act.id, held.nth)
+        self.port.tune_in(act.id, held.nth, act.server, held.rung, expire - self.now)
+
+    def set_rung(self, act):
+        if held := self.held.get(act.id):
+            held.rung = act.rung
+            if held.phase is Phase.PLAYS:
+                self.port.set_rung(act.id, held.nth, held.server, act.rung)
+
+    def block(self, act):
+        self.give(act.id, Fate.BLOCKED, act.hold_off)
+
+    def abort(self, act):
+        self.give(act.id, Fate.ABORTED, 0)
+
+    def give(self, id, fate, hold_off):
+        held = self.held.get(id)
+        if held is None or held.answered or held.phase is Phase.PLAYS:
+            self.fault(f"viewing {id}: {fate.value} after its answer")
+            return
+        self.tell(id, held, Answer(fate, None, 0, hold_off, held.how))
+        self.forget(id)
+
+    def call_off(self, act):
+        held = self.held.get(act.id)
+        if held and held.phase is Phase.OUT and held.nth == act.nth:
+            self.port.abandon(act.id, act.nth, held.server)
+            self.ended(act.id, act.nth, How.CANCELLED, self.now - held.sent_at)
+
+    def move(self, act):
+        held = self.held.get(act.id)
+        if held and held.phase is Phase.PLAYS:
+            self.left(act.id)
+
+    def remind(self, act):
+        self.at(self.now + act.after, ALARM, act.token, 0)
+
+    # Small change
+
+    def tell(self, id, held, answer):
+        held.answered = True
+        self.port.answer(id, answer)
+
+    def forget(self, id):
+        """An answered viewing is kept only while a tune-in of it is out."""
+        held = self.held.get(id)
+        if held and held.phase is Phase.WAITS:
+            del self.held[id]
+
+    def fault(self, text):
+        self.faults += 1
+        self.port.log(f"fault: {text}")
+
+    def at(self, time, kind, id, nth):
+        self.seq += 1
+        heapq.heappush(self.timers, (time, self.seq, kind, id, nth))
+
+    def set_alarm(self):
+        if self.timers and (self.woken is None or self.timers[0][0] < self.woken):
+            self.woken = self.timers[0][0]
+            self.port.wake(self.woken)
--- /dev/null
+++ b/flaxscale/serve/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: asyncio protocol classes for HTTP, thin shells over http1/."""
--- /dev/null
+++ b/flaxscale/serve/clock.py
@@ -0,0 +1,10 @@
+"""The one clock of a process: monotonic, in whole tenths of a millisecond, the same for all on one machine."""
+import time
+
+
+def now():
+    return time.monotonic_ns() // 100_000
+
+
+def http_date():
+    return time.strftime("%a, %d %b %Y %H:%M:%S GMT", time.gmtime())
--- /dev/null
+++ b/flaxscale/serve/server.py
@@ -0,0 +1,238 @@
+"""The HTTP server's shell: one protocol object a connection, one exchange a request, no task anywhere.
+
+Requests of one connection are answered in order, the next is handed over when the last was answered; those that
+came meanwhile wait, and past a few reading stops. A client that closes is told to whoever works on its request.
+"""
+import asyncio
+from collections import deque
+from typing import NamedTuple
+
+from ..http1 import problem
+from ..http1.server import GoOn, Limits, Refused, ServerSide, chunk, response, stream_head
+from .clock import http_date, now
+
+WAITING = 8                 # requests read ahead on one connection
+STREAM_BACKLOG = 1 << 20    # a stream whose reader is further behind is cut
+
+
+class Times(NamedTuple):
+    """Spans in tenths of a millisecond."""
+    head: int = 50_000      # from a request's first byte to the end of its header
+    body: int = 100_000     # and from there to the end of its body
+    idle: int = 750_000     # between requests
+
+
+class Exchange:
+    """One request and its one answer. gone() is called if the client closes first; nothing after the answer."""
+    __slots__ = "line", "request", "arrived", "answered", "gone", "streams"
+
+    def __init__(self, line, request, arrived):
+        self.line, self.request, self.arrived = line, request, arrived
+        self.answered, self.gone, self.streams = False, None, False
+
+    def respond(self, status, headers=(), body=b""):
+        if self.answered:
+            return False
+        self.answered = True
+        self.line.respond(self, status, headers, body)
+        return True
+
+    def refuse(self, status, title, detail="", headers=(), **more):
+        body = problem.problem(status, title, detail, **more)
+        return self.respond(status, [("Content-Type", problem.KIND), *headers], body)
+
+    def stream(self, headers):
+        """Begins an answer without end; then send() until the client goes or end()."""
+        self.answered = self.streams = True
+        self.line.write(stream_head(headers, self.line.server.date()))
+
+    def send(self, data):
+        if self.streams:
+            self.line.write(chunk(data))
+            if self.line.behind() > STREAM_BACKLOG:
+                self.line.abort()
+
+    def end(self):
+        if self.streams:
+            self.streams = False
+            self.line.write(b"0\r\n\r\n")
+            self.line.finish(False)
+
+    def kill(self):
+        """Ends the connection without a word, as a server does that dies."""
+        self.answered = True
+        self.line.abort()
+
+
+class Line(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, server):
+        self.server, self.side = server, ServerSide(server.limits)
+        self.transport, self.current, self.waiting = None, None, deque()
+        self.full = self.paused = self.closing = False
+        self.deadline, self.phase = None, None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        if len(self.server.lines) >= self.server.most:
+            self.server.turned_away += 1
+            transport.write(response(503, [("Content-Type", problem.KIND), ("Retry-After", "1")],
+                                     problem.problem(503, "Too many connections"), False, self.server.date()))
+            transport.close()
+            return
+        self.server.lines.add(self)
+        self.set_deadline("idle")
+
+    def data_received(self, data):
+        if self.closing:
+            return
+        self.server.tap(self, data)
+        for event in self.side.feed(data):
+            if isinstance(event, GoOn):
+                if self.current is None and not self.waiting:
+                    self.write(response(100))
+            elif isinstance(event, Refused):
+                self.waiting.append(event)
+            else:
+                self.waiting.append(Exchange(self, event, now()))
+        if self.current is None:
+            self.next()
+        phase = self.side.phase
+        if phase != self.phase:
+            self.set_deadline(phase)
+        if len(self.waiting) >= WAITING and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def next(self):
+        """Hands over the request that waits longest."""
+        while self.waiting and self.current is None and not self.full and not self.closing:
+            first = self.waiting.popleft()
+            if isinstance(first, Refused):
+                self.server.refused += 1
+                self.write(response(first.status, [("Content-Type", problem.KIND)], problem.problem(
+                    first.status, "The request can't be taken", first.detail), False, self.server.date()))
+                self.close()
+                return
+            self.current = first
+            self.server.handle(first)
+        if self.paused and len(self.waiting) < WAITING and not self.closing:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def respond(self, exchange, status, headers, body):
+        keep = exchange.request.keep_alive and not self.server.stopping
+        self.write(response(status, headers, body, keep, self.server.date(), exchange.request.method == "HEAD"))
+        self.finish(keep)
+
+    def finish(self, keep):
+        self.current = None
+        if not keep:
+            self.close()
+            return
+        self.set_deadline(self.side.phase)
+        if self.waiting:        # not from within the handler of the last one: a pipeline must not recurse
+            self.server.loop.call_soon(self.next)
+
+    def write(self, data):
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def behind(self):
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
+    def close(self):
+        self.closing = True
+        self.transport.close()
+
+    def abort(self):
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def set_deadline(self, phase):
+        self.phase = phase
+        self.deadline = now() + getattr(self.server.times, phase)
+
+    def late(self, time):
+        """Called now and then; what is being answered is bounded by its patience, not here."""
+        if self.current is not None or self.waiting or self.deadline is None or time < self.deadline:
+            return
+        if self.phase != "idle":
+            self.server.cut_off += 1
+            self.write(response(408, [("Content-Type", problem.KIND)], problem.problem(
+                408, "Too slow", f"the {self.phase} of the request took too long"), False, self.server.date()))
+        self.close()
+
+    def eof_received(self):
+        # A client that closes its side is gone: one that only half closes and still waits can't be told from it.
+        return False
+
+    def connection_lost(self, error):
+        self.closing = True
+        self.server.lines.discard(self)
+        gone, self.current = self.current, None
+        self.waiting.clear()
+        if gone is not None and gone.gone is not None and (not gone.answered or gone.streams):
+            gone.streams = False
+            gone.gone()
+
+    def pause_writing(self):
+        self.full = True
+
+    def resume_writing(self):
+        self.full = False
+        self.next()
+
+
+class Server:
+    """Listens, and hands each request to handle(exchange)."""
+
+    def __init__(self, handle, limits=Limits(), times=Times(), most=20_000, tap=None):
+        """tap(line, data) sees all bytes that come in."""
+        self.handle, self.limits, self.times, self.most = handle, limits, times, most
+        self.tap = tap or (lambda line, data: None)
+        self.lines, self.listener, self.sweeper, self.loop = set(), None, None, None
+        self.turned_away = self.refused = self.cut_off = 0
+        self.stopping, self.dated = False, (0, "")
+
+    def date(self):
+        """The Date field's value, made once a second."""
+        second = now() // 10_000
+        if self.dated[0] != second:
+            self.dated = second, http_date()
+        return self.dated[1]
+
+    async def listen(self, host, port, backlog=4096):
+        """Returns the (host, port) that it listens on."""
+        self.loop = asyncio.get_running_loop()
+        self.listener = await self.loop.create_server(lambda: Line(self), host, port, backlog=backlog)
+        self.sweep()
+        return self.listener.sockets[0].getsockname()[:2]
+
+    def sweep(self):
+        time = now()
+        for line in [line for line in self.lines if line.deadline is not None and time >= line.deadline]:
+            line.late(time)
+        self.sweeper = self.loop.call_later(0.25, self.sweep)
+
+    def abort_all(self):
+        for line in list(self.lines):
+            line.abort()
+
+    def stop_listening(self):
+        if self.listener:
+            self.listener.close()
+            self.listener = None
+
+    async def stop(self):
+        """No new connection; what is being answered is the caller's to finish first."""
+        self.stopping = True
+        self.stop_listening()
+        if self.sweeper:
+            self.sweeper.cancel()
+        for line in list(self.lines):
+            if line.current is None or line.current.streams:
+                line.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/flaxscale/signalling/endpoint.py
@@ -0,0 +1,181 @@
+"""Requests of WHIP and WHEP, read and checked: an HTTP request in, what is wanted out, or a refusal.
+
+The paths are the same at the front and at a box:
+  /whep/TITLE, /whip/TITLE     the endpoints (RFC 9725, 4.2; draft-ietf-wish-whep, 4.2)
+  /session/NAME                a session that plays, for PATCH and DELETE
+"""
+from typing import NamedTuple
+from urllib.parse import parse_qs, unquote
+
+from ..http1 import fields, problem
+from . import sdp
+
+SDP, FRAGMENT = "application/sdp", "application/trickle-ice-sdpfrag"
+CORS = (("Access-Control-Allow-Origin", "*"), ("Access-Control-Expose-Headers", "Location, ETag, Link, Retry-After"))
+TITLE_LIMIT = 200
+
+
+class Refusal(Exception):
+    """The request is not taken. Says the status, for whom it is written, and fields to send along."""
+
+    def __init__(self, status, detail, headers=(), **more):
+        super().__init__(detail)
+        self.status, self.detail, self.headers, self.more = status, detail, tuple(headers), more
+
+    def body(self):
+        return problem.problem(self.status, TITLES.get(self.status, "Refused"), self.detail, **self.more)
+
+
+TITLES = {400: "The request can't be read", 401: "A token is needed", 403: "The token is not known here",
+          404: "Nothing here", 405: "Method not taken here", 406: "Only SDP can be given",
+          409: "In use", 410: "It was ended before it came", 412: "The session has moved on",
+          413: "Too large", 415: "Wrong content type", 422: "The offer can't be taken",
+          428: "If-Match is needed", 429: "Too many requests", 503: "No room now", 502: "The video server failed",
+          504: "No video server answered in time", 500: "An error of ours", 501: "Not implemented"}
+
+
+class Offer(NamedTuple):
+    sends: bool                 # WHIP; else WHEP
+    title: str
+    body: bytes
+    ufrag: str
+    wait: int | None            # the client's patience, in seconds, if it states one
+    viewer: str | None
+    key: str | None             # Idempotency-Key
+    trace: str | None           # traceparent, as sent
+    length: float | None        # how long it expects to play, in seconds
+    top: int | None             # the highest rung that it can use
+    media: sdp.Session | None
+
+
+class Patch(NamedTuple):
+    name: str
+    body: bytes
+    match: str
+    fragment: sdp.Fragment
+
+
+class Delete(NamedTuple):
+    name: str
+
+
+class Options(NamedTuple):
+    methods: str
+    accepts: str | None
+
+
+def split(target):
+    """Path segments, decoded, and the first value of each query argument."""
+    path, _, query = target.partition("?")
+    try:
+        segments = [unquote(s, errors="strict") for s in path.split("/")[1:]]
+    except UnicodeDecodeError:
+        raise Refusal(400, "the path is not UTF-8 once decoded") from None
+    args = {name: values[0] for name, values in parse_qs(query, max_num_fields=32).items()} if query else {}
+    return segments, args
+
+
+def check_token(headers, tokens):
+    """RFC 6750, 3: 401 with a challenge where there is no token, and where it is none of ours."""
+    if not tokens:
+        return
+    token = fields.bearer(headers.get("authorization"))
+    if token is None:
+        raise Refusal(401, "no bearer token", [("WWW-Authenticate", 'Bearer realm="flaxscale"')])
+    if not fields.known_token(token, tokens):
+        raise Refusal(401, "the token is not known here",
+                      [("WWW-Authenticate", 'Bearer realm="flaxscale", error="invalid_token"')])
+
+
+def read(request, segments, args, tokens=()):
+    """What a request to one of the paths above wants. Raises Refusal."""
+    kind = segments[0]
+    if len(segments) != 2 or not segments[1]:
+        raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
+    method = request.method
+    if kind == "session":
+        if method == "OPTIONS":
+            return Options("DELETE, OPTIONS, PATCH", None)
+        if method not in ("PATCH", "DELETE"):
+            raise Refusal(405, f"{method} is not taken by a session", [("Allow", "DELETE, OPTIONS, PATCH")])
+        check_token(request.headers, tokens)
+        return Delete(segments[1]) if method == "DELETE" else read_patch(request, segments[1])
+    if method == "OPTIONS":
+        return Options("OPTIONS, POST", SDP)
+    if method != "POST":
+        raise Refusal(405, f"{method} is not taken by an endpoint", [("Allow", "OPTIONS, POST")])
+    check_token(request.headers, tokens)
+    return read_offer(request, kind == "whip", segments[1], args)
+
+
+def read_offer(request, sends, title, args):
+    headers = request.headers
+    if len(title) > TITLE_LIMIT:
+        raise Refusal(414, f"a title of over {TITLE_LIMIT} characters")
+    kind = fields.media_type(headers.get("content-type"))
+    if kind != SDP:
+        raise Refusal(415, f"an offer is {SDP}, not {kind or 'without a type'}", [("Accept-Post", SDP)])
+    if not fields.accepts(headers.get("accept"), SDP):
+        raise Refusal(406, f"the answer can only be {SDP}")
+    try:
+        media = sdp.parse(request.body)
+        first = sdp.check_offer(media, sends)
+    except sdp.SdpError as bad:
+        raise Refusal(bad.status, str(bad)) from None
+    return Offer(sends, title, request.body, first.ufrag, fields.wait_of(headers.get("prefer")),
+                 args.get("viewer") or headers.get("flaxscale-viewer"), idempotency_key(headers),
+                 headers.get("traceparent"), number(args, "length"), whole(args, "top"), media)
+
+
+def idempotency_key(headers):
+    """A structured-field string (draft-ietf-httpapi-idempotency-key-header, 2.1); unquoted is taken as it is."""
+    value = headers.get("idempotency-key")
+    if value is None:
+        return None
+    value = value.strip().strip('"')
+    if not 1 <= len(value) <= 128 or not value.isprintable():
+        raise Refusal(400, "an Idempotency-Key of 1 to 128 printable characters is needed")
+    return value
+
+
+def number(args, name):
+    if name not in args:
+        return None
+    try:
+        value = float(args[name])
+    except ValueError:
+        value = -1.0
+    if not 0 < value < 1e6:
+        raise Refusal(400, f"{name}={args[name][:20]!r}: a number over 0 is needed")
+    return value
+
+
+def whole(args, name):
+    if name not in args:
+        return None
+    if not args[name].isascii() or not args[name].isdigit() or len(args[name]) > 4:
+        raise Refusal(400, f"{name}={args[name][:20]!r}: a whole number is needed")
+    return int(args[name])
+
+
+def read_patch(request, name):
+    """RFC 9725, 4.3.1: a fragment under If-Match; 428 without, and what is no fragment is 415."""
+    kind = fields.media_type(request.headers.get("content-type"))
+    if kind != FRAGMENT:
+        raise Refusal(415, f"a PATCH is {FRAGMENT}, not {kind or 'without a type'}", [("Accept-Patch", FRAGMENT)])
+    match = request.headers.get("if-match")
+    if match is None:
+        raise Refusal(428, "a PATCH needs If-Match: the session's ETag, or * for an ICE restart")
+    try:
+        fragment = sdp.parse_fragment(request.body)
+    except sdp.SdpError as bad:
+        raise Refusal(bad.status, str(bad)) from None
+    return Patch(name, request.body, match, fragment)
+
+
+def options_headers(want):
+    """RFC 9725, 4.2: Accept-Post tells what an endpoint takes; the rest is for browsers (CORS)."""
+    rows = [("Allow", want.methods), ("Access-Control-Allow-Methods", want.methods),
+            ("Access-Control-Allow-Headers", "authorization, content-type, if-match, prefer, idempotency-key"),
+            *CORS]
+    return rows + ([("Accept-Post", want.accepts)] if want.accepts else [("Accept-Patch", FRAGMENT)])
--- /dev/null
+++ b/flaxscale/signalling/sdp.py
@@ -0,0 +1,237 @@
+"""SDP (RFC 8866) as far as signalling needs: offers are read and checked, answers made, fragments read.
+
+What is checked of an offer: media sections and their bundle (RFC 9143), ICE ufrag and password (RFC 8839),
+a DTLS fingerprint and role (RFC 8122, RFC 8842), and that its directions are those of its protocol.
+"""
+import re
+from typing import NamedTuple
+
+UFRAG = re.compile(r"^[A-Za-z0-9+/]{4,256}$")           # ice-char (RFC 8839, 5.4)
+PWD = re.compile(r"^[A-Za-z0-9+/]{22,256}$")
+FINGERPRINT = re.compile(r"^(sha-1|sha-224|sha-256|sha-384|sha-512) ([0-9A-Fa-f]{2}(?::[0-9A-Fa-f]{2}){19,63})$")
+DIRECTIONS = ("sendrecv", "sendonly", "recvonly", "inactive")
+PROTOCOLS = ("UDP/TLS/RTP/SAVPF", "UDP/TLS/RTP/SAVP", "TCP/DTLS/RTP/SAVPF", "TCP/TLS/RTP/SAVPF")
+LIMIT_LINES, LIMIT_MEDIA = 2000, 16
+
+
+class SdpError(ValueError):
+    """What is wrong, and in which line (0: in the whole)."""
+
+    def __init__(self, detail, line=0, status=400):
+        super().__init__(f"line {line}: {detail}" if line else detail)
+        self.status = status
+
+
+class Media(NamedTuple):
+    kind: str                   # audio, video
+    protocol: str
+    formats: tuple
+    mid: str
+    direction: str
+    ufrag: str
+    pwd: str
+    fingerprint: str
+    setup: str
+    port: int
+    codecs: tuple               # rtpmap names in the order of the formats
+    bundle_only: bool
+
+
+class Session(NamedTuple):
+    media: tuple
+    bundle: tuple               # mids of the first BUNDLE group
+
+
+class Fragment(NamedTuple):
+    """A trickle-ice-sdpfrag (RFC 8840)."""
+    ufrag: str
+    pwd: str
+    candidates: tuple           # (mid, candidate line)
+    complete: bool              # end-of-candidates was said
+
+
+def lines_of(text):
+    """(number, type, value) of each line; the line end may be a bare LF (RFC 8866, 5)."""
+    rows = text.replace("\r\n", "\n").rstrip("\n").split("\n")
+    if len(rows) > LIMIT_LINES:
+        raise SdpError(f"over {LIMIT_LINES} lines", status=413)
+    for number, row in enumerate(rows, 1):
+        if len(row) < 2 or row[1] != "=" or not row[0].isalpha():
+            raise SdpError(f"not a type, an equals sign and a value: {row[:40]!r}", number)
+        yield number, row[0], row[2:]
+
+
+def text_of(body):
+    try:
+        return body.decode("utf-8")
+    except UnicodeDecodeError as bad:
+        raise SdpError(f"not UTF-8 at byte {bad.start}") from None
+
+
+def parse(body):
+    """A Session from the bytes of an offer or answer; SdpError names the line."""
+    text = text_of(body)
+    if not text.startswith("v=0"):
+        raise SdpError("does not begin with v=0", 1)
+    common, medias, order = {}, [], ""
+    bundle = ()
+    for number, kind, value in lines_of(text):
+        if kind == "m":
+            medias.append(media_line(value, number))
+            if len(medias) > LIMIT_MEDIA:
+                raise SdpError(f"over {LIMIT_MEDIA} media sections", number, 422)
+        elif kind == "a":
+            name, _, rest = value.partition(":")
+            here = medias[-1] if medias else common
+            if name == "group" and not medias and rest.startswith("BUNDLE") and not bundle:
+                bundle = tuple(rest.split()[1:])
+            elif name in DIRECTIONS:
+                here["direction"] = name
+            elif name == "rtpmap":
+                here.setdefault("rtpmap", {})[rest.partition(" ")[0]] = rest.partition(" ")[2].partition("/")[0]
+            elif name in ("ice-ufrag", "ice-pwd", "fingerprint", "setup", "mid", "bundle-only"):
+                here.setdefault(name, rest)
+        elif not medias:
+            order += kind
+    for must in "ost":
+        if must not in order:
+            raise SdpError(f"the line {must}= is missing")
+    if not medias:
+        raise SdpError("no media section", status=422)
+    return Session(tuple(media_of(m, common, bundle) for m in medias), bundle)
+
+
+def media_line(value, number):
+    parts = value.split()
+    port = parts[1].partition("/")[0] if len(parts) > 3 else ""
+    if not (port.isascii() and port.isdigit() and len(port) < 6 and int(port) < 65536):
+        raise SdpError(f"not a media line: {value[:40]!r}", number)
+    if parts[0] not in ("audio", "video"):
+        raise SdpError(f"media of kind {parts[0][:20]!r}; audio and video are taken", number, 422)
+    if parts[2] not in PROTOCOLS:
+        raise SdpError(f"protocol {parts[2][:30]!r}; DTLS-SRTP is needed (RFC 8827)", number, 422)
+    return {"kind": parts[0], "port": int(port), "protocol": parts[2], "formats": tuple(parts[3:]),
+            "line": number}
+
+
+def media_of(m, common, bundle):
+    def own(name, default=""):
+        return m.get(name, common.get(name, default))
+    maps = m.get("rtpmap", {})
+    return Media(m["kind"], m["protocol"], m["formats"], m.get("mid", ""), own("direction", "sendrecv"),
+                 own("ice-ufrag"), own("ice-pwd"), own("fingerprint"), own("setup"), m["port"],
+                 tuple(maps.get(f, f) for f in m["formats"]), "bundle-only" in m)
+
+
+def check_offer(session, sends):
+    """Raises SdpError where the offer can't be taken: by WHIP (sends) or WHEP (receives).
+
+    RFC 9725, 4.2: a WHIP offer is sendonly or may be sendrecv, never recvonly or inactive, and its answer is
+    recvonly. draft-ietf-wish-whep, 4.2, mirrors it for players: recvonly or sendrecv, the answer sendonly.
+    """
+    if not session.bundle:
+        raise SdpError("no a=group:BUNDLE; one transport for all media is needed (RFC 9725, 4.4.1)", status=422)
+    kinds, mids = set(), set()
+    for m in session.media:
+        if not m.mid or m.mid in mids:
+            raise SdpError(f"the {m.kind} section has no mid of its own", status=422)
+        mids.add(m.mid)
+        if m.mid not in session.bundle:
+            raise SdpError(f"section {m.mid!r} is not in the BUNDLE group", status=422)
+        if m.kind in kinds and sends:
+            raise SdpError(f"more than one {m.kind} section; one stream is pushed (RFC 9725, 4.4.2)", status=422)
+        kinds.add(m.kind)
+        if sends and m.direction not in ("sendonly", "sendrecv"):
+            raise SdpError(f"section {m.mid!r} is {m.direction}: a WHIP offer sends", status=422)
+        if not sends and m.direction not in ("recvonly", "sendrecv"):
+            raise SdpError(f"section {m.mid!r} is {m.direction}: a WHEP offer receives", status=422)
+        if m.bundle_only and m.port:
+            raise SdpError(f"section {m.mid!r} is bundle-only but has a port (RFC 9143, 6)", status=422)
+    first = next(m for m in session.media if m.mid == session.bundle[0]) if session.bundle[0] in mids else None
+    if first is None:
+        raise SdpError(f"the BUNDLE group begins with {session.bundle[0]!r}, which is no section", status=422)
+    if not UFRAG.match(first.ufrag):
+        raise SdpError("no ICE ufrag of 4 to 256 ice-chars", status=422)
+    if not PWD.match(first.pwd):
+        raise SdpError("no ICE password of 22 to 256 ice-chars", status=422)
+    if not FINGERPRINT.match(first.fingerprint):
+        raise SdpError("no DTLS fingerprint that can be read (RFC 8122)", status=422)
+    if first.setup not in ("actpass", "active"):
+        raise SdpError(f"DTLS role {first.setup or 'missing'!r}; an offer says actpass (RFC 8842, 5.2)", status=422)
+    return first
+
+
+def offer(sends, ufrag, pwd, fingerprint, tail="0"):
+    """A small offer, as our own clients make it."""
+    way = "sendonly" if sends else "recvonly"
+    rows = ["v=0", f"o=- {tail} 1 IN IP4 127.0.0.1", "s=-", "t=0 0", "a=group:BUNDLE 0 1",
+            "a=ice-options:trickle ice2"]
+    for mid, kind, pt, codec in (("0", "audio", 111, "opus/48000/2"), ("1", "video", 96, "H264/90000")):
+        rows += [f"m={kind} 9 UDP/TLS/RTP/SAVPF {pt}", "c=IN IP4 0.0.0.0", f"a=mid:{mid}", f"a={way}",
+                 f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:sha-256 {fingerprint}",
+                 "a=setup:actpass", "a=rtcp-mux", f"a=rtpmap:{pt} {codec}"]
+    return ("\r\n".join(rows) + "\r\n").encode()
+
+
+def answer(session, sends, ufrag, pwd, fingerprint, candidate, tail="0"):
+    """The answer to a checked offer: each section taken with its first format, one transport (RFC 9143)."""
+    first, rows = True, ["v=0", f"o=- {tail} 1 IN IP4 127.0.0.1", "s=-", "t=0 0",
+                         "a=group:BUNDLE " + " ".join(m.mid for m in session.media), "a=ice-lite"]
+    for m in session.media:
+        back = "recvonly" if sends else "sendonly"
+        rows += [f"m={m.kind} 9 {m.protocol} {m.formats[0]}", "c=IN IP4 0.0.0.0", f"a=mid:{m.mid}", f"a={back}",
+                 "a=rtcp-mux"]
+        if m.codecs and m.codecs[0] != m.formats[0]:
+            rows.append(f"a=rtpmap:{m.formats[0]} {m.codecs[0]}/{48000 if m.kind == 'audio' else 90000}")
+        if first:
+            rows += [f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:sha-256 {fingerprint}",
+                     "a=setup:passive", f"a=candidate:{candidate}", "a=end-of-candidates"]
+            first = False
+    return ("\r\n".join(rows) + "\r\n").encode()
+
+
+def candidate_of(body):
+    """(address, port, ufrag) of the first candidate of an answer, for our own clients."""
+    address = port = ufrag = None
+    for row in text_of(body).splitlines():
+        if row.startswith("a=candidate:") and address is None:
+            parts = row.split()
+            address, port = parts[4], int(parts[5])
+        elif row.startswith("a=ice-ufrag:") and ufrag is None:
+            ufrag = row[12:]
+    if address is None or ufrag is None:
+        raise SdpError("an answer without candidate and ufrag")
+    return address, port, ufrag
+
+
+def parse_fragment(body):
+    """A Fragment (RFC 8840, 4.4) from the bytes of a PATCH."""
+    ufrag = pwd = mid = ""
+    candidates, complete = [], False
+    text = text_of(body)
+    if not text.strip():
+        raise SdpError("an empty fragment")
+    for number, kind, value in lines_of(text):
+        if kind == "m":
+            mid = ""
+        elif kind == "a":
+            name, _, rest = value.partition(":")
+            if name == "ice-ufrag":
+                ufrag = ufrag or rest
+            elif name == "ice-pwd":
+                pwd = pwd or rest
+            elif name == "mid":
+                mid = rest
+            elif name == "candidate":
+                if len(rest.split()) < 8:
+                    raise SdpError("a candidate of fewer than eight parts (RFC 8839, 5.1)", number)
+                candidates.append((mid, rest))
+            elif name == "end-of-candidates":
+                complete = True
+        else:
+            raise SdpError(f"a line {kind}= has no place in a fragment", number)
+    if not UFRAG.match(ufrag):
+        raise SdpError("no ICE ufrag of 4 to 256 ice-chars", status=422)
+    if pwd and not PWD.match(pwd):
+        raise SdpError("an ICE password that is no 22 to 256 ice-chars", status=422)
+    return Fragment(ufrag, pwd, tuple(candidates), complete)
--- /dev/null
+++ b/flaxscale/site/load.py
@@ -0,0 +1,39 @@
+"""Reads a Jsonnet file into one of the checked shapes; an error names the file, the key and what was expected."""
+import pathlib
+
+import _jsonnet
+import msgspec
+
+
+class SiteError(Exception):
+    """file, key and what was expected there."""
+
+    def __init__(self, file, key, expected):
+        super().__init__(f"{file}: {key}: {expected}" if key else f"{file}: {expected}")
+        self.file, self.key, self.expected = str(file), key, expected
+
+
+def evaluate(file, **given):
+    """The JSON that a Jsonnet file gives; `given` are external variables, for std.extVar."""
+    path = pathlib.Path(file)
+    try:
+        path.read_bytes()
+    except OSError as bad:
+        raise SiteError(file, "", f"can't be read: {bad.strerror}") from None
+    try:
+        return _jsonnet.evaluate_file(str(path), ext_vars={k: str(v) for k, v in given.items()}, max_stack=200)
+    except RuntimeError as bad:
+        text = " / ".join(line.strip() for line in str(bad).strip().splitlines()[:3])
+        raise SiteError(file, "", f"not Jsonnet that can be evaluated: {text}") from None
+
+
+def shape(file, text, kind):
+    """The JSON text as an instance of `kind`."""
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.ValidationError as bad:
+        said, _, at = str(bad).partition(" - at ")
+        key = at.strip("`").removeprefix("$").lstrip(".") or "the file's own object"
+        raise SiteError(file, key.replace("[...]", ".*"), said) from None
+    except msgspec.DecodeError as bad:
+        raise SiteError(file, "", f"not JSON: {bad}") from None
--- /dev/null
+++ b/flaxscale/site/terms.py
@@ -0,0 +1,67 @@
+"""A checked site file as the module's terms."""
+import math
+
+from .. import interface as face
+from .load import SiteError, evaluate, shape
+from .shapes import Site, faults
+
+
+def span(ms):
+    """Bounds on us are cut down to whole tenths of a millisecond, so that they are never overrun."""
+    return math.floor(ms * 10 + 1e-6)
+
+
+def read_site(file, **given):
+    """The Site of a file; SiteError names the first fault's key and counts the others."""
+    return checked(file, shape(file, evaluate(file, **given), Site))
+
+
+def checked(file, site, under=""):
+    if found := faults(site):
+        key, expected = found[0]
+        more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
+        raise SiteError(file, under + key, f"{expected} expected{more}")
+    return site
+
+
+class Sense:
+    """A site as one manager reads it: its terms, and numbers for the names of packages, kinds and zones."""
+
+    def __init__(self, site, me=0, zone=0, seed=0):
+        self.site, self.me, self.zone, self.seed = site, me, zone, seed
+        self.packages = {name: n for n, name in enumerate(site.packages)}
+        self.kinds = {name: n for n, name in enumerate(site.fleet.kinds)}
+        self.zones = {name: n for n, name in enumerate(site.zones)}
+        self.terms = self.make()
+
+    def make(self):
+        site, rungs = self.site, len(self.site.ladder.kb)
+        rules, fleet, allowed = site.rules, site.fleet, site.allowed
+        names = (fleet.link_figure,) + ((fleet.uplink_figure,) if fleet.uplink_figure else ())
+        further = rules.further
+        return face.SiteTerms(
+            me=self.me, peers=site.managers, zone=self.zone, seed=self.seed, asks_for_list=False,
+            packages=tuple(face.Package(
+                span(p.join_target_ms), p.value, p.effect, p.group, span(p.repeat_window_ms), p.floor,
+                min(p.top, rungs - 1), p.scale, p.seats, p.live) for p in site.packages.values()),
+            ladder=face.Ladder(tuple(site.ladder.kb), tuple(site.ladder.worth),
+                               round(site.ladder.switch_cost_ms * 10), site.ladder.stall, site.ladder.join),
+            fleet=face.FleetTerms(fleet.cells, fleet.racks, tuple(fleet.kinds.values()), fleet.kb_per_weight,
+                                  fleet.uplink_kb, fleet.guard, round(fleet.note_lag_ms * 10),
+                                  round(fleet.note_every_ms * 10), names),
+            rules=face.RuleTerms(span(rules.drain_grace_ms), round(rules.warm_within_ms * 10),
+                                 rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10),
+                                 span(rules.ask_within_ms), further and further.free, further and further.share,
+                                 further and round(further.span_ms * 10)),
+            allowed=face.Allowed(allowed.tune_ins, allowed.call_off, allowed.hold_off_most_ms > 0,
+                                 span(allowed.hold_off_most_ms), allowed.peers, False,
+                                 span(allowed.dial_timeout_ms)),
+            prices=face.Prices(site.prices.cross_zone, site.prices.move, site.prices.late, site.prices.peer),
+            goal=face.Goal(site.goal.whole, site.goal.worst_window, site.goal.worst_package))
+
+    def patience(self, package, wait):
+        """Viewer patience in tenths: the client's own word, up to a bound, else the package's."""
+        row = list(self.site.packages.values())[package]
+        if wait is None:
+            return span(row.patience_ms)
+        return span(min(wait * 1000, self.site.front.patience_most_ms))
--- /dev/null
+++ b/flaxscale/standins/box.py
@@ -0,0 +1,193 @@
+"""What a media box does, without sockets: sessions, link and uplink, warm-up and falling over, troubles.
+
+Where more is asked than the link or the rack's uplink gives, every viewing there gets the same cut. A box that
+has just started takes set-ups at a pace that rises while it warms; pushed over `tip_multiple` times that pace for
+`fall_ms`, it falls over and stays down. Times are tenths of a millisecond.
+"""
+from collections import deque
+from typing import NamedTuple
+from zlib import crc32
+
+KEEP_ENDED = 600_000            # a name that was ended before it came is refused this long
+
+
+class Place(NamedTuple):
+    """What kind of box it is, and where it stands."""
+    id: int
+    cell: int
+    rack: int
+    zone: str
+    kind: str
+    weight: float               # by the list; the link may differ
+    link_kb: float
+    slots: int
+
+
+class Site(NamedTuple):
+    """What boxes know of the site: rates, rules and packages by name."""
+    kb: tuple
+    packages: dict              # name: (scale, live, floor)
+    titles: dict                # name: (first_cell, cells, view package, push package)
+    cells: int
+    join: float
+    guard: float
+    uplink_kb: float
+    warm_within: int
+    start_capacity: float
+    tip_multiple: float
+    fall: int
+
+
+class Session:
+    __slots__ = "key", "title", "package", "manager", "rung", "began", "ufrag", "etag", "name", "sends"
+
+    def __init__(self, key, title, package, manager, rung, began, sends):
+        self.key, self.title, self.package, self.manager = key, title, package, manager
+        self.rung, self.began, self.sends = rung, began, sends
+        self.ufrag = self.etag = self.name = None
+
+
+class Verdict(NamedTuple):
+    """What becomes of a set-up: a status, why, whether it ran, and after how long the answer goes."""
+    status: int
+    why: str
+    ran: bool
+    after: int
+
+
+class Trouble:
+    """Which troubles are on. All off at the start; set by name."""
+
+    def __init__(self):
+        self.hang = self.drain = self.answer_lost = self.reset_after = self.reset_before = self.half = 0.0
+        self.fast_errors = 0.0      # the share of set-ups that fail, as for the four before it
+        self.slow = 1.0             # set-ups take so many times as long
+        self.link = 1.0             # the link gives this part
+        self.neighbour = 0.0        # another program takes this part of the link
+        self.report_late = 0        # notes come so much later
+        self.lie = 1.0              # the figures told are so many times the true ones
+
+    def set(self, name, value):
+        if not hasattr(self, name):
+            raise ValueError(f"{name!r} is no trouble of a box; known: {', '.join(sorted(vars(self)))}")
+        setattr(self, name, type(getattr(self, name))(value))
+
+
+class Box:
+    def __init__(self, place, site, boot, started_at, seed, work=150):
+        """work: what a set-up takes here, in tenths of a millisecond, at no trouble."""
+        self.place, self.site, self.boot, self.started_at, self.seed, self.work = (
+            place, site, boot, started_at, seed, work)
+        self.sessions, self.ended, self.trouble, self.draws = {}, {}, Trouble(), 0
+        self.arrivals, self.fallen = deque(), False
+        self.rack_others = 0.0              # kB a second that the rest of the rack asks, as last told
+        self.uplink_kb = site.uplink_kb
+
+    def chance(self):
+        self.draws += 1
+        return crc32(b"%d:%d:%d" % (self.seed, self.place.id, self.draws)) * 0x9E3779B1 % 2 ** 32 / 2 ** 32
+
+    # Warmth and the pace
+
+    def warmed(self, now):
+        """The share of its pace and of its link that it has warmed to."""
+        start, age = self.site.start_capacity, now - self.started_at
+        if age >= self.site.warm_within:
+            return 1.0
+        return start + (1 - start) * age / self.site.warm_within
+
+    def pushed(self, now):
+        """Counts a set-up that arrives; True where it pushes the box over.
+
+        Over the pace means more arrivals within fall_ms than the multiple allows there, counted whole: one more
+        than the allowed number rounded up, so that the first few after a start can't fell it by rounding.
+        """
+        self.arrivals.append(now)
+        while self.arrivals and self.arrivals[0] <= now - self.site.fall:
+            self.arrivals.popleft()
+        if now - self.started_at >= self.site.warm_within:
+            return False
+        pace = self.place.slots / self.site.warm_within * self.warmed(now)
+        allowed = self.site.tip_multiple * pace * self.site.fall
+        return len(self.arrivals) > int(allowed) + 1
+
+    # Rates
+
+    def asked(self):
+        """kB a second that its sessions ask: viewers of one live title and rung share a stream in part."""
+        streams, total = {}, 0.0
+        for s in self.sessions.values():
+            scale, live, _ = self.site.packages[s.package]
+            kb = self.site.kb[s.rung] * scale
+            if live:
+                n = streams[s.title, s.package, s.rung] = streams.get((s.title, s.package, s.rung), 0) + 1
+                kb *= self.site.join if n > 1 else 1
+            total += kb
+        return total
+
+    def link_now(self, now):
+        t = self.trouble
+        return max(1.0, self.place.link_kb * self.warmed(now) * t.link * (1 - t.neighbour))
+
+    def uses(self, now):
+        """(what is asked of the link over what it gives, the same of the uplink)."""
+        own = self.asked()
+        return own / self.link_now(now), (own + self.rack_others) / max(1.0, self.uplink_kb)
+
+    def delivered(self, now):
+        """The share of their rates that its viewings get: the same for all of them."""
+        if self.trouble.hang or self.fallen:
+            return 0.0
+        return min(1.0, *(1 / use if use > 1 else 1.0 for use in self.uses(now)))
+
+    def figures(self, now):
+        link, uplink = self.uses(now)
+        return {"x0": link * self.trouble.lie, "x1": uplink * self.trouble.lie}
+
+    # Set-ups
+
+    def holds(self, title):
+        row = self.site.titles.get(title)
+        return row is not None and (self.place.cell - row[0]) % self.site.cells < row[1]
+
+    def set_up(self, key, title, sends, manager, rung, now):
+        """(Verdict, Session or None). None of the answers below 400 is given without a session behind it."""
+        t = self.trouble
+        self.ended = {k: at for k, at in self.ended.items() if at > now - KEEP_ENDED} if len(
+            self.ended) > 5000 else self.ended
+        if self.fallen or self.pushed(now):
+            self.fallen = True
+            return Verdict(0, "fallen over", False, 0), None
+        if key in self.ended:
+            return Verdict(410, "ended before it came", False, 0), None
+        if key in self.sessions:
+            return Verdict(201, "set up before", True, 0), self.sessions[key]
+        row = self.site.titles.get(title)
+        package = row and (row[3] if sends else row[2])
+        if package is None or not self.holds(title):
+            return Verdict(404, "no such title here", False, 0), None
+        if not 0 <= rung < len(self.site.kb):
+            return Verdict(422, "no such rung", False, 0), None
+        if t.fast_errors and self.chance() < t.fast_errors:
+            return Verdict(500, "failed", True, 5), None
+        if t.drain:
+            return Verdict(503, "draining", False, 0), None
+        if len(self.sessions) >= self.place.slots:
+            return Verdict(503, "all places are taken", False, 0), None
+        if self.site.guard and self.uses(now)[0] >= self.site.guard:
+            return Verdict(503, "the link is full", False, 0), None
+        session = self.sessions[key] = Session(key, title, package, manager, rung, now, sends)
+        took = self.work * (0.8 + 0.4 * self.chance()) * t.slow / self.warmed(now)
+        return Verdict(201, "", True, round(took)), session
+
+    def end(self, key, now):
+        """Ends a session or a set-up by its name; one that has not come yet will be refused when it does."""
+        self.ended[key] = now
+        return self.sessions.pop(key, None)
+
+    def set_rung(self, key, rung):
+        session = self.sessions.get(key)
+        if session is None or not 0 <= rung < len(self.site.kb):
+            return False
+        session.rung = rung
+        return True
--- /dev/null
+++ b/flaxscale/standins/boxlist.py
@@ -0,0 +1,127 @@
+"""The box list stand-in: who runs, told to managers as full lists and deltas with versions, late on demand.
+
+Boxes tell by datagram that they run (and what they ask of their rack's uplink, which is shared here); a box not
+heard of for a while is gone. The list knows no more of a box than that its process runs, drains or is gone.
+"""
+import asyncio
+import json
+
+from ..http1 import sse
+from ..lab.records import Recorder
+from ..serve.clock import now
+from ..serve.server import Server
+
+SILENT = 6_000              # a box that was silent so long is gone
+
+
+class BoxList:
+    def __init__(self, uplinks, record=None, late=0):
+        """uplinks: kB a second by rack, or one figure for all. late: tenths until a change is told."""
+        self.uplinks, self.record, self.late = uplinks, record or Recorder(), late
+        self.rows, self.heard, self.asks, self.version = {}, {}, {}, 0
+        self.history, self.streams, self.timer, self.loop, self.frozen = [], {}, None, None, False
+        self.server = Server(self.handle)
+        self.address, self.udp = None, None
+
+    async def start(self, host="127.0.0.1", port=0):
+        self.loop = asyncio.get_running_loop()
+        self.address = await self.server.listen(host, port)
+        self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Beats(self), local_addr=self.address)
+        self.check()
+        return self.address
+
+    def uplink(self, rack):
+        return self.uplinks.get(rack, 1e9) if isinstance(self.uplinks, dict) else self.uplinks
+
+    def beat(self, row):
+        id = row["id"]
+        self.heard[id] = now()
+        self.asks[id] = row["rack"], row["kb"]
+        others = sum(kb for o, (rack, kb) in self.asks.items() if rack == row["rack"] and o != id)
+        old = self.rows.get(id)
+        if old is None or any(old[k] != row[k] for k in ("boot", "state", "address", "weight", "cell")):
+            self.change([row])
+        return {"others": others, "uplink": self.uplink(row["rack"])}
+
+    def check(self):
+        time = now()
+        gone = [id for id, at in self.heard.items() if time - at > SILENT]
+        for id in gone:
+            del self.heard[id]
+            self.asks.pop(id, None)
+        if gone:
+            self.change([{**self.rows[id], "state": "gone"} for id in gone if id in self.rows])
+        self.timer = self.loop.call_later(0.1, self.check)
+
+    def change(self, rows):
+        since, self.version = self.version, self.version + 1
+        for row in rows:
+            if row["state"] == "gone":
+                self.rows.pop(row["id"], None)
+            else:
+                self.rows[row["id"]] = {**row, "seen": now()}
+        self.history.append((since, self.version, rows, now()))
+        del self.history[:-2000]
+        for manager in list(self.streams):
+            self.loop.call_later(self.late / 10_000, self.tell, manager, since, self.version, rows, now())
+
+    def wire_row(self, row, seen):
+        keys = ("id", "address", "kind", "cell", "zone", "weight", "boot", "state")
+        return {**{k: row[k] for k in keys}, "up_ms": row["up_ms"] + (now() - row.get("seen", seen)) / 10}
+
+    def tell(self, manager, since, version, rows, seen):
+        stream = self.streams.get(manager)
+        if stream is None or self.frozen:
+            return
+        boxes = [self.wire_row(row, seen) for row in rows]
+        self.record.put("told", manager=manager, kind="delta", version=version,
+                        boxes=[[b["id"], b["state"], b["boot"]] for b in boxes])
+        stream.send(sse.encode("delta", json.dumps({"version": version, "since": since, "boxes": boxes}),
+                               str(version)))
+
+    def handle(self, exchange):
+        request = exchange.request
+        if request.method != "GET" or request.target != "/boxes":
+            exchange.refuse(404, "Nothing here", "the list is at /boxes")
+            return
+        name = request.headers.get("flaxscale-manager", "")
+        since = request.headers.get("last-event-id", "")
+        exchange.stream([("Content-Type", "text/event-stream")])
+        self.streams[name] = exchange
+        exchange.gone = lambda: self.streams.pop(name, None) if self.streams.get(name) is exchange else None
+        kept = [h for h in self.history if since.isdigit() and h[0] >= int(since)]
+        if since.isdigit() and int(since) == self.version:
+            return
+        if kept and kept[0][0] == int(since):
+            for h in kept:
+                self.tell(name, *h)
+            return
+        rows = [self.wire_row(row, now()) for row in self.rows.values()]
+        self.record.put("told", manager=name, kind="full", version=self.version,
+                        boxes=[[b["id"], b["state"], b["boot"]] for b in rows])
+        exchange.send(sse.encode("full", json.dumps({"version": self.version, "boxes": rows}), str(self.version)))
+
+    def command(self, row):
+        """{"late_ms": n} from now on; {"frozen": true} tells nothing until it is false again (then all is told)."""
+        if "late_ms" in row:
+            self.late = round(row["late_ms"] * 10)
+        if "frozen" in row:
+            was, self.frozen = self.frozen, bool(row["frozen"])
+            if was and not self.frozen:
+                for exchange in list(self.streams.values()):
+                    exchange.end()          # they come again and get what they missed
+        if "uplink" in row:
+            self.uplinks = {**(self.uplinks if isinstance(self.uplinks, dict) else {}),
+                            int(row["rack"]): float(row["uplink"])}
+        self.record.put("command", **row)
+
+
+class Beats(asyncio.DatagramProtocol):
+    def __init__(self, owner):
+        self.owner = owner
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        self.transport.sendto(json.dumps(self.owner.beat(json.loads(data))).encode(), addr)
--- /dev/null
+++ b/flaxscale/standins/boxserver.py
@@ -0,0 +1,349 @@
+"""A media box on a socket: WHIP and WHEP with its own SDP, notes to its managers, troubles by command.
+
+Paths: /whep/TITLE, /whip/TITLE, /session/NAME, /media/UFRAG (the stand-in's media: a line a second),
+/manager/notes (server-sent events), /manager/orders (ends and rungs). What passes is recorded at the socket.
+"""
+import asyncio
+import hashlib
+import json
+import secrets
+import socket
+
+import msgspec
+
+from ..http1 import sse
+from ..http1.server import Limits
+from ..lab.records import Recorder
+from ..serve.clock import now
+from ..serve.server import Server
+from ..signalling import endpoint, load, sdp
+
+BEAT_S = 0.1                    # to the box list: that it runs, and what it asks of the rack's uplink
+PROBLEM = ("Content-Type", "application/problem+json")
+
+
+class Orders(msgspec.Struct):
+    end: list[str] = []
+    rungs: dict[str, int] = {}
+
+
+class BoxServer:
+    def __init__(self, box, site_row, list_address=None, record=None, token=None):
+        """site_row gives note_every and note_lag (tenths) and lease: sessions end so long after their manager."""
+        self.box, self.note_every, self.note_lag, self.lease = box, *site_row
+        self.server = Server(self.handle, Limits(16384, 64, 2048, 65536), most=100_000)
+        self.record, self.token = record or Recorder(), token
+        self.streams, self.timers, self.media, self.names, self.short = {}, set(), {}, {}, {}
+        self.last_stream = {}
+        self.beat_to, self.udp, self.loop, self.address = None, None, None, None
+        self.list_address = list_address
+        fingerprint = hashlib.sha256(f"{box.seed}:{box.place.id}".encode()).digest()
+        self.fingerprint = ":".join(f"{b:02X}" for b in fingerprint)
+
+    async def start(self, host="127.0.0.1", port=0):
+        self.loop = asyncio.get_running_loop()
+        self.address = await self.server.listen(host, port)
+        if self.list_address:
+            list_host, _, list_port = self.list_address.rpartition(":")
+            self.udp, _ = await self.loop.create_datagram_endpoint(
+                lambda: Beat(self), remote_addr=(list_host, int(list_port)), family=socket.AF_INET)
+            self.beat()
+        self.later(self.note_every, self.notes)
+        self.later(10_000, self.shortage)
+        self.record.put("start", box=self.box.place.id, boot=self.box.boot, cell=self.box.place.cell,
+                        slots=self.box.place.slots, up=now() - self.box.started_at)
+        return self.address
+
+    def later(self, tenths, act, *args):
+        """A timer that dies with the box."""
+        def run():
+            self.timers.discard(handle)
+            act(*args)
+        handle = self.loop.call_later(max(0, tenths) / 10_000, run)
+        self.timers.add(handle)
+        return handle
+
+    def beat(self):
+        box, place = self.box, self.box.place
+        self.udp.sendto(json.dumps({
+            "id": place.id, "address": "%s:%d" % self.address, "kind": place.kind, "cell": place.cell,
+            "zone": place.zone, "weight": place.weight, "boot": box.boot, "up_ms": (now() - box.started_at) / 10,
+            "state": "draining" if box.trouble.drain else "ready", "rack": place.rack,
+            "kb": 0.0 if box.fallen else box.asked()}).encode())
+        self.later(round(BEAT_S * 10_000), self.beat)
+
+    # Requests
+
+    def handle(self, exchange):
+        try:
+            segments, args = endpoint.split(exchange.request.target)
+            if self.token and segments[0] != "media":
+                endpoint.check_token(exchange.request.headers, [self.token])
+            if segments[0] == "manager" and len(segments) == 2:
+                self.manager(exchange, segments[1])
+            elif segments[0] == "media" and len(segments) == 2:
+                self.play(exchange, segments[1])
+            else:
+                want = endpoint.read(exchange.request, segments, args)
+                if isinstance(want, endpoint.Offer):
+                    self.offer(exchange, want)
+                elif isinstance(want, endpoint.Patch):
+                    self.patch(exchange, want)
+                elif isinstance(want, endpoint.Delete):
+                    self.delete(exchange, want)
+                else:
+                    exchange.respond(204, endpoint.options_headers(want))
+        except endpoint.Refusal as no:
+            exchange.respond(no.status, [PROBLEM, ("Flaxscale-Ran", "no"), *no.headers], no.body())
+
+    def offer(self, exchange, offer):
+        box, trouble, headers = self.box, self.box.trouble, exchange.request.headers
+        key = offer.key or f"direct.{secrets.token_hex(6)}"
+        manager, rung = headers.get("flaxscale-manager", ""), headers.get("flaxscale-rung", "0")
+        rung = int(rung) if rung.isascii() and rung.isdigit() else -1
+        time = now()
+        self.record.put("setup", key=key, trace=offer.trace, manager=manager, title=offer.title,
+                        package=self.package(offer), rung=rung, sends=offer.sends)
+        exchange.gone = lambda: self.record.put("closed", key=key)
+        if trouble.hang:
+            return                      # taken, and never answered
+        if trouble.reset_before and box.chance() < trouble.reset_before:
+            exchange.kill()
+            self.record.put("closed", key=key)
+            return
+        verdict, session = box.set_up(key, offer.title, offer.sends, manager, rung, time)
+        if verdict.status == 0:
+            self.record.put("fell", box=box.place.id, boot=box.boot)
+            self.die()
+            return
+        if session is not None:
+            self.open(session, offer)
+        kind = next((k for k in ("answer_lost", "reset_after", "half")
+                     if session is not None and getattr(trouble, k) and box.chance() < getattr(trouble, k)), None)
+        self.later(verdict.after, self.answer, exchange, offer, key, verdict, session, kind)
+
+    def package(self, offer):
+        row = self.box.site.titles.get(offer.title)
+        return row and (row[3] if offer.sends else row[2])
+
+    def open(self, session, offer):
+        if session.name is None:
+            session.name, session.ufrag = secrets.token_urlsafe(9), secrets.token_hex(4)
+            session.etag = '"%s"' % secrets.token_hex(4)
+            self.names[session.name] = self.media_key(session.ufrag, session.key)
+
+    def media_key(self, ufrag, key):
+        self.media[ufrag] = key
+        return key
+
+    def answer(self, exchange, offer, key, verdict, session, kind):
+        if self.box.trouble.hang or (session is not None and session.key not in self.box.sessions):
+            if exchange.answered or self.box.trouble.hang:
+                return
+            self.record.put("answer", key=key, status=410, ran=True)
+            exchange.refuse(410, "It was ended while it was set up", "", [("Flaxscale-Ran", "yes")])
+            return
+        if kind == "answer_lost":
+            self.record.put("lost", key=key)
+            return
+        if kind == "reset_after":
+            self.record.put("lost", key=key)
+            exchange.kill()
+            self.record.put("closed", key=key)
+            return
+        figures = {**self.box.figures(now())}
+        rows = [(load.FIELD, load.encode(figures)), ("Flaxscale-Ran", "yes" if verdict.ran else "no"),
+                ("Flaxscale-Boot", self.box.boot)]
+        if session is None:
+            self.record.put("answer", key=key, status=verdict.status, ran=verdict.ran)
+            exchange.refuse(verdict.status, endpoint.TITLES.get(verdict.status, "Refused"), verdict.why, rows)
+            return
+        host, port = self.address
+        body = sdp.answer(offer.media, offer.sends, session.ufrag, secrets.token_urlsafe(18).replace("-", "+").replace(
+            "_", "/"), self.fingerprint, f"1 1 tcp 2130706431 {host} {port} typ host tcptype passive")
+        rows += [("Content-Type", endpoint.SDP), ("Location", f"/session/{session.name}"),
+                 ("ETag", session.etag), ("Accept-Patch", endpoint.FRAGMENT)]
+        if kind == "half":
+            self.record.put("lost", key=key)
+            exchange.answered = True
+            exchange.line.write(b"HTTP/1.1 201 Created\r\nLocation: /session/%s\r\nContent-Length: %d\r\n\r\n%s" % (
+                session.name.encode(), len(body), body[:len(body) // 2]))
+            return
+        self.record.put("answer", key=key, status=201, ran=True)
+        exchange.gone = None
+        exchange.respond(201, rows, body)
+
+    def session_of(self, name):
+        session = self.box.sessions.get(self.names.get(name))
+        if session is None:
+            raise endpoint.Refusal(404, "no such session here")
+        return session
+
+    def patch(self, exchange, want):
+        if self.box.trouble.hang:
+            return
+        session, fragment = self.session_of(want.name), want.fragment
+        if want.match != "*" and session.etag not in [tag.strip() for tag in want.match.split(",")]:
+            raise endpoint.Refusal(412, "the ETag is not the session's", [("ETag", session.etag)])
+        if want.match == "*":           # an ICE restart (RFC 9725, 4.3.3): new credentials, a new ETag
+            if not fragment.pwd:
+                raise endpoint.Refusal(422, "an ICE restart needs a new ufrag and password")
+            self.media.pop(session.ufrag, None)
+            session.ufrag, session.etag = secrets.token_hex(4), '"%s"' % secrets.token_hex(4)
+            self.media_key(session.ufrag, session.key)
+            host, port = self.address
+            body = (f"a=ice-ufrag:{session.ufrag}\r\na=ice-pwd:{secrets.token_hex(12)}\r\n"
+                    f"a=candidate:1 1 tcp 2130706431 {host} {port} typ host tcptype passive\r\n"
+                    "a=end-of-candidates\r\n").encode()
+            exchange.respond(200, [("Content-Type", endpoint.FRAGMENT), ("ETag", session.etag)], body)
+            return
+        exchange.respond(204, [("ETag", session.etag)])
+
+    def delete(self, exchange, want):
+        session = self.session_of(want.name)
+        self.finish(session.key, "left")
+        exchange.respond(200)
+
+    def finish(self, key, how, tell=True):
+        """Ends a session; its manager hears of it unless it asked for it itself."""
+        session = self.box.end(key, now())
+        if session is None:
+            return False
+        self.names.pop(session.name, None)
+        if session.ufrag is not None:
+            watcher = self.media.pop(session.ufrag, None)
+            if isinstance(watcher, tuple):
+                watcher[1].end()
+        self.record.put("over", key=key, how=how)
+        if tell and session.manager in self.streams:
+            self.streams[session.manager].send(sse.encode("over", json.dumps({"key": key, "how": how})))
+        return True
+
+    # Media: what a player sees of its viewing
+
+    def play(self, exchange, ufrag):
+        key = self.media.get(ufrag)
+        key = key[0] if isinstance(key, tuple) else key
+        if key not in self.box.sessions:
+            raise endpoint.Refusal(404, "no such media here")
+        self.media[ufrag] = key, exchange
+        exchange.stream([("Content-Type", "text/plain")])
+        exchange.gone = lambda: self.media_gone(ufrag, key)
+        self.flow(exchange, key)
+
+    def media_gone(self, ufrag, key):
+        """The player's path is gone: consent has ended (RFC 7675), and so does the session."""
+        if key in self.box.sessions and not self.box.trouble.hang:
+            self.finish(key, "left")
+
+    def flow(self, exchange, key):
+        session = self.box.sessions.get(key)
+        if session is None or not exchange.streams:
+            return
+        if not self.box.trouble.hang:
+            exchange.send(b"%d %.3f\n" % (session.rung, self.box.delivered(now())))
+        self.later(10_000, self.flow, exchange, key)
+
+    # Managers
+
+    def manager(self, exchange, what):
+        request, name = exchange.request, exchange.request.headers.get("flaxscale-manager", "")
+        if what == "notes" and request.method == "GET" and name:
+            old, self.streams[name] = self.streams.get(name), exchange
+            if old is not None:
+                old.end()
+            self.last_stream[name] = now()
+            exchange.stream([("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")])
+            exchange.gone = lambda: self.manager_gone(name, exchange)
+            mine = [key for key, s in self.box.sessions.items() if s.manager == name]
+            exchange.send(sse.encode("hello", json.dumps({"boot": self.box.boot, "keys": mine})))
+        elif what == "orders" and request.method == "POST":
+            try:
+                orders = msgspec.json.decode(request.body, type=Orders)
+            except msgspec.MsgspecError as bad:
+                raise endpoint.Refusal(400, f"orders that can't be read: {bad}") from None
+            if orders.end:
+                self.record.put("ordered", keys=orders.end)
+            if self.box.trouble.hang:
+                return
+            for key in orders.end:
+                if not self.finish(key, "ended", tell=False):
+                    self.record.put("unmade", key=key)
+            for key, rung in orders.rungs.items():
+                if self.box.set_rung(key, rung):
+                    self.record.put("rung", key=key, rung=rung)
+            exchange.respond(200, [("Content-Type", "application/json")], b"{}")
+        else:
+            raise endpoint.Refusal(404, "the paths are /manager/notes (GET) and /manager/orders (POST)")
+
+    def manager_gone(self, name, exchange):
+        if self.streams.get(name) is exchange:
+            del self.streams[name]
+            self.last_stream[name] = now()
+            self.later(self.lease, self.lease_over, name)
+
+    def lease_over(self, name):
+        """A manager that stayed away takes its viewings with it."""
+        if name not in self.streams and now() - self.last_stream[name] >= self.lease:
+            for key in [key for key, s in self.box.sessions.items() if s.manager == name]:
+                self.finish(key, "lease", tell=False)
+
+    def one_each(self):
+        """For each manager with viewings here, one of them: notes are told on it."""
+        found = {}
+        for key, session in self.box.sessions.items():
+            found.setdefault(session.manager, key)
+        return found
+
+    def tell(self, manager, note):
+        if manager in self.streams and not self.box.trouble.hang:
+            self.streams[manager].send(sse.encode("note", json.dumps(note)))
+
+    def notes(self):
+        """How full link and uplink are: to all at the same time, as late as the terms say."""
+        figures, late = self.box.figures(now()), self.note_lag + self.box.trouble.report_late
+        for manager, key in self.one_each().items():
+            self.later(late, self.tell, manager, {"key": key, "link": figures["x0"], "uplink": figures["x1"]})
+        self.later(self.note_every, self.notes)
+
+    def shortage(self):
+        """The share delivered, once a second while it is short, and once after."""
+        share = self.box.delivered(now())
+        for manager, key in self.one_each().items():
+            was, self.short[manager] = self.short.get(manager, False), share < 0.98
+            if share < 0.98 or was:
+                self.later(self.note_lag, self.tell, manager, {"key": key, "delivered": share})
+        self.later(10_000, self.shortage)
+
+    # The end
+
+    def command(self, row):
+        """A trouble by command: {"trouble": name, "value": number}."""
+        self.box.trouble.set(row["trouble"], row["value"])
+        self.record.put("trouble", box=self.box.place.id, name=row["trouble"], value=row["value"])
+
+    def die(self):
+        """As a process that is killed: every socket closes at once."""
+        self.record.put("dead", box=self.box.place.id, boot=self.box.boot)
+        for timer in list(self.timers):
+            timer.cancel()
+        self.timers.clear()
+        self.server.stop_listening()
+        if self.server.sweeper:
+            self.server.sweeper.cancel()
+        self.server.abort_all()
+        if self.udp is not None:
+            self.udp.close()
+
+
+class Beat(asyncio.DatagramProtocol):
+    def __init__(self, owner):
+        self.owner = owner
+
+    def datagram_received(self, data, addr):
+        told = json.loads(data)
+        self.owner.box.rack_others = told["others"]
+        self.owner.box.uplink_kb = told["uplink"]
+
+    def error_received(self, error):
+        pass            # the list is away for a while; the box goes on with the last it heard
