The checker goes by what a manager was told, not only by what it acknowledged

Between being told and saying so a manager may go by either.

Change: the service records what it tells each watcher; the checker's span of versions ends there.

--- a/flaxscale/catalogued/service.py
+++ b/flaxscale/catalogued/service.py
@@ -8,7 +8,7 @@
 from ..catalogue import wire
 from ..catalogue.keep import Keeper
 from ..catalogue.spread import PART, Watcher, Whole
-from ..catalogue.state import Behind, Op, Refused
+from ..catalogue.state import Behind, Delta, Op, Refused
 from ..proto import catalogue_pb2 as pb
 from ..proto import catalogue_pb2_grpc as pb_grpc
 from ..serve.clock import now
@@ -150,6 +150,8 @@
                 wake.clear()
                 while self.watchers.get(first.name) is watcher and (
                         message := watcher.next(self.keeper)) is not None:
+                    if self.record and (isinstance(message, Delta) or message.last):
+                        self.record.put("told", watcher=first.name, version=message.version)
                     await context.write(wire.reply_out(self.epoch, message))
                 if self.watchers.get(first.name) is not watcher:
                     return                  # it came again by another stream
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -62,25 +62,28 @@
 
 
 class Versions:
-    """What the catalogue said of titles, version by version, and which versions each watcher said that it took."""
+    """What the catalogue said of titles, version by version; what each watcher was told, and said that it took."""
 
     def __init__(self, rows):
-        self.titles, self.acks = {}, {}
+        self.titles, self.acks, self.told = {}, {}, {}
         for row in rows:
             if row["what"] == "version":
                 for name, title in row["titles"].items():
                     self.titles.setdefault(name, {})[row["version"]] = title
             elif row["what"] == "ack":
                 self.acks.setdefault(row["watcher"], []).append((row["at"], row["version"]))
+            elif row["what"] == "told":
+                self.told.setdefault(row["watcher"], []).append((row["at"], row["version"]))
 
     def known(self, manager, since, until):
-        """Versions that a manager may have gone by in a span: from the last it had taken before, to the last in it.
+        """Versions that a manager may go by: from the last it had said before that it took, to the last it was told.
 
-        None where it had taken none before: it may have come with anything.
+        Between being told and saying so it may go by either. None where it had said nothing before: it may have come
+        with anything.
         """
-        acks = self.acks.get(manager, ())
-        before = [v for at, v in acks if at <= since]
-        return (before[-1], max([before[-1]] + [v for at, v in acks if at <= until])) if before else None
+        before = [v for at, v in self.acks.get(manager, ()) if at <= since]
+        told = [v for at, v in self.told.get(manager, ()) if at <= until]
+        return (before[-1], max([before[-1], *told])) if before else None
 
     def between(self, name, first, last):
         """What the title was in any version from first to last; None in it where it was not there."""
