Fleets in virtual time on the front's own runner; room kept for announced peaks

Need: designs have to be tried at sizes that sockets don't reach, and a known rush needs its room ready.

Held room is one event of the module: others see a smaller link, the peak's viewings the whole; each manager keeps its own, moves it off dead boxes and hands back what does not come. Our asking is a running sum now instead of a sum over all servers at each placement.

--- a/bench/catalogue.py
+++ b/bench/catalogue.py
@@ -221,10 +221,9 @@
     for name, exponent in DEMANDS.items():
         day = day_of(exponent)
         q = question_of(day)
-        cells = day.site.fleet.cells
-        now_held = {t: {n for n, b in enumerate(day.boxes)
-                        if (b.cell - day.site.titles[t].first_cell) % cells < day.site.titles[t].cells}
-                    for t in day.demand.titles}
+        # Three copies of each, as a fleet has them that was filled without a look at the demand.
+        now_held = {t: {(i * 5 + j * 4 + 1) % len(day.boxes) for j in range(3)}
+                    for i, t in enumerate(sorted(day.demand.titles))}
         found = plan(q, now_held, 15)
         planned = {t: (now_held[t] | {b for x, b in found.add if x == t}) - {b for x, b in found.drop if x == t}
                    for t in now_held}
--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -5,6 +5,7 @@
 from .catalogue import catalogue
 from .days import check_command, config, day
 from .front import front
+from .model import model
 from .players import push, view
 from .standins import box, boxlist
 
@@ -16,5 +17,5 @@
 
 
 for command in (front, box, boxlist, try_command, view, push, day, check_command, config,
-                catalogue):
+                catalogue, model):
     main.add_command(command)
--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -65,6 +65,7 @@
         self.own, self.heard_at = 0.0, None     # own: kB a second that our viewings ask
         self.base = self.own_then = 0.0
         self.changes = Ring(SECOND // 10, 64)
+        self.kept = 0.0
 
     def asks(self, now, own, new=True):
         # What was handed over ran before: a late figure has it in already.
@@ -101,6 +102,7 @@
         self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
+        self.kept = 0.0             # kB a second of its link that an announced peak has not taken yet
 
     def use(self):
         return max(self.link.use(), self.rack.use())
@@ -134,9 +136,11 @@
     def __init__(self, terms):
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells, self.links_kb = {}, {}, {}, 1.0
+        self.asked_kb = 0.0         # what all our viewings ask
         self.viewings, self.waiting, self.seats = {}, [], Counter()
         self.titles = {}            # what a catalogue told of titles
         self.lacking = {}           # (server, title): until when it is not asked for it
+        self.kept_for = frozenset()  # titles of an announced peak
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
         self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
         span = terms.rules.further_span or SECOND
@@ -197,7 +201,7 @@
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
                face.Left: self.left, face.PeerSays: self.peer_says,
-               face.Catalogued: self.catalogued}.get(type(event))
+               face.Catalogued: self.catalogued, face.Kept: self.keep}.get(type(event))
         if act:
             act(event)
         return self.out
@@ -272,6 +276,20 @@
             vw.bound(event.low, event.top)
         self.set_rungs({vw: vw.in_bounds() for vw in changed if vw.playing and vw.server})
 
+    def keep(self, event):
+        """Room for an announced peak: others see a smaller link and uplink, the peak's own the whole.
+
+        Its viewings take their room as they come; what other managers' take we reckon like our own.
+        """
+        self.kept_for = event.titles
+        for rack in self.racks.values():
+            rack.kept = 0.0
+        for server, srv in self.servers.items():
+            took = sum(self.step(vw, vw.rung)[0] for vw in srv.viewings.values()
+                       if vw.ask.title in self.kept_for) if server in event.rooms else 0
+            srv.kept = max(0.0, event.rooms.get(server, 0.0) - took * self.terms.peers)
+            srv.rack.kept += srv.kept
+
     def alarm(self, event):
         if event.token == SLOT_ALARM and self.slot_at is not None:
             self.slot()
@@ -475,10 +493,12 @@
         # The rate, as a part of the link, on the larger use of the two: a link that reads emptier than its
         # rack is not taken at its word, or all managers rush to it.
         dark = DARK * (1 - 1 / self.terms.peers) if srv.link.heard_at is None else 0
-        use, cap = srv.use() + dark, min(srv.link.kb, srv.rack.kb)
+        mine = vw.ask.title in self.kept_for
+        kept, both = (0, 0) if mine else (srv.kept / srv.link.kb, srv.rack.kept / srv.rack.kb)
+        use, cap = srv.use() + dark + max(kept, both), min(srv.link.kb, srv.rack.kb)
         for rung in range(vw.top, vw.floor - 1, -1):
             kb = self.rate(srv, vw, rung)
-            after = max(use + kb / srv.link.kb, srv.rack.use() + kb / srv.rack.kb)
+            after = max(use + kb / srv.link.kb, srv.rack.use() + both + kb / srv.rack.kb)
             if after <= (self.step(vw, rung)[1] if rung > vw.floor else BRIM + dark):
                 return rung, (1 - after) * cap
         return None, 0
@@ -493,6 +513,7 @@
                   for (p, rung, _), n in streams.items())
         if new and self.tells and own != srv.link.own:
             self.out.append(face.TellPeers(srv.row.server, own - srv.link.own))
+        self.asked_kb += own - srv.link.own
         srv.rack.asks(self.now, srv.rack.own + own - srv.link.own, new)
         srv.link.asks(self.now, own, new)
 
@@ -504,7 +525,7 @@
         if self.usual_at != self.now:
             self.usual_at, peers, few = self.now, self.terms.peers, FEW / (len(self.viewings) + FEW)
             n, told = (sum(ring.since(self.now - 8 * SECOND)) for ring in (self.tellings, self.told))
-            own = sum(srv.link.own for srv in self.servers.values()) / self.links_kb
+            own = self.asked_kb / self.links_kb
             self.usual_use = told / n if n else (peers - 1) * ((1 - few) * own + few * GUESS / peers)
         return self.usual_use
 
@@ -671,6 +692,8 @@
         while open_to:
             vw = max(open_to, key=lambda vw: (self.step(vw, plan[vw] + 1)[2], -vw.id))
             mark, srv, link = self.step(vw, plan[vw] + 1)[1], vw.server, vw.server.link
+            if vw.ask.title not in self.kept_for:
+                mark -= max(srv.kept / link.kb, rack.kept / rack.kb)
             kb = self.step(vw, plan[vw] + 1)[0] - self.step(vw, plan[vw])[0]
             alone = max(use[srv] + 2 * kb / link.kb, both + 2 * kb / rack.kb) <= mark
             # All who hear of this room take their own share of it, less than a step by chance.
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -168,6 +168,12 @@
     seats: tuple                # (package, seats) where they differ from the package's own
 
 
+class Kept(NamedTuple):
+    """Room kept for viewings of these titles, from now until it is told anew."""
+    rooms: dict                 # server: kB a second of its link, what they use of it already included
+    titles: frozenset
+
+
 class HandedOver(NamedTuple):
     viewing: Asked
     server: int
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -3,6 +3,8 @@
 
 import msgspec
 
+from ..peaks.announce import Announcement
+from ..peaks.announce import faults as peak_faults
 from ..site.load import SiteError, evaluate, shape
 from ..site.shapes import Site, Struct
 from ..site.terms import checked
@@ -58,6 +60,7 @@
     length_s: float
     troubles: list[TroubleRow] = []
     catalogue: ChangesRow | None = None
+    peaks: list[Announcement] = []                  # seconds of the day; played in virtual time only, so far
     holders: dict[str, list[int]] | None = None     # with a catalogue: numbers of boxes by title, not the cells
     settle_s: float = 2.0               # before the day begins
     list_late_ms: float = 300
@@ -71,7 +74,7 @@
 MOST_PROCESSES = 400
 
 
-def faults(day):
+def faults(day, sockets):
     out = []
 
     def want(good, key, expected):
@@ -80,7 +83,7 @@
 
     site = day.site
     want(day.boxes, "boxes", "at least one box")
-    want(len(day.boxes) + site.managers <= MOST_PROCESSES, "boxes",
+    want(not sockets or len(day.boxes) + site.managers <= MOST_PROCESSES, "boxes",
          f"at most {MOST_PROCESSES} processes with the managers; this day would start "
          f"{len(day.boxes) + site.managers}")
     want(day.length_s > 0, "length_s", "over 0")
@@ -103,6 +106,8 @@
         want(boxes and all(0 <= b < len(day.boxes) for b in boxes), f"holders.{title}",
              f"numbers of boxes, 0 to {len(day.boxes) - 1}")
     want(not day.holders or day.catalogue, "holders", "a catalogue too")
+    for name, detail in peak_faults(day.peaks, site.titles, len(site.ladder.kb)):
+        want(False, f"peaks.{name}", f"another figure ({detail})")
     for n, row in enumerate(day.troubles):
         at = f"troubles.{n}"
         want(row.what in BOX_TROUBLES | WHOLE, f"{at}.what", f"one of {', '.join(sorted(BOX_TROUBLES | WHOLE))}")
@@ -115,11 +120,11 @@
     return out
 
 
-def read_day(file, **given):
-    """The Day of a file, or SiteError with file, key and what was expected."""
+def read_day(file, sockets=True, **given):
+    """The Day of a file, or SiteError with file, key and what was expected. sockets: it will start processes."""
     day = shape(file, evaluate(file, **given), Day)
     checked(file, day.site, "site.")
-    if found := faults(day):
+    if found := faults(day, sockets):
         more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
         raise SiteError(file, found[0][0], f"{found[0][1]} expected{more}")
     return day
--- /dev/null
+++ b/flaxscale/model/fleet.py
@@ -0,0 +1,97 @@
+"""Boxes, their racks and the list in virtual time. What a box does is standins.box.Box, as on sockets."""
+from collections import defaultdict
+
+from .. import interface as face
+from ..interface import ListKind, State
+from ..standins.box import Box, Place, Site
+
+
+class ModelBox:
+    """One box: the pure stand-in, what its rack asks besides, and what it tells."""
+
+    def __init__(self, fleet, place, started_at):
+        self.fleet, self.place, self.dead, self.boot = fleet, place, False, 0
+        self.cached, self.box = None, None
+        self.start(started_at)
+
+    def start(self, started_at):
+        self.boot += 1
+        self.dead = False
+        self.box = Box(self.place, self.fleet.site, str(self.boot), started_at, self.fleet.seed, self.fleet.work)
+        self.box.uplink_kb = self.fleet.uplinks[self.place.rack]
+        self.changed()
+
+    def changed(self):
+        """Something that it asks of its link has changed."""
+        if self.cached is not None:
+            self.fleet.racks[self.place.rack] -= self.cached
+        self.cached = 0.0 if self.dead else self.box.asked()
+        self.fleet.racks[self.place.rack] += self.cached
+
+    def see_rack(self):
+        self.box.rack_others = max(0.0, self.fleet.racks[self.place.rack] - self.cached)
+        self.box.uplink_kb = self.fleet.uplinks[self.place.rack]
+
+    def delivered(self, now):
+        self.see_rack()
+        return 0.0 if self.dead else self.box.delivered(now)
+
+    def figures(self, now):
+        self.see_rack()
+        return self.box.figures(now)
+
+
+class Fleet:
+    """All boxes, and the list that tells of them late. managers: those who are told."""
+
+    def __init__(self, world, day, site, sense):
+        self.world, self.day, self.site, self.sense = world, day, site, sense
+        self.seed, self.work = world.seed, round(day.work_ms * 10)
+        fleet = day.site.fleet
+        self.uplinks = dict.fromkeys(range(fleet.racks), fleet.uplink_kb)
+        self.racks = defaultdict(float)
+        self.boxes, self.managers, self.late, self.frozen, self.version = {}, [], round(day.list_late_ms * 10), False, 0
+        self.fell = 0
+        for n, row in enumerate(day.boxes):
+            link = row.link_kb if row.link_kb is not None else row.weight * fleet.kb_per_weight
+            place = Place(n + 1, row.cell, row.cell % fleet.racks, row.zone, row.kind, row.weight, link,
+                          fleet.kinds[row.kind])
+            started = world.now if row.cold else world.now - 3 * site.warm_within
+            self.boxes[n + 1] = ModelBox(self, place, started)
+        self.told = {id: self.row(box) for id, box in self.boxes.items()}
+
+    def row(self, box):
+        place, age = box.place, self.world.now - box.box.started_at
+        state = State.GONE if box.dead else State.DRAINING if box.box.trouble.drain else State.READY
+        started = 0 if age >= self.site.warm_within else box.box.started_at
+        return face.Listed(place.id, self.sense.kinds[place.kind], place.cell, self.sense.zones[place.zone],
+                           place.weight, started, state)
+
+    def changed(self, box):
+        """The list hears of it, and tells every manager as late as it is."""
+        row = self.row(box)
+        if self.told.get(box.place.id) != row:
+            self.told[box.place.id] = row
+            self.version += 1
+            self.world.later(self.late, self.tell, row)
+
+    def tell(self, row):
+        if self.frozen:
+            self.world.later(5_000, self.tell, row)
+            return
+        for manager in self.managers:
+            if manager.up:
+                manager.told[row.server] = row
+                manager.runner.listing(ListKind.DELTA, [row])
+
+    def full(self):
+        return [row for row in self.told.values() if row.state is not State.GONE]
+
+
+def site_of(site):
+    """What boxes know of a site, as the stand-in's program makes it."""
+    rules = site.rules
+    return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
+                {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
+                site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
+                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
--- /dev/null
+++ b/flaxscale/model/manager.py
@@ -0,0 +1,104 @@
+"""A session manager in virtual time: the very runner and module of the front, behind a port without sockets."""
+from ..interface import How, ListKind, NoteKind
+from ..run import Phase, Runner
+from ..site.terms import Sense
+
+
+class ModelManager:
+    """The runner's port. Its messages take as long as the world says; what is lost is lost."""
+
+    def __init__(self, play, me):
+        self.play, self.world, self.me, self.up, self.life = play, play.world, me, True, 0
+        self.told, self.viewings, self.alarm = {}, {}, 0
+        self.start(play.fleet.full())
+
+    def start(self, rows):
+        self.life += 1
+        self.up, self.viewings = True, {}
+        sense = Sense(self.play.day.site, self.me, 0, self.play.seed * 1000 + self.me + self.life * 7919)
+        self.figures = {sense.site.fleet.link_figure: NoteKind.LINK}
+        if sense.site.fleet.uplink_figure:
+            self.figures[sense.site.fleet.uplink_figure] = NoteKind.UPLINK
+        self.runner = Runner(sense.terms, self, self.play.tap)
+        self.keeper = self.play.keeper()
+        self.told = {row.server: row for row in rows}
+        self.runner.listing(ListKind.CACHED, rows)
+
+    def keep_room(self, s):
+        """Each second: the room for announced peaks, from this manager's own list."""
+        if self.up and self.keeper is not None:
+            servers = {id: (srv.row, srv.link.kb) for id, srv in self.runner.manager.servers.items()}
+            self.runner.kept(*self.keeper.rooms(s, servers))
+
+    def crash(self):
+        """Outright: all that it knew is gone; its boxes end what it held when their lease is over."""
+        self.up = False
+        self.life += 1
+        self.alarm += 1
+        for vw in list(self.viewings.values()):
+            self.play.manager_lost(vw)
+        self.viewings = {}
+
+    # The port
+
+    def now(self):
+        return self.world.now
+
+    def wake(self, at):
+        self.alarm += 1
+        self.world.at(at, self.ring, self.alarm)
+
+    def ring(self, alarm):
+        if self.up and alarm == self.alarm:     # only the last that was asked for
+            self.runner.tick()
+
+    def tune_in(self, id, nth, server, rung, left):
+        self.play.set_up(self, self.viewings[id], nth, server, rung)
+
+    def abandon(self, id, nth, server):
+        self.play.end_at_box(server, (self.me, self.life, id, nth))
+        return True
+
+    def end(self, id, nth, server):
+        self.play.end_at_box(server, (self.me, self.life, id, nth))
+        self.viewings.pop(id, None)
+
+    def set_rung(self, id, nth, server, rung):
+        self.play.set_rung(server, (self.me, self.life, id, nth), rung)
+
+    def answer(self, id, answer):
+        self.play.answered(self, self.viewings[id], answer)
+
+    def list_wanted(self, on):
+        pass
+
+    def tell_peers(self, server, kb):
+        self.play.peer_word(self, server, kb)
+
+    def log(self, text):
+        self.play.faults.append(text)
+
+    # From boxes
+
+    def outcome(self, life, id, nth, how, took, figures):
+        """What came of a set-up; figures: a load report, or None."""
+        if not self.up or life != self.life:
+            return
+        if how is None:
+            notes = [(kind, figures[name]) for name, kind in self.figures.items()]
+            if not self.runner.begun(id, nth, took, notes):
+                vw = self.viewings.get(id)
+                if vw is not None and vw.server is not None:
+                    self.play.end_at_box(vw.server, (self.me, life, id, nth))
+        else:
+            self.runner.ended(id, nth, how, took)
+
+    def lost(self, life, id, nth, how=How.RESET):
+        if self.up and life == self.life and id in self.viewings:
+            if self.runner.held[id].phase is Phase.PLAYS:
+                self.viewings.pop(id)       # else its tune-in failed, and the module may try another
+            self.runner.ended(id, nth, how, 0)
+
+    def note(self, life, id, kind, amount):
+        if self.up and life == self.life and id in self.viewings:
+            self.runner.note(id, kind, amount)
--- /dev/null
+++ b/flaxscale/model/play.py
@@ -0,0 +1,486 @@
+"""Plays a day in virtual time and counts what it was worth. The same file as `flaxscale day` plays on sockets.
+
+What the model leaves out: HTTP and SDP, time that a manager's own work takes, connections and their limits, the order
+in which packets of one instant arrive. Messages between managers and boxes take NET each way.
+"""
+from collections import Counter, defaultdict
+
+from .. import interface as face
+from ..interface import How, ListKind, NoteKind
+from ..lab.day import arrivals
+from ..peaks.keeper import RoomKeeper
+from ..run import Fate
+from ..site.terms import Sense
+from .fleet import Fleet, site_of
+from .manager import ModelManager
+from .world import World
+
+SECOND = 10_000
+NET = 5                         # one way between a manager and a box
+CLIENT = 10                     # one way between a player and a manager
+LEAVES_UNDER = 0.75             # a player whose viewing gets less than this leaves, now and then
+LEAVES = 0.1                    # a second, below it
+
+
+class Numbered:
+    """A room keeper whose titles are the numbers that the module knows them by."""
+
+    def __init__(self, keeper, numbers):
+        self.keeper, self.numbers = keeper, numbers
+
+    def asked(self, title, peers):
+        self.keeper.asked(title, peers)
+
+    def rooms(self, s, servers):
+        rooms, titles = self.keeper.rooms(s, servers)
+        return rooms, frozenset(self.numbers[t] for t in titles)
+
+
+class FixedRoom(Numbered):
+    """The baseline: the same part of every link for the announced titles, all day."""
+
+    def __init__(self, keeper, part, numbers):
+        super().__init__(keeper, numbers)
+        self.part = part
+
+    def rooms(self, s, servers):
+        titles = frozenset(self.numbers[t] for p in self.keeper.peaks for t in p.titles)
+        return {id: self.part * link for id, (_, link) in servers.items()}, titles
+
+
+class Player:
+    """One viewer and its tries."""
+    __slots__ = "n", "wish", "package", "tries", "dice", "vw"
+
+    def __init__(self, n, wish, package, tries, dice):
+        self.n, self.wish, self.package, self.tries, self.dice = n, wish, package, tries, dice
+        self.vw = None
+
+
+class Viewing:
+    __slots__ = "id", "player", "manager", "life", "asked_at", "gone", "server", "nth", "playing", "key", "late"
+
+    def __init__(self, id, player, manager, asked_at):
+        self.id, self.player, self.manager, self.life, self.asked_at = id, player, manager, manager.life, asked_at
+        self.gone = self.playing = self.late = False
+        self.server = self.nth = self.key = None
+
+
+class Row:
+    """One second of a day."""
+    __slots__ = "asked", "earned", "requests", "fates", "rungs", "tune_ins", "low_floor"
+
+    def __init__(self):
+        self.asked, self.earned = defaultdict(float), defaultdict(float)
+        self.requests, self.fates, self.rungs, self.tune_ins, self.low_floor = 0, Counter(), Counter(), Counter(), 0
+
+
+class Play:
+    def __init__(self, day, seed, tap=None, keep=True):
+        """tap(now, event, actions) sees what goes into the modules and comes out.
+
+        keep: room for announced peaks; False: none; a number: a fixed part of every link, all day.
+        """
+        self.day, self.seed, self.tap, self.keep = day, seed, tap, keep
+        self.world = World(seed)
+        self.began = self.world.now
+        sense = Sense(day.site, 0, 0, seed)
+        self.packages = list(day.site.packages.values())
+        self.names = list(day.site.packages)
+        self.numbers = sense.packages
+        self.fleet = Fleet(self.world, day, site_of(day.site), sense)
+        self.faults, self.seconds, self.ids = [], defaultdict(Row), 0
+        self.titles = {name: n for n, name in enumerate(sorted(day.site.titles))}
+        self.managers = [ModelManager(self, m) for m in range(day.site.managers)]
+        self.fleet.managers = self.managers
+        self.by_key, self.set_ups_cold, self.lost_answers = {}, 0, 0
+
+    def keeper(self):
+        """The room keeper of one manager, or None where nothing is announced or nothing kept."""
+        day = self.day
+        if not day.peaks or self.keep is False:
+            return None
+        ladder, cells = day.site.ladder, day.site.fleet.cells
+
+        def rates(title, rung):
+            package = day.site.packages[day.site.titles[title].view]
+            return ladder.kb[max(rung, package.floor)] * package.scale
+
+        def holders(title):
+            row = day.site.titles[title]
+            return [n + 1 for n, b in enumerate(day.boxes) if (b.cell - row.first_cell) % cells < row.cells]
+        made = RoomKeeper(day.peaks, rates, day.site.fleet.racks, day.site.fleet.uplink_kb, holders)
+        return FixedRoom(made, self.keep, self.titles) if self.keep is not True else Numbered(made, self.titles)
+
+    def second(self):
+        return self.seconds[(self.world.now - self.began) // SECOND]
+
+    # Players
+
+    def ask(self, p):
+        """Some manager, up or not: a player does not know."""
+        manager = self.managers[int(p.dice.draw() * len(self.managers))]
+        row = self.second()
+        row.requests += 1
+        self.world.later(CLIENT, self.arrive, p, manager, self.world.now)
+
+    def arrive(self, p, manager, asked_at):
+        if not manager.up:
+            self.second().fates["unreached"] += 1
+            self.come_again(p)
+            return
+        self.ids += 1
+        title, wish = self.day.site.titles[p.wish.title], p.wish
+        vw = p.vw = manager.viewings[self.ids] = Viewing(self.ids, p, manager, asked_at)
+        rungs = len(self.day.site.ladder.kb) - 1
+        if manager.keeper is not None:
+            manager.keeper.asked(wish.title, len(self.managers))
+        patience = round(wish.patience * SECOND)
+        if wish.leaves is not None and p.tries == self.day.demand.tries:
+            self.world.later(round(wish.leaves * SECOND), self.leave, vw)
+        self.world.at(asked_at + patience, self.give_up, vw)
+        manager.runner.asked(face.Asked(
+            vw.id, p.package, self.titles[wish.title], p.n, max(0, patience - 2 * CLIENT),
+            rungs if wish.top is None else min(wish.top, rungs), title.first_cell, title.cells,
+            round(wish.length * SECOND), False, p.tries < self.day.demand.tries))
+
+    def leave(self, vw):
+        if not vw.gone and not vw.playing and vw.manager.up and vw.life == vw.manager.life:
+            vw.gone = True
+            self.second().fates["left"] += 1
+            vw.manager.runner.left(vw.id)
+
+    def give_up(self, vw):
+        """Its patience is over and no answer came: a rule is broken, unless its manager died."""
+        if not vw.gone and not vw.playing:
+            vw.gone = True
+            alive = vw.manager.up and vw.life == vw.manager.life
+            self.second().fates["unanswered" if alive else "manager died"] += 1
+            if not alive:
+                self.come_again(vw.player)
+
+    def answered(self, manager, vw, answer):
+        """The manager's answer; the player hears it a moment later."""
+        if answer.fate is Fate.PLAYS:
+            vw.playing = True
+            self.world.later(CLIENT, self.plays, vw)
+            return
+        manager.viewings.pop(vw.id, None)
+        if answer.overdue:
+            self.faults.append(f"viewing {vw.id} was overdue")
+        if not vw.gone:
+            vw.gone = True
+            self.second().fates[answer.fate.value] += 1
+            if answer.fate is not Fate.LEFT:
+                self.world.later(max(CLIENT, answer.hold_off), self.come_again, vw.player)
+
+    def plays(self, vw):
+        p, package = vw.player, self.packages[vw.player.package]
+        vw.late = self.world.now - vw.asked_at > package.join_target_ms * 10
+        self.second().fates["late" if vw.late else "plays"] += 1
+        self.world.later(round(p.wish.length * SECOND), self.over, vw)
+
+    def over(self, vw):
+        """It was watched to its end."""
+        if not vw.gone and vw.key in self.by_key:
+            vw.gone = True
+            if vw.manager.up and vw.life == vw.manager.life:
+                vw.manager.runner.left(vw.id)
+
+    def come_again(self, p):
+        p.tries -= 1
+        demand = self.day.demand
+        if p.tries > 0 and p.dice.draw() < demand.returns:
+            self.world.later(round(p.dice.between(demand.back_s) * SECOND), self.ask, p)
+
+    # Between managers and boxes
+
+    def set_up(self, manager, vw, nth, server, rung):
+        vw.server, vw.nth, vw.key = server, nth, (manager.me, manager.life, vw.id, nth)
+        self.second().tune_ins["further" if nth else "first"] += 1
+        self.world.later(NET, self.at_box, manager, manager.life, vw, vw.key, server, rung, self.world.now)
+
+    def at_box(self, manager, life, vw, key, server, rung, sent_at):
+        holder, now = self.fleet.boxes[server], self.world.now
+        def answer(after, how, figures=None):
+            self.world.later(after + NET, manager.outcome, life, vw.id, key[3], how, now + after + NET - sent_at,
+                             figures)
+        if holder.dead:
+            answer(0, How.UNREACHED)
+            return
+        box, t = holder.box, holder.box.trouble
+        if t.hang:
+            return
+        if t.reset_before and box.chance() < t.reset_before:
+            answer(0, How.RESET)
+            return
+        verdict, session = box.set_up(key, vw.player.wish.title, vw.player.wish.sends, (manager.me, life), rung, now)
+        if verdict.status == 0:
+            self.fleet.fell += 1
+            self.die(holder)
+            answer(0, How.RESET)
+            return
+        self.count_cold(box, now)
+        if session is None:
+            how = {503: How.FULL, 404: How.LACKING}.get(verdict.status, How.MOOT) if not verdict.ran else How.ERROR
+            self.second().tune_ins[how.value] += 1
+            answer(verdict.after, how)
+            return
+        self.by_key[key] = vw
+        holder.changed()
+        lost = next((k for k in ("answer_lost", "half") if getattr(t, k) and box.chance() < getattr(t, k)), None)
+        if lost:
+            self.lost_answers += 1
+            return
+        if t.reset_after and box.chance() < t.reset_after:
+            answer(verdict.after, How.RESET)
+            self.world.later(verdict.after, self.end_at_box, server, key)
+            return
+        self.world.later(verdict.after, self.answer_up, holder, holder.boot, manager, life, vw, key, sent_at)
+
+    def answer_up(self, holder, boot, manager, life, vw, key, sent_at):
+        now = self.world.now
+        if holder.dead or holder.boot != boot or holder.box.trouble.hang:
+            if holder.dead or holder.boot != boot:
+                self.world.later(NET, manager.outcome, life, vw.id, key[3], How.RESET, now + NET - sent_at, None)
+            return
+        if key in holder.box.sessions:
+            self.world.later(NET, manager.outcome, life, vw.id, key[3], None, now + NET - sent_at, holder.figures(now))
+
+    def count_cold(self, box, now):
+        if now - box.started_at < self.fleet.site.warm_within:
+            self.set_ups_cold += 1
+
+    def end_at_box(self, server, key):
+        self.world.later(NET, self.ended_at_box, server, key)
+
+    def ended_at_box(self, server, key):
+        holder = self.fleet.boxes[server]
+        if holder.dead:
+            return
+        if holder.box.trouble.hang:
+            self.world.later(SECOND, self.ended_at_box, server, key)
+            return
+        vw = self.by_key.pop(key, None)
+        if holder.box.end(key, self.world.now) is not None:
+            holder.changed()
+        if vw is not None and vw.playing:
+            vw.gone = True
+
+    def set_rung(self, server, key, rung):
+        self.world.later(NET, self.rung_at_box, server, key, rung)
+
+    def rung_at_box(self, server, key, rung):
+        holder = self.fleet.boxes[server]
+        if not holder.dead and holder.box.set_rung(key, rung) is not None:
+            holder.changed()
+
+    def peer_word(self, manager, server, kb):
+        for other in self.managers:
+            if other is not manager:
+                self.world.later(NET, self.hear_peer, other, other.life, manager.me, server, kb)
+
+    def hear_peer(self, manager, life, peer, server, kb):
+        if manager.up and manager.life == life:
+            manager.runner.peer_says(peer, server, kb)
+
+    def die(self, holder):
+        """A box's process is gone: its viewings break, their managers and players notice."""
+        sessions = list(holder.box.sessions)
+        holder.dead = True
+        holder.box.sessions = {}
+        holder.changed()
+        self.fleet.changed(holder)
+        for key in sessions:
+            vw = self.by_key.pop(key, None)
+            if vw is None:
+                continue
+            self.world.later(NET, vw.manager.lost, key[1], key[2], key[3])
+            if vw.playing and not vw.gone:
+                vw.gone = True
+                self.come_again(vw.player)
+
+    def manager_lost(self, vw):
+        """Its manager died; the box ends it when the lease is over, the player comes again."""
+        if vw.playing and not vw.gone:
+            vw.gone = True
+            self.come_again(vw.player)
+        if vw.key is not None:
+            self.world.later(round(self.day.lease_ms * 10), self.ended_at_box, vw.server, vw.key)
+
+    # What boxes tell, and what it is all worth
+
+    def one_each(self, holder):
+        found = {}
+        for key, session in holder.box.sessions.items():
+            if session.manager not in found and (vw := self.by_key.get(key)) is not None and vw.playing:
+                found[session.manager] = key
+        return found
+
+    def tell(self, holder, boot, key, notes):
+        if not holder.dead and holder.boot == boot and not holder.box.trouble.hang:
+            manager = self.managers[key[0]]
+            for kind, amount in notes:
+                manager.note(key[1], key[2], kind, amount)
+
+    def notes(self, holder):
+        if holder.dead:
+            return
+        figures, fleet = holder.figures(self.world.now), self.day.site.fleet
+        late = round(fleet.note_lag_ms * 10) + holder.box.trouble.report_late
+        notes = [(NoteKind.LINK, figures[fleet.link_figure])]
+        if fleet.uplink_figure:
+            notes.append((NoteKind.UPLINK, figures[fleet.uplink_figure]))
+        for key in self.one_each(holder).values():
+            self.world.later(late, self.tell, holder, holder.boot, key, notes)
+
+    def score(self):
+        """Each second: worth earned and asked, shares told, players who leave a viewing that starves."""
+        now, row, site = self.world.now, self.second(), self.day.site
+        worth, stall, dice = site.ladder.worth, site.ladder.stall, self.world.dice("leave")
+        late = round(site.fleet.note_lag_ms * 10)
+        for holder in self.fleet.boxes.values():
+            if holder.dead or not holder.box.sessions:
+                continue
+            share = holder.delivered(now)
+            short = max(0.0, 0.98 - share)
+            for key, session in list(holder.box.sessions.items()):
+                vw = self.by_key.get(key)
+                if vw is None or not vw.playing or vw.gone:
+                    continue
+                package = self.packages[vw.player.package]
+                value = package.value * max(0.0, worth[session.rung] - stall * short)
+                if not vw.late:
+                    row.earned[vw.player.package] += value
+                row.rungs[vw.player.package, session.rung] += 1
+                row.low_floor += session.rung < package.floor
+                if share < LEAVES_UNDER and dice.draw() < LEAVES:
+                    vw.gone = True
+                    if vw.manager.up and vw.life == vw.manager.life:
+                        vw.manager.runner.left(vw.id)
+            if short > 0 or holder in self.was_short:
+                for key in self.one_each(holder).values():
+                    self.world.later(late, self.tell, holder, holder.boot, key, [(NoteKind.DELIVERED, share)])
+            if short > 0:
+                self.was_short.add(holder)
+            else:
+                self.was_short.discard(holder)
+        for p in self.watching:
+            package = self.packages[p.package]
+            top = min(package.top, len(worth) - 1, len(worth) - 1 if p.wish.top is None else p.wish.top)
+            row.asked[p.package] += package.value * worth[max(top, package.floor)]
+
+    # Troubles, as a day's file names them
+
+    def trouble(self, n, row):
+        boxes = self.struck(n, row, range(1, len(self.fleet.boxes) + 1), row.boxes and [b + 1 for b in row.boxes])
+        managers = self.struck(n, row, range(len(self.managers)), row.managers)
+        span, fleet = round(row.for_s * SECOND), self.fleet
+        if row.what == "crash":
+            for b in boxes:
+                if not fleet.boxes[b].dead:
+                    self.die(fleet.boxes[b])
+                self.world.later(span, self.box_back, fleet.boxes[b])
+        elif row.what == "manager_crash":
+            for m in managers:
+                self.managers[m].crash()
+                self.world.later(span, self.manager_back, self.managers[m])
+        elif row.what == "list_late":
+            fleet.late = round(row.value * 10)
+            self.world.later(span, setattr, fleet, "late", round(self.day.list_late_ms * 10))
+        elif row.what == "list_frozen":
+            fleet.frozen = True
+            self.world.later(span, setattr, fleet, "frozen", False)
+        elif row.what == "uplink":
+            rack, kb = row.rack or 0, self.day.site.fleet.uplink_kb
+            fleet.uplinks[rack] = kb * row.value
+            self.world.later(span, fleet.uplinks.__setitem__, rack, kb)
+        elif row.what in ("crowd", "catalogue_crash", "manager_stall"):
+            pass                # the crowd is in the arrivals; the others have no like in virtual time
+        else:
+            for b in boxes:
+                self.set_trouble(fleet.boxes[b], row.what, row.value)
+                off = 1.0 if row.what in ("slow", "link", "lie") else 0.0
+                self.world.later(span, self.set_trouble, fleet.boxes[b], row.what, off)
+
+    def set_trouble(self, holder, name, value):
+        holder.box.trouble.set(name, value)
+        self.fleet.changed(holder)
+
+    def struck(self, n, row, items, named):
+        if named is not None:
+            return named
+        count = max(1, round(len(items) * (row.share if row.share is not None else 1)))
+        return self.world.dice(f"trouble-{n}").some(items, count)
+
+    def box_back(self, holder):
+        holder.start(self.world.now)
+        self.fleet.changed(holder)
+
+    def manager_back(self, manager):
+        manager.start([row for row in manager.told.values() if row.state is not face.State.GONE])
+        self.world.later(round(self.fleet.late), self.full_list, manager, manager.life)
+
+    def full_list(self, manager, life):
+        if manager.up and manager.life == life:
+            manager.runner.listing(ListKind.FULL, self.fleet.full())
+
+    # The day
+
+    def run(self):
+        """Plays it all; returns self."""
+        world, day = self.world, self.day
+        settle = round(day.settle_s * SECOND)
+        self.watching, self.was_short = {}, set()
+        self.began = world.now + settle
+        every = round(day.site.fleet.note_every_ms * 10)
+        for n, holder in enumerate(self.fleet.boxes.values()):
+            world.at(world.now + 1 + n * every // max(1, len(self.fleet.boxes)), self.begin_notes, holder, every)
+        world.at(self.began, world.every, SECOND, self.score)
+        for manager in self.managers if day.peaks else ():
+            world.at(self.began - settle, self.keep_rooms, manager)
+        for n, row in enumerate(day.troubles):
+            world.at(self.began + round(row.at_s * SECOND), self.trouble, n, row)
+        for n, (at, wish) in enumerate(arrivals(day, self.seed)):
+            time = self.began + round(at * SECOND)
+            world.at(time, self.wants, n, wish)
+        world.run(self.began + round(day.length_s * SECOND) + 3 * SECOND)
+        self.faults += [f"manager {m.me}: {m.runner.faults} faults" for m in self.managers if m.runner.faults]
+        return self
+
+    def keep_rooms(self, manager):
+        manager.keep_room((self.world.now - self.began) / SECOND)
+        self.world.later(SECOND, self.keep_rooms, manager)
+
+    def begin_notes(self, holder, every):
+        self.notes(holder)
+        self.world.every(every, self.notes, holder)
+
+    def wants(self, n, wish):
+        """A viewer wants to watch from now for its length, served or not."""
+        row = self.day.site.titles[wish.title]
+        p = Player(n, wish, self.numbers[row.view], self.day.demand.tries, self.world.dice(f"player-{n}"))
+        self.watching[p] = True
+        self.world.later(round(wish.length * SECOND), self.watching.pop, p, None)
+        self.ask(p)
+
+    # What it came to
+
+    def service(self, since=0, until=1 << 40):
+        """Worth earned over worth asked, of all packages, in a span of seconds."""
+        asked = earned = 0.0
+        for second, row in self.seconds.items():
+            if since <= second < until:
+                asked += sum(row.asked.values())
+                earned += sum(row.earned.values())
+        return earned / asked if asked else 0.0
+
+    def totals(self):
+        fates, tune_ins = Counter(), Counter()
+        for row in self.seconds.values():
+            fates += row.fates
+            tune_ins += row.tune_ins
+        return {"service": round(self.service(0, int(self.day.length_s)), 6), "requests": sum(
+            r.requests for r in self.seconds.values()), "fates": dict(sorted(fates.items())),
+            "tune_ins": dict(sorted(tune_ins.items())), "fell": self.fleet.fell, "faults": len(self.faults),
+            "under_floor": sum(r.low_floor for r in self.seconds.values())}
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -101,6 +101,10 @@
         for event in events:
             self.step(event, now)
 
+    def kept(self, rooms, titles):
+        """Room kept for announced peaks, from now on."""
+        self.step(face.Kept(rooms, titles))
+
     def asked(self, ask):
         """A viewing is taken: from here on it gets exactly one answer."""
         if ask.id in self.held:
--- /dev/null
+++ b/tests/test_peaks.py
@@ -0,0 +1,104 @@
+"""Announced peaks: what can't be is refused by name, room is kept ahead, moves, and is handed back. No sockets."""
+import unittest
+
+from flaxscale import interface as face
+from flaxscale.interface import State
+from flaxscale.peaks.announce import Announcement, faults
+from flaxscale.peaks.keeper import GRACE, HALF, LEAD, MOST, RoomKeeper
+from tests.drive import Drive, S, pack
+
+
+def peak(**changes):
+    row = dict(name="eid", titles=("cam",), start_s=100.0, end_s=160.0, rate=2.0, ramp_s=10.0, length_s=20.0, rung=1)
+    return Announcement(**{**row, **changes})
+
+
+class Keeping(unittest.TestCase):
+    def keeper(self, *peaks, holders=(1, 2, 3, 4)):
+        self.boxes = list(holders)
+        return RoomKeeper(peaks or (peak(),), lambda title, rung: 100.0, 2, 1e9, lambda title: self.boxes)
+
+    def servers(self, *gone):
+        return {n: (face.Listed(n, 0, n, 0, 1.0, 0, State.GONE if n in gone else State.READY), 10_000.0)
+                for n in range(1, 5)}
+
+    def kb(self, keeper, s, *gone):
+        return sum(keeper.rooms(s, self.servers(*gone))[0].values())
+
+    def crowd(self, keeper, times=1.0, shift=0.0, until=200):
+        """What is kept each second while a crowd of this size comes so much later than announced."""
+        out, p = {}, keeper.peaks[0]
+        for s in range(80, until):
+            due = p.come_by(s - shift) * times
+            while keeper.come[p.name] + 0.5 <= due:
+                keeper.asked("cam", 1)
+            out[s] = self.kb(keeper, s)
+        return out
+
+    def test_what_cannot_be_is_refused_by_name(self):
+        for change, said in ((dict(end_s=100.0), "before or as it starts"), (dict(rate=-1.0), "a rate of -1"),
+                             (dict(titles=("none",)), "the title 'none' is not known"),
+                             (dict(titles=()), "at least one"),
+                             (dict(ramp_s=90.0), "a ramp of 90 s"), (dict(rung=9), "rung 9"),
+                             (dict(sure=0.0), "sure 0"),
+                             (dict(length_s=0.0), "viewings of 0 s")):
+            found = faults([peak(**change)], {"cam"}, 3)
+            self.assertTrue(any(name == "eid" and said in detail for name, detail in found), (said, found))
+        self.assertEqual([("eid", "a name of its own is needed")], faults([peak(), peak()], {"cam"}, 3))
+        self.assertEqual([], faults([peak()], {"cam"}, 3))
+
+    def test_arrivals_are_summed_as_announced(self):
+        p = peak()
+        for s in (99, 100, 104, 110, 130, 160, 200):
+            by_steps = sum(p.rate_at(x / 100) / 100 for x in range(9_000, s * 100))
+            self.assertAlmostEqual(by_steps, p.come_by(s), delta=0.05)
+
+    def test_room_is_ready_before_the_start_and_gone_at_the_end(self):
+        kept = self.crowd(self.keeper())
+        self.assertEqual(0, kept[int(100 - LEAD) - 1])
+        self.assertAlmostEqual(100 * peak().come_by(99 + LEAD), kept[99], delta=1)      # who will watch by then
+        self.assertAlmostEqual(2.0 * 20 * 100, kept[130], delta=150)        # 40 viewings of 100 kB a second
+        self.assertEqual(0, kept[160])
+
+    def test_what_does_not_come_is_handed_back_along_its_curve(self):
+        none, half = self.crowd(self.keeper(), 0.0), self.crowd(self.keeper(), 0.5)
+        at = next(s for s in range(101, 160) if none[s] < none[s - 1] - 1)
+        self.assertLess(at, 100 + GRACE + 12)
+        self.assertAlmostEqual(0.5, none[at + int(HALF)] / none[at], delta=0.15)
+        self.assertLess(none[at + int(4 * HALF)], 0.12 * none[at])
+        self.assertGreater(half[140], 0.45 * self.crowd(self.keeper())[140])
+
+    def test_a_crowd_that_is_late_finds_room_that_comes_back_as_it_comes(self):
+        late = self.crowd(self.keeper(), shift=10.0)
+        self.assertLess(min(late[s] for s in range(112, 120)), 0.9 * late[135])
+
+    def test_room_moves_off_boxes_that_die_and_what_cannot_be_kept_is_said(self):
+        keeper = self.keeper(peak(rate=8.0))
+        before, _ = keeper.rooms(130, self.servers())
+        after, _ = keeper.rooms(130, self.servers(1))
+        self.assertNotIn(1, after)
+        self.assertAlmostEqual(sum(before.values()), sum(after.values()), delta=1)
+        keeper.rooms(130, self.servers(1, 2, 3))
+        self.assertGreater(keeper.given_up, 0)
+        self.assertLessEqual(max(keeper.rooms(130, self.servers(1, 2, 3))[0].values()), MOST * 10_000)
+        self.assertEqual(0, self.kb(keeper, 130, 1, 2, 3, 4))
+
+    def test_two_peaks_that_want_the_same_room_share_its_bound(self):
+        keeper = self.keeper(peak(rate=30.0), peak(name="two", rate=30.0))
+        rooms, _ = keeper.rooms(130, self.servers())
+        self.assertLessEqual(max(rooms.values()), MOST * 10_000 + 1)
+        self.assertGreater(keeper.given_up, 0)
+
+
+class Decided(Drive):
+    def test_others_see_a_smaller_link_and_the_peaks_own_the_whole(self):
+        self.start(pack(), servers=1)
+        self.at(0, face.Kept({1: 500.0}, frozenset([7])), say="half of the link is kept for title 7")
+        self.at(0, self.ask(1, title=9), self.ask(2, title=9))
+        self.at(600, self.ask(3, title=7), say="the peak's own")
+        self.at(600, self.begun(1, 1), self.begun(2, 1), self.begun(3, 1))
+        self.at(0, face.Kept({1: 500.0}, frozenset([7])), say="told again: what the peak took is no longer kept")
+        self.at(0, self.ask(4, title=9))
+        self.at(600, face.Kept({}, frozenset()), say="handed back")
+        self.at(4 * S, self.link(1, 1, 0.5))
+        self.compare()
