--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -142,6 +142,7 @@
 
     def other(self, exchange, segments):
         if segments == ["state"] and exchange.request.method == "GET":
+            endpoint.check_token(exchange.request.headers, self.site.front.tokens)
             exchange.respond(200, [("Content-Type", "application/json")], self.state())
             return
         raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -335,6 +335,9 @@
         self.assertIn(b'error="invalid_token"', wrong)
         good = await self.raw(self.post(self.wish(), [("Authorization", "Bearer right")]))
         self.assertTrue(good.startswith(b"HTTP/1.1 201"), good)
+        state = b"GET /state HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        self.assertTrue((await self.raw(state + b"\r\n")).startswith(b"HTTP/1.1 401"))
+        self.assertIn(b'"viewings": 1', await self.raw(state + b"Authorization: Bearer right\r\n\r\n"))
         box = self.boxes[1].address
         reader, writer = await asyncio.open_connection(*box)
         writer.write(self.post(self.wish()))
