The planner counts the choice that copies give; one place for what boxes know of a site

Change: copies up to a title's part of all room count a little in the plan. What boxes know of a site was written twice (the stand-in's program and the model) and stands once now.

--- a/flaxscale/catalogue/plan.py
+++ b/flaxscale/catalogue/plan.py
@@ -15,6 +15,7 @@
 from .state import HOLDING, LEAVING, Hold
 
 SURGE_WEIGHT = 0.25             # of value served only in a surge
+CHOICE = 0.1                    # of a title's value: what copies up to its part of all room are worth as choice
 MOVE_COST = 1e-4                # of the whole demand's value, for each copy added; a tenth of it for one dropped
 
 
@@ -70,8 +71,10 @@
     """(objective parts, copies, gap, time): one call of the solver. fixed: the present copies, only shares are free."""
     boxes, inf = question.boxes, highspy.kHighsInf
     nt, nb = len(titles), len(boxes)
-    copies, shares, base, surge = 0, nt * nb, 2 * nt * nb, 2 * nt * nb + nt
-    columns = 2 * nt * nb + 2 * nt
+    copies, shares, base, surge, choice = 0, nt * nb, 2 * nt * nb, 2 * nt * nb + nt, 2 * nt * nb + 2 * nt
+    columns = 2 * nt * nb + 3 * nt
+    asked = sum(question.demand[t] for t in titles)
+    spare = max(0.0, sum(b.room for b in boxes) - nt * question.copies)
     whole = sum(question.demand[t] * question.value.get(t, 1.0) for t in titles) or 1.0
     cost, low, high = numpy.zeros(columns), numpy.zeros(columns), numpy.full(columns, inf)
     rows = Rows()
@@ -79,6 +82,10 @@
         d, v = question.demand[t], question.value.get(t, 1.0)
         cost[base + i], high[base + i] = v / whole, d
         cost[surge + i], high[surge + i] = SURGE_WEIGHT * v / whole, d * (question.stress - 1)
+        # Managers place greedily and don't see each other: copies beyond what the flow needs give them choice.
+        high[choice + i] = min(float(nb), question.copies + spare * d / asked) if not fixed else 0.0
+        cost[choice + i] = CHOICE * v * d / whole / max(1.0, high[choice + i])
+        rows.add([(choice + i, 1.0), *((copies + i * nb + j, -1.0) for j in range(nb))], -inf, 0.0)
         for j, box in enumerate(boxes):
             x, y, has = copies + i * nb + j, shares + i * nb + j, box.id in held[t]
             high[x] = 1.0
--- a/flaxscale/cli/standins.py
+++ b/flaxscale/cli/standins.py
@@ -7,26 +7,17 @@
 from ..lab.records import Recorder
 from ..serve.clock import now
 from ..site.terms import read_site
-from ..standins.box import Box, Place, Site
+from ..standins.box import Box, Place, site_of
 from ..standins.boxlist import BoxList
 from ..standins.boxserver import BoxServer
 from . import ready, service, site_errors
 from .logs import logger
 
 
-def box_site(site):
-    """What a box is told of a site."""
-    rules = site.rules
-    return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
-                {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
-                site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
-                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
-
-
 def make_box(site, id, cell, kind, zone, weight, link_kb, up_ms, seed, work_ms, lease_ms, list_address, record,
              catalogue=None):
     place = Place(id, cell, cell % site.fleet.racks, zone, kind, weight, link_kb, site.fleet.kinds[kind])
-    box = Box(place, box_site(site), secrets.token_hex(4), now() - round(up_ms * 10), seed, round(work_ms * 10))
+    box = Box(place, site_of(site), secrets.token_hex(4), now() - round(up_ms * 10), seed, round(work_ms * 10))
     row = round(site.fleet.note_every_ms * 10), round(site.fleet.note_lag_ms * 10), round(lease_ms * 10)
     return BoxServer(box, row, list_address, record, site.front.fleet_token, catalogue,
                      logger("warning", None, box=id))
--- a/flaxscale/model/fleet.py
+++ b/flaxscale/model/fleet.py
@@ -3,7 +3,7 @@
 
 from .. import interface as face
 from ..interface import ListKind, State
-from ..standins.box import Box, Place, Site
+from ..standins.box import Box, Place
 
 
 class ModelBox:
@@ -86,12 +86,3 @@
 
     def full(self):
         return [row for row in self.told.values() if row.state is not State.GONE]
-
-
-def site_of(site):
-    """What boxes know of a site, as the stand-in's program makes it."""
-    rules = site.rules
-    return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
-                {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
-                site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
-                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
--- a/flaxscale/model/play.py
+++ b/flaxscale/model/play.py
@@ -11,7 +11,8 @@
 from ..peaks.keeper import RoomKeeper
 from ..run import Fate
 from ..site.terms import Sense
-from .fleet import Fleet, site_of
+from ..standins.box import site_of
+from .fleet import Fleet
 from .manager import ModelManager
 from .world import World
 
--- a/flaxscale/standins/box.py
+++ b/flaxscale/standins/box.py
@@ -38,6 +38,15 @@
     fall: int
 
 
+def site_of(site):
+    """What boxes know of a checked site file."""
+    rules = site.rules
+    return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
+                {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
+                site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
+                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
+
+
 class Session:
     __slots__ = "key", "title", "package", "manager", "rung", "began", "ufrag", "etag", "name", "sends"
 
