One read of the whole change: what nothing reads is gone, a version is remembered in one place

Cause: the change left counters and fields that nothing reads, and wrote the catalogue's history down in two places.

Change: they are gone; Keeper.note serves the start and each new change; the room keeper has one branch less.

--- a/flaxscale/catalogue/keep.py
+++ b/flaxscale/catalogue/keep.py
@@ -19,26 +19,23 @@
             delta, who, why = decode_delta(content)
             if delta.version != self.now.version + 1:
                 raise ValueError(f"change {delta.version} follows version {self.now.version} in the log")
-            self.note(delta, who, why)
+            self.note(delta, who, why, self.now.titles)
             self.now.take(delta)
         self.settled, self.staged = self.now.version, 0
 
-    def note(self, delta, who, why):
-        before = {name: self.now.titles.get(name) for name in delta.titles}
-        self.history[delta.version] = delta, who, why, before
+    def note(self, delta, who, why, before):
+        """Remembers a version and what its titles were before, for those who were away and for undoing."""
+        self.history[delta.version] = delta, who, why, {name: before.get(name) for name in delta.titles}
         if len(self.history) > HISTORY:
             del self.history[next(iter(self.history))]
 
     def stage(self, ops, expect=None, in_use=None, force=False, who="", why=""):
         """Applies a change in memory; the Delta. Nobody may hear of it before settle()."""
-        before = self.now.titles
-        named = {op.name: before.get(op.name) for op in ops}
+        before = {op.name: self.now.titles.get(op.name) for op in ops}
         delta = self.now.apply(ops, expect, in_use, force)
         if not delta.titles:
             return delta
-        self.history[delta.version] = delta, who, why, {n: named.get(n) for n in delta.titles}
-        if len(self.history) > HISTORY:
-            del self.history[next(iter(self.history))]
+        self.note(delta, who, why, before)
         self.log.append(encode_delta(delta, who, why))
         self.staged += 1
         return delta
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -1,6 +1,4 @@
 """The shape of a day's file: a site, a fleet, demand and troubles on a time line. Played on sockets here."""
-from typing import Literal
-
 import msgspec
 
 from ..peaks.announce import Announcement
@@ -70,7 +68,6 @@
 
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "catalogue_crash", "list_late", "list_frozen", "crowd", "uplink"}
-Kinds = Literal["boxes", "managers"]
 MOST_PROCESSES = 400
 
 
--- a/flaxscale/model/play.py
+++ b/flaxscale/model/play.py
@@ -94,7 +94,7 @@
         self.titles = {name: n for n, name in enumerate(sorted(day.site.titles))}
         self.managers = [ModelManager(self, m) for m in range(day.site.managers)]
         self.fleet.managers = self.managers
-        self.by_key, self.set_ups_cold, self.lost_answers = {}, 0, 0
+        self.by_key = {}
 
     def keeper(self):
         """The room keeper of one manager, or None where nothing is announced or nothing kept."""
@@ -221,7 +221,6 @@
             self.die(holder)
             answer(0, How.RESET)
             return
-        self.count_cold(box, now)
         if session is None:
             how = {503: How.FULL, 404: How.LACKING}.get(verdict.status, How.MOOT) if not verdict.ran else How.ERROR
             self.second().tune_ins[how.value] += 1
@@ -231,7 +230,6 @@
         holder.changed()
         lost = next((k for k in ("answer_lost", "half") if getattr(t, k) and box.chance() < getattr(t, k)), None)
         if lost:
-            self.lost_answers += 1
             return
         if t.reset_after and box.chance() < t.reset_after:
             answer(verdict.after, How.RESET)
@@ -248,10 +246,6 @@
         if key in holder.box.sessions:
             self.world.later(NET, manager.outcome, life, vw.id, key[3], None, now + NET - sent_at, holder.figures(now))
 
-    def count_cold(self, box, now):
-        if now - box.started_at < self.fleet.site.warm_within:
-            self.set_ups_cold += 1
-
     def end_at_box(self, server, key):
         self.world.later(NET, self.ended_at_box, server, key)
 
--- a/flaxscale/peaks/keeper.py
+++ b/flaxscale/peaks/keeper.py
@@ -58,15 +58,11 @@
                 total = sum(ready.values())
                 for id, link in sorted(ready.items()):
                     rack = servers[id][0].cell % self.racks
-                    room = min(kb * link / total, MOST * link - rooms.get(id, 0.0),
-                               MOST * self.uplink_kb - racks.get(rack, 0.0))
-                    if room > 0:
-                        rooms[id] = rooms.get(id, 0.0) + room
-                        racks[rack] = racks.get(rack, 0.0) + room
-                        kb_left = kb * link / total - room
-                    else:
-                        kb_left = kb * link / total
-                    self.given_up += max(0.0, kb_left)
+                    room = max(0.0, min(kb * link / total, MOST * link - rooms.get(id, 0.0),
+                                        MOST * self.uplink_kb - racks.get(rack, 0.0)))
+                    rooms[id] = rooms.get(id, 0.0) + room
+                    racks[rack] = racks.get(rack, 0.0) + room
+                    self.given_up += kb * link / total - room
                 if not ready:
                     self.given_up += kb
         return {id: round(kb, 3) for id, kb in rooms.items()}, frozenset(titles)
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -60,12 +60,12 @@
 
 class Held:
     """One viewing as the runner knows it."""
-    __slots__ = "ask", "phase", "nth", "server", "rung", "deadline", "answered", "sent_at", "how", "moving"
+    __slots__ = "ask", "phase", "nth", "server", "rung", "deadline", "answered", "sent_at", "how"
 
     def __init__(self, ask, deadline):
         self.ask, self.phase, self.deadline = ask, Phase.WAITS, deadline
         self.nth, self.server, self.rung, self.sent_at = -1, None, 0, 0
-        self.answered = self.moving = False
+        self.answered = False
         self.how = None
 
 
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -35,7 +35,7 @@
         self.record, self.token = record or Recorder(), token
         self.streams, self.timers, self.media, self.names, self.short = {}, set(), {}, {}, {}
         self.last_stream = {}
-        self.beat_to, self.udp, self.loop, self.address = None, None, None, None
+        self.udp, self.loop, self.address = None, None, None
         self.list_address = list_address
         self.catalogue = None
         if catalogue:
