--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -27,7 +27,7 @@
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
 DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
-DEEP, STILL = 0.8, 0.25     # shares of a deep shortage; under the lower nothing flows at all
+DEEP, STILL = 0.94, 0.25     # shares of a deep shortage; under the lower nothing flows at all
 SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
 FRESH = SECOND // 10        # what others ask of an uplink is reckoned anew after this, or when a figure comes
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
@@ -672,11 +672,12 @@
             srv.rests_until = self.now + REST
         if set_up:
             self.settle(vw, srv)
-        # A deep shortage that the account does not show: figures are late or the bottleneck is none of
-        # those reported. Not while what we shed last may not be in the share yet, nor where nothing flows.
-        hidden = (event.kind is NoteKind.DELIVERED and STILL < event.amount < DEEP
-                  and self.now >= srv.shed_at + lag + SETTLE)
-        self.step_down(srv, 1 / event.amount if hidden else 0)
+        # A shortage that the account does not show: figures are late or the bottleneck is none of those reported.
+        # Not while what we shed last may not be in the share yet, nor where nothing flows.
+        if event.kind is not NoteKind.DELIVERED:
+            self.step_down(srv, srv.use())
+        elif STILL < event.amount < DEEP and self.now >= srv.shed_at + lag + SETTLE:
+            self.step_down(srv, 1 / event.amount)
         if event.kind is NoteKind.LINK and srv.rack.heard_at is None:
             self.step_up([srv])
         elif event.kind is NoteKind.UPLINK:
@@ -700,9 +701,8 @@
         """
         self.set_rungs(self.shed([vw], (srv.use() - BRIM) * min(srv.link.kb, srv.rack.kb)))
 
-    def step_down(self, srv, hidden):
+    def step_down(self, srv, use):
         """A link that is short sheds the steps that earn least; each sheds its part, as all hear the same."""
-        use = max(srv.use(), hidden)
         if use > SHED_OVER:
             srv.shed_at = self.now
             self.set_rungs(self.shed(srv.viewings.values(), srv.link.own * (1 - SHED_TO / use)))
