--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -491,8 +491,11 @@
         sound = [srv for srv in holders if self.sound(srv)]
         if sound or not bad_too:
             return sound
-        # Where every holder looks bad, one bad holder is tried rather than nobody served.
-        return sorted(holders, key=lambda srv: (srv.shut_until, srv.row.server))[:1]
+        # Where every holder looks bad, those are taken whose pause ends first, the roomiest of them as ever:
+        # by the id alone, all managers went to the same one.
+        first = min((srv.shut_until for srv in holders if srv.shut_until > self.now), default=0)
+        open_ones = [srv for srv in holders if srv.shut_until <= self.now]
+        return open_ones or [srv for srv in holders if srv.shut_until == first][:1]
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
