--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -152,6 +152,7 @@
         self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
+        self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
         self.now, self.out, self.marks = 0, [], self.rung_marks({})
@@ -464,9 +465,14 @@
         dark = {srv: max(1.0, srv.link.kb * (1 - srv.use())) for srv in holders if srv.link.heard_at is None}
         drawn = dark and max(dark, key=lambda srv: log(self.chance() + 1e-9) / dark[srv])
         fits = [(*self.fit(srv, vw), srv) for srv in holders if srv not in dark or srv is drawn]
-        best = max((fit for fit in fits if fit[0] is not None), key=lambda fit: fit[:2], default=None)
+        best = max((fit for fit in fits if fit[0] is not None), default=None, key=lambda fit: (
+            vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2]), fit[1]))
         return best and (best[2], best[0])
 
+    def crossing(self, srv):
+        """What a viewing at another zone's server costs, in the worth that it would earn."""
+        return self.cross if srv.row.zone != self.terms.zone else 0
+
     def holders(self, vw):
         """The servers that hold its title: as the catalogue told, else the cells in a row of its request."""
         if known := self.titles.get(vw.ask.title):
