Probes: holders are looked at while a viewing waits, where reports come by probe

Now up to three holders (a title has three there, mostly) are probed when a viewing comes, in the slot that it waits anyway; figures of links, uplinks and streams feed the accounts that notes feed.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -35,6 +35,9 @@
 EASED = 1.2                 # an announced peak took this much of its room: beyond it is a crowd like any other
 WORDS_COST = 0.005          # of the service figure, at most, for telling peers what we ask
 FEW, GUESS = 4, 0.5         # a manager with so few viewings half believes that links are so full
+LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
+LOOK_AGAIN = SECOND         # a figure younger than this is not asked for again
+LOOK_LAG = SECOND // 2      # a probe's figure is about so old
 SLOT_ALARM, LIST_ALARM, BEAT_ALARM = 0, 1, 2
 BEAT = SECOND // 4          # we look this often whether we stood still
 
@@ -107,6 +110,8 @@
         self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
+        self.looked_at = None       # when a probe went out that has not come back
+        self.streams = 0            # that it ran when a probe came back
         self.kept = 0.0             # kB a second of its link that an announced peak has not taken yet
 
     def use(self):
@@ -153,6 +158,8 @@
         span = terms.rules.further_span or SECOND
         self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
         self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
+        self.looks = int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9))) if (
+            terms.allowed.probes and terms.fleet.load_by_probe) else 0
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
         self.now, self.out, self.marks = 0, [], self.rung_marks({})
@@ -208,7 +215,7 @@
             self.weigh()
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
-               face.Left: self.left, face.PeerSays: self.peer_says,
+               face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
                face.Catalogued: self.catalogued, face.Kept: self.keep}.get(type(event))
         if act:
             act(event)
@@ -216,7 +223,35 @@
 
     def take(self, ask):
         self.taken.add(self.now, 1)
-        self.resume(self.viewing(ask), None)
+        vw = self.viewing(ask)
+        self.look(vw)
+        self.resume(vw, None)
+
+    def look(self, vw):
+        """Where load reports come with probes only, a few holders are asked while the viewing waits for its slot."""
+        holders = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
+                   and self.now - (srv.link.heard_at or -LOOK_AGAIN) >= LOOK_AGAIN] if self.looks else []
+        for srv in sorted(holders, key=lambda srv: (self.crossing(srv), self.chance()))[:self.looks]:
+            if srv.looked_at is None:
+                srv.looked_at = self.now
+                self.out.append(face.Probe(srv.row.server))
+
+    def probed(self, event):
+        srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
+        if srv is None:
+            return
+        srv.looked_at = None
+        if event.how is not How.OK:
+            srv.rests_until = self.now + REST
+        for name, meter in (("link", srv.link), ("uplink", srv.rack)):
+            if name in figures:
+                meter.heard(self.now, LOOK_LAG, figures[name])
+        if "link" in figures:
+            others = max(0.0, figures["link"] - srv.link.own / srv.link.kb)
+            self.told.add(self.now, others)
+            self.tellings.add(self.now, 1)
+            srv.seen_warm |= others > WARM_SIGN
+            self.uplinks.pop(srv.row.cell % self.terms.fleet.racks, None)
 
     def viewing(self, ask):
         vw = Viewing(ask, self.terms.packages[ask.package], len(self.terms.ladder.kb) - 1, self.now)
@@ -457,9 +492,10 @@
 
     def spot(self, vw, bad_too=True):
         """The holder and rung of most immediate value; ties go to the roomiest holder."""
-        holders, old = self.open_holders(vw, bad_too), self.now - 2 * self.terms.fleet.note_every
+        holders, every = self.open_holders(vw, bad_too), self.terms.fleet.note_every
+        old = self.now - 2 * (every or 2 * SECOND)
         for srv in holders:     # where we hold nothing no figure comes, and the last one misleads
-            if not srv.viewings and (srv.link.heard_at or 0) < old:
+            if not (srv.viewings and every) and (srv.link.heard_at or 0) < old:
                 srv.link.heard_at = None
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
         dark = {srv: max(1.0, srv.link.kb * (1 - srv.use())) for srv in holders if srv.link.heard_at is None}
@@ -578,7 +614,7 @@
     # Health and the cold pace
 
     def sound(self, srv):
-        return (self.now >= max(srv.rests_until, srv.shut_until)
+        return (self.now >= max(srv.rests_until, srv.shut_until) and srv.looked_at is None
                 and not (srv.ills and any(not vw.playing for vw in srv.viewings.values())))
 
     def ill(self, srv):
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -72,8 +72,10 @@
     uplink_kb: float
     guard: float            # servers answer full at this use of the link; 0: never
     note_lag: int
-    note_every: int
+    note_every: int         # 0: no note tells of a link, or of an uplink
     load_names: tuple
+    load_by_probe: bool = False     # load reports come with probes only
+    weighed: bool = True    # the list's weights tell sizes; else all are alike
 
 
 class RuleTerms(NamedTuple):
@@ -103,6 +105,7 @@
     move: float
     late: float
     peer: float
+    probe: float = 0.0
 
 
 class Goal(NamedTuple):
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -16,6 +16,7 @@
 STATES = {0: face.State.GONE, 1: face.State.READY, 2: face.State.DRAINING}
 LISTS = {0: face.ListKind.FAILED, 1: face.ListKind.FULL, 2: face.ListKind.DELTA, 4: face.ListKind.CACHED}
 NOTES = {1: face.NoteKind.DELIVERED, 2: face.NoteKind.RUNG, 3: face.NoteKind.LINK, 4: face.NoteKind.UPLINK}
+LOADS = {"x0": "link", "x1": "uplink", "busy_reqs": "streams"}
 ALL_PEERS = 0xFFFFFFFF
 PEER_WORD = struct.Struct("<If")        # a server and kB a second
 MOVED, AGAIN, HINTED = 8, 16, 1
@@ -57,7 +58,9 @@
         fleet=face.FleetTerms(stream["cells"], stream["shelves"], tuple(stream["kindSlots"]),
                               stream["kbPerWeight"], stream["uplinkKb"], stream["guard"],
                               tenths(stream["seenAfterMs"]), tenths(stream["tellMs"]),
-                              tuple(top["loadInfo"]["names"]) if top["loadInfo"]["how"] != "off" else ()),
+                              tuple(LOADS.get(name, name) for name in top["loadInfo"]["names"])
+                              if top["loadInfo"]["how"] != "off" else (),
+                              top["loadInfo"]["how"] == "on_probe", top["weightSource"] != "off"),
         rules=face.RuleTerms(span(rules["drainGraceMs"]), tenths(rules["warmWithinMs"]),
                              rules["startCapacity"], rules["tipMultiple"], tenths(rules["fallMs"]),
                              span(rules["mustAskInMs"]),
@@ -67,7 +70,8 @@
         allowed=face.Allowed(caps["tryLimit"], caps["cancelling"], caps["retryAfter"],
                              span(caps["maxRetryAfterMs"]), caps["peers"], caps["mayProbe"],
                              tenths(caps["dialTimeoutMs"])),
-        prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"]),
+        prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"],
+                           prices["probe"]),
         goal=face.Goal(goal["whole"], goal["worstWindow"], goal["worstClass"]))
 
 
