--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -17,9 +17,9 @@
                     "fallMs": 1000.0, "mustAskInMs": 9000.0},
     "caps": {"tryLimit": 4, "cancelling": True, "retryAfter": True, "maxRetryAfterMs": 500.0, "peers": False,
              "mayProbe": False, "dialTimeoutMs": 250.0},
-    "penalties": {"crossZone": 0.0, "moves": 0.1, "lateFail": 0.0, "peer": 0.0},
+    "penalties": {"crossZone": 0.0, "moves": 0.1, "lateFail": 0.0, "peer": 0.0, "probe": 0.0},
     "objectiveMix": {"whole": 1.0, "worstWindow": 0.0, "worstClass": 0.0},
-    "loadInfo": {"how": "inline", "names": ["x0"]}}
+    "loadInfo": {"how": "inline", "names": ["x0"]}, "weightSource": "nominal"}
 
 
 def record(code, fmt, *fields, tail=b""):
