--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -25,7 +25,7 @@
 REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
-DRAWN, NEARER = 5, 3        # so many holders are drawn of those heard of; near ones so much likelier of the others
+DRAWN, NEARER = 5, 3        # holders drawn of those heard of; how much likelier near ones are of the others
 DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 DEEP, STILL = 0.94, 0.25     # shares of a deep shortage; under the lower nothing flows at all
@@ -33,7 +33,7 @@
 FRESH = SECOND // 10        # what others ask of an uplink is reckoned anew after this, or when a figure comes
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
 NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
-EASED = 1.2                 # an announced peak took this much of its room: beyond it is a crowd like any other
+EASED = 1.2                 # an announced peak took this much of its room: beyond is a crowd like any other
 WORDS_COST = 0.005          # of the service figure, at most, for telling peers what we ask
 FEW, GUESS = 4, 0.5         # a manager with so few viewings half believes that links are so full
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
@@ -112,7 +112,7 @@
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
         self.looked_at = None       # when a probe went out that has not come back
-        self.streams = 0            # that it ran when a probe came back
+        self.judged, self.usable = -1, False    # in which call it was judged, and how
         self.kept = 0.0             # kB a second of its link that an announced peak has not taken yet
 
     def use(self):
@@ -147,7 +147,7 @@
     def __init__(self, terms):
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells, self.links_kb = {}, {}, {}, 1.0
-        self.links, self.uplinks = {}, {}       # by rack: links; what others ask of its uplink, and when reckoned
+        self.links, self.uplinks = {}, {}       # by rack: links; what others ask of it, and as of when
         self.asked_kb = 0.0         # what all our viewings ask
         self.viewings, self.waiting, self.seats = {}, [], Counter()
         self.titles = {}            # what a catalogue told of titles
@@ -155,7 +155,7 @@
         self.kept_for = {}, {}      # titles, packages of an announced peak: the rung that room is kept for
         self.eased = False
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
-        self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
+        self.calls = self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
         span = terms.rules.further_span or SECOND
         self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
         self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
@@ -206,7 +206,7 @@
     # The events
 
     def handle(self, now, event):
-        self.now, self.out = now, []
+        self.now, self.out, self.calls = now, [], self.calls + 1
         if self.started_at is None:
             self.started_at = self.beat_at = now
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
@@ -229,10 +229,11 @@
         self.resume(vw, None)
 
     def look(self, vw):
-        """Where load reports come with probes only, a few holders are asked while the viewing waits for its slot."""
-        holders = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
-                   and self.now - (srv.link.heard_at or -LOOK_AGAIN) >= LOOK_AGAIN] if self.looks else []
-        for srv in sorted(holders, key=lambda srv: (self.crossing(srv), self.chance()))[:self.looks]:
+        """Where only probes bring load reports, a few holders are asked while it waits for its slot."""
+        old = self.now - LOOK_AGAIN
+        dim = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
+               and (srv.link.heard_at or 0) <= old] if self.looks else []
+        for srv in self.some(dim, self.looks):
             if srv.looked_at is None:
                 srv.looked_at = self.now
                 self.out.append(face.Probe(srv.row.server))
@@ -470,7 +471,7 @@
         vw.server = srv
         self.seats[vw.seat] += 1
         if srv:
-            srv.viewings[vw.id] = vw
+            srv.viewings[vw.id], srv.judged = vw, -1
             self.recount(srv, new=not vw.playing)
 
     def vacate(self, vw):
@@ -503,13 +504,20 @@
                 for srv in holders if srv.link.heard_at is None}
         drawn = dark and max(dark, key=lambda srv: log(self.chance() + 1e-9) / dark[srv])
         # Of those heard of a few: figures come to all managers at once, who would all take the same best.
-        heard = sorted((srv for srv in holders if srv not in dark),
-                       key=lambda srv: (self.crossing(srv), self.chance()))[:DRAWN]
+        heard = self.some([srv for srv in holders if srv not in dark], DRAWN)
         fits = [(*self.fit(srv, vw), srv) for srv in (heard + [drawn] if drawn else heard)]
         best = max((fit for fit in fits if fit[0] is not None), default=None, key=lambda fit: (
             vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2]), fit[1]))
         return best and (best[2], best[0])
 
+    def some(self, holders, count):
+        """So many of them by chance, near ones first."""
+        near, found = [srv for srv in holders if not self.crossing(srv)], []
+        for pool in (near, [srv for srv in holders if self.crossing(srv)]):
+            while pool and len(found) < count:
+                found.append(pool.pop(int(self.chance() * len(pool))))
+        return found
+
     def crossing(self, srv):
         """What a viewing at another zone's server costs, in the worth that it would earn."""
         return self.cross if srv.row.zone != self.terms.zone else 0
@@ -518,6 +526,8 @@
         """The servers that hold its title: as the catalogue told, else the cells in a row of its request."""
         if known := self.titles.get(vw.ask.title):
             return [self.servers[server] for server in sorted(known.holders) if server in self.servers]
+        if vw.ask.cells >= self.terms.fleet.cells:
+            return list(self.servers.values())
         return [srv for j in range(vw.ask.cells)
                 for srv in self.cells.get((vw.ask.first_cell + j) % self.terms.fleet.cells, {}).values()]
 
@@ -532,8 +542,8 @@
                 or vw.nth >= 0 and not self.may_repeat(vw)):
             return []
         holders = [srv for srv in self.holders(vw)
-                   if srv.row.state is State.READY and self.near_enough(vw, srv.row) and self.in_pace(srv)
-                   and len(srv.viewings) < self.terms.fleet.slots[srv.row.kind]
+                   if (srv.usable if srv.judged == self.calls else self.judge(srv))
+                   and self.near_enough(vw, srv.row)
                    and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)]
         sound = [srv for srv in holders if self.sound(srv)]
         if sound or not bad_too:
@@ -544,6 +554,12 @@
         open_ones = [srv for srv in holders if srv.shut_until <= self.now]
         return open_ones or [srv for srv in holders if srv.shut_until == first][:1]
 
+    def judge(self, srv):
+        """Whether rules and places let anything go there; once a call, as a slot asks that many times."""
+        srv.judged, srv.usable = self.calls, (srv.row.state is State.READY and self.in_pace(srv)
+                                              and len(srv.viewings) < self.terms.fleet.slots[srv.row.kind])
+        return srv.usable
+
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
         pack, ran = vw.pack, vw.ran_near
@@ -604,7 +620,7 @@
         return self.usual_use
 
     def usual_uplink(self, number):
-        """What others ask of an uplink that is not reported: what its servers' links tell, the usual of the rest.
+        """What others ask of an uplink that none reports: what its links tell, for the rest the usual.
 
         By the usual of all links alone, every rack looks like the busiest: those are heard of most.
         """
@@ -722,7 +738,7 @@
             srv.rests_until = self.now + REST
         if set_up:
             self.settle(vw, srv)
-        # A shortage that the account does not show: figures are late or the bottleneck is none of those reported.
+        # A shortage that the account does not show: figures are late, or the bottleneck is not told of.
         # Not while what we shed last may not be in the share yet, nor where nothing flows.
         if event.kind is not NoteKind.DELIVERED:
             self.step_down(srv, srv.use())
