What plays at its lowest rung is probed for room, ever less often

Four seconds after its last step such a viewing's box is probed once, then after three times that; a probe's figure sheds and gives room as a note's does.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -37,7 +37,8 @@
 WORDS_COST = 0.005          # of the service figure, at most, for telling peers what we ask
 FEW, GUESS = 4, 0.5         # a manager with so few viewings half believes that links are so full
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
-LOOK_AGAIN = SECOND         # a figure younger than this is not asked for again
+LOOK_AGAIN = 2 * SECOND     # a figure younger than this is not asked for again
+LOOK_UP = 4 * SECOND        # what plays lowest is looked after so long after its last step, then 3 times that
 LOOK_LAG = SECOND // 2      # a probe's figure is about so old
 SLOT_ALARM, LIST_ALARM, BEAT_ALARM = 0, 1, 2
 BEAT = SECOND // 4          # we look this often whether we stood still
@@ -133,7 +134,7 @@
         self.held = self.rung = 0   # held: slots in which nothing fitted
         self.stepped_at, self.begun_at = now, None
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
-        self.life = None
+        self.life, self.look_after = None, LOOK_UP     # look_after: when its server is looked at for room
 
     def bound(self, low, top):
         self.floor = max(self.pack.floor, low)
@@ -238,6 +239,16 @@
                 srv.looked_at = self.now
                 self.out.append(face.Probe(srv.row.server))
 
+    def look_up(self):
+        """What plays under its top is looked after too, ever less often: it may have begun in a crowd."""
+        for vw in list(self.viewings.values()) if self.looks else ():
+            srv = vw.server
+            if vw.playing and srv and vw.rung == vw.floor < vw.top and self.now - vw.stepped_at >= vw.look_after:
+                vw.look_after *= 3
+                if srv.looked_at is None and self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN:
+                    srv.looked_at = self.now
+                    self.out.append(face.Probe(srv.row.server))
+
     def probed(self, event):
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
         if srv is None:
@@ -254,6 +265,8 @@
             self.tellings.add(self.now, 1)
             srv.seen_warm |= others > WARM_SIGN
             self.uplinks.pop(srv.row.cell % self.terms.fleet.racks, None)
+            self.step_down(srv, srv.use())
+            self.step_up([srv])
 
     def viewing(self, ask):
         vw = Viewing(ask, self.terms.packages[ask.package], len(self.terms.ladder.kb) - 1, self.now)
@@ -353,6 +366,7 @@
         elif event.token == BEAT_ALARM:
             longest = self.stood.cell(self.now)
             longest[1], self.beat_at = max(longest[1], self.now - self.beat_at), self.now
+            self.look_up()
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
         elif event.token == LIST_ALARM:
             self.out.append(face.KeepListed(True))
