Terms can change in service; sizes by places where the list has no weights; traces kept

The module goes by new terms at once (event Changed): rungs, floors, seats, probes, links' sizes; what was counted and who waits or plays stays.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -28,7 +28,7 @@
 DRAWN, NEARER = 5, 3        # holders drawn of those heard of; how much likelier near ones are of the others
 DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
-DEEP, STILL = 0.94, 0.25     # shares of a deep shortage; under the lower nothing flows at all
+DEEP, STILL = 0.94, 0.25    # shares delivered that shed by themselves; under the lower nothing flows at all
 SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
 FRESH = SECOND // 10        # what others ask of an uplink is reckoned anew after this, or when a figure comes
 WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
@@ -104,8 +104,8 @@
 class Server:
     """What this manager holds of one video server."""
 
-    def __init__(self, row, link, rack):
-        self.row, self.link, self.rack = row, link, rack
+    def __init__(self, row, link):
+        self.row, self.link, self.rack = row, link, None
         self.viewings = {}
         self.ills = 0               # failures not yet answered by as many successes
         self.shut_until = self.rests_until = self.shed_at = 0
@@ -123,10 +123,8 @@
 class Viewing:
     """One request for a viewing, from its arrival to its last outcome."""
 
-    def __init__(self, ask, pack, top, now):
-        self.ask, self.id, self.pack = ask, ask.id, pack
-        self.seat = ask.title, ask.package
-        self.bound(0, top)
+    def __init__(self, ask, now):
+        self.ask, self.id, self.seat = ask, ask.id, (ask.title, ask.package)
         self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
         self.nth = -1               # number of the last tune-in
         self.server = None          # where a tune-in is out or it plays
@@ -146,7 +144,6 @@
 
 class Manager:
     def __init__(self, terms):
-        self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.servers, self.racks, self.cells, self.links_kb = {}, {}, {}, 1.0
         self.links, self.uplinks = {}, {}       # by rack: links; what others ask of it, and as of when
         self.asked_kb = 0.0         # what all our viewings ask
@@ -157,16 +154,33 @@
         self.eased = False
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
         self.calls = self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
-        span = terms.rules.further_span or SECOND
-        self.taken, self.further = (Ring(-(-span // 16), 20) for _ in range(2))
+        self.taken, self.further = (Ring(max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60)), 64)
+                                    for _ in range(2))
+        self.now, self.out = 0, []
+        self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
+        self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
+        self.rule(terms)
+
+    def rule(self, terms):
+        """Goes by these terms from now on."""
+        self.terms, self.rules, self.allowed, self.marks = terms, terms.rules, terms.allowed, {}
         self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
         self.looks = int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9))) if (
             terms.allowed.probes and terms.fleet.load_by_probe) else 0
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
-        self.now, self.out, self.marks = 0, [], self.rung_marks({})
-        self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
-        self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
+        self.marks = self.rung_marks({})
+
+    def changed(self, event):
+        """New terms in service: who waits or plays goes by them at once; what was counted stands."""
+        self.rule(event.terms)
+        for vw in self.viewings.values():
+            self.bind(vw)
+        self.racks, self.links, self.uplinks, self.links_kb = {}, {}, {}, 0
+        for srv in self.servers.values():
+            self.stand(srv)
+            self.recount(srv)
+        self.set_rungs({vw: vw.in_bounds() for vw in self.viewings.values() if vw.playing and vw.server})
 
     def weigh(self):
         """The site's goal counts the worst-served package apart: steps of those near it earn more."""
@@ -218,7 +232,8 @@
         act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
                face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
-               face.Catalogued: self.catalogued, face.Kept: self.keep}.get(type(event))
+               face.Kept: self.keep, face.Catalogued: self.catalogued,
+               face.Changed: self.changed}.get(type(event))
         if act:
             act(event)
         return self.out
@@ -235,19 +250,22 @@
         dim = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
                and (srv.link.heard_at or 0) <= old] if self.looks else []
         for srv in self.some(dim, self.looks):
-            if srv.looked_at is None:
-                srv.looked_at = self.now
-                self.out.append(face.Probe(srv.row.server))
+            self.probe(srv)
+
+    def probe(self, srv):
+        if srv.looked_at is None:
+            srv.looked_at = self.now
+            self.out.append(face.Probe(srv.row.server))
 
     def look_up(self):
-        """What plays under its top is looked after too, ever less often: it may have begun in a crowd."""
+        """What plays at its lowest rung is looked after too: it may have begun in a crowd."""
         for vw in list(self.viewings.values()) if self.looks else ():
             srv = vw.server
-            if vw.playing and srv and vw.rung == vw.floor < vw.top and self.now - vw.stepped_at >= vw.look_after:
+            if (vw.playing and srv and vw.rung == vw.floor < vw.top
+                    and self.now - vw.stepped_at >= vw.look_after):
                 vw.look_after *= 3
-                if srv.looked_at is None and self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN:
-                    srv.looked_at = self.now
-                    self.out.append(face.Probe(srv.row.server))
+                if self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN:
+                    self.probe(srv)
 
     def probed(self, event):
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
@@ -256,25 +274,32 @@
         srv.looked_at = None
         if event.how is not How.OK:
             srv.rests_until = self.now + REST
-        for name, meter in (("link", srv.link), ("uplink", srv.rack)):
-            if name in figures:
-                meter.heard(self.now, LOOK_LAG, figures[name])
+        if "uplink" in figures:
+            srv.rack.heard(self.now, LOOK_LAG, figures["uplink"])
         if "link" in figures:
-            others = max(0.0, figures["link"] - srv.link.own / srv.link.kb)
-            self.told.add(self.now, others)
-            self.tellings.add(self.now, 1)
-            srv.seen_warm |= others > WARM_SIGN
-            self.uplinks.pop(srv.row.cell % self.terms.fleet.racks, None)
+            self.heard(srv, LOOK_LAG, figures["link"])
             self.step_down(srv, srv.use())
             self.step_up([srv])
 
+    def heard(self, srv, lag, amount):
+        """A figure of a link, from a note or a probe."""
+        srv.link.heard(self.now, lag, amount)
+        self.uplinks.pop(srv.row.cell % self.terms.fleet.racks, None)
+        others = max(0.0, amount - srv.link.own / srv.link.kb)
+        self.told.add(self.now, others)
+        self.tellings.add(self.now, 1)
+        srv.seen_warm |= others > WARM_SIGN
+
     def viewing(self, ask):
-        vw = Viewing(ask, self.terms.packages[ask.package], len(self.terms.ladder.kb) - 1, self.now)
+        vw = Viewing(ask, self.now)
         self.viewings[ask.id], vw.life = vw, self.life(vw)
-        if known := self.titles.get(ask.title):
-            vw.bound(known.low, known.top)
+        self.bind(vw)
         return vw
 
+    def bind(self, vw):
+        known, vw.pack = self.titles.get(vw.ask.title), self.terms.packages[vw.ask.package]
+        vw.bound(known.low if known else 0, known.top if known else len(self.terms.ladder.kb) - 1)
+
     def hand_over(self, event):
         vw = self.viewing(event.viewing)
         vw.nth, vw.rung, vw.playing, vw.answered = 0, vw.floor, True, True
@@ -562,11 +587,9 @@
         sound = [srv for srv in holders if self.sound(srv)]
         if sound or not bad_too:
             return sound
-        # Where every holder looks bad, those are taken whose pause ends first, the roomiest of them as ever:
-        # by the id alone, all managers went to the same one.
-        first = min((srv.shut_until for srv in holders if srv.shut_until > self.now), default=0)
-        open_ones = [srv for srv in holders if srv.shut_until <= self.now]
-        return open_ones or [srv for srv in holders if srv.shut_until == first][:1]
+        # All look bad: those whose pause ends first. One by its id alone was the same for all managers.
+        first = min((max(srv.shut_until, self.now) for srv in holders), default=0)
+        return [srv for srv in holders if max(srv.shut_until, self.now) == first]
 
     def judge(self, srv):
         """Whether rules and places let anything go there; once a call, as a slot asks that many times."""
@@ -710,11 +733,8 @@
             self.cells.get(row.cell, {}).pop(row.server, None)
             return
         if srv is None:
-            number = row.cell % fleet.racks
-            rack = self.racks.setdefault(number, Meter(fleet.uplink_kb, lambda: self.usual_uplink(number)))
-            link = Meter(row.weight * fleet.kb_per_weight, self.usual)
-            self.links.setdefault(number, []).append(link)
-            srv, self.links_kb = Server(row, link, rack), 0
+            srv = Server(row, Meter(1, self.usual))
+            self.stand(srv)
             self.servers[row.server] = srv
             self.cells.setdefault(row.cell, {})[row.server] = srv
         if row.started_at > srv.row.started_at and srv.doubt_at is not None and row.started_at > srv.doubt_at:
@@ -722,6 +742,16 @@
         srv.row = row
         srv.cold_until = max(srv.cold_until, row.started_at and row.started_at + self.rules.warm_within)
 
+    def stand(self, srv):
+        """Puts a server's link in its rack, at the size that the terms give it."""
+        fleet, number, size = self.terms.fleet, srv.row.cell % self.terms.fleet.racks, srv.row.weight
+        if not fleet.weighed:       # the places of its kind tell its size
+            size = fleet.slots[srv.row.kind] * len(fleet.slots) / sum(fleet.slots)
+        srv.link.kb, self.links_kb = max(1.0, size * fleet.kb_per_weight), 0
+        self.links.setdefault(number, []).append(srv.link)
+        srv.rack = self.racks.setdefault(number, Meter(fleet.uplink_kb, lambda: self.usual_uplink(number)))
+        srv.rack.own += srv.link.own
+
     def peer_says(self, event):
         """Another manager's change of asking, known before any figure shows it: against one rush to one room.
 
@@ -737,21 +767,13 @@
             self.recount(vw.server, new=False)
         if event.kind is NoteKind.RUNG or srv is None:
             return
-        set_up = vw and vw.begun_at == self.now
-        lag = 0 if set_up else self.terms.fleet.note_lag
+        lag = 0 if vw and vw.begun_at == self.now else self.terms.fleet.note_lag      # fresh at its set-up
         if event.kind is NoteKind.LINK:
-            srv.link.heard(self.now, lag, event.amount)
-            self.uplinks.pop(srv.row.cell % self.terms.fleet.racks, None)
-            others = event.amount - srv.link.own / srv.link.kb
-            self.told.add(self.now, max(0.0, others))
-            self.tellings.add(self.now, 1)
-            srv.seen_warm |= others > WARM_SIGN
+            self.heard(srv, lag, event.amount)
         elif event.kind is NoteKind.UPLINK:
             srv.rack.heard(self.now, lag, event.amount)
         elif event.amount < 0.98:
             srv.rests_until = self.now + REST
-        if set_up:
-            self.settle(vw, srv)
         # A shortage that the account does not show: figures are late, or the bottleneck is not told of.
         # Not while what we shed last may not be in the share yet, nor where nothing flows.
         if event.kind is not NoteKind.DELIVERED:
@@ -774,13 +796,6 @@
         for srv in dict.fromkeys(vw.server for vw in changed):
             self.recount(srv)
 
-    def settle(self, vw, srv):
-        """The figure that a set-up brings is fresh and heard by us alone: what went in too high steps down.
-
-        Against what other managers have sent since the last figure, and servers that we knew nothing of.
-        """
-        self.set_rungs(self.shed([vw], (srv.use() - BRIM) * min(srv.link.kb, srv.rack.kb)))
-
     def step_down(self, srv, use):
         """A link that is short sheds the steps that earn least; each sheds its part, as all hear the same."""
         if use > SHED_OVER:
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -178,6 +178,11 @@
     packages: dict              # the same for all titles of a package
 
 
+class Changed(NamedTuple):
+    """Other terms from now on. Packages, kinds and zones keep their numbers; new ones come after them."""
+    terms: SiteTerms
+
+
 class HandedOver(NamedTuple):
     viewing: Asked
     server: int
