New settings load into a running manager, there and back; probes on sockets

Every setting that the module reads stands in the site file now: fleet.reports, streams_figure, weights, note_every_ms 0, allowed.probes, prices.probe; defaults leave old files' terms as they were. POST /settings/reload (fleet token) and SIGHUP read the file again, check it and refuse by name what a running manager can't take on; packages, kinds and zones keep their numbers. The runner carries out probes; the stand-in box answers GET /manager/load; time-outs and refused connections come back as failed.

--- a/flaxscale/cli/front.py
+++ b/flaxscale/cli/front.py
@@ -1,5 +1,8 @@
 """flaxscale front: one session manager."""
+import asyncio
+import contextlib
 import pathlib
+import signal
 import zlib
 
 import click
@@ -30,7 +33,7 @@
 def front(site, me, zone, host, port, list_address, catalogue_address, member_port, members, state, seed, log_level,
           log_file, say_ready):
     """Serve WHIP and WHEP as one session manager of SITE (a Jsonnet file)."""
-    def sense():
+    def read():
         found = read_site(site)
         if member_port is not None and not found.allowed.peers:
             raise SiteError(site, "allowed.peers", "true expected: these terms forbid talk between managers")
@@ -42,14 +45,20 @@
             raise SiteError(site, "managers", f"more than {me} expected, the number given with --me")
         if zone is not None and zone not in found.zones:
             raise SiteError(site, "zones", f"the zone {zone!r} of --zone expected among them")
-        return Sense(found, me, found.zones.index(zone) if zone else 0,
-                     seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
-    made = site_errors(sense)
+        return found
+    found = site_errors(read)
+    made = Sense(found, me, found.zones.index(zone) if zone else 0,
+                 seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
     log = logger(log_level, log_file, manager=f"m{me}")
 
     async def main():
         app = Front(made, log, list_address, state, None, catalogue_address,
-                    list(members) if member_port is not None else None)
+                    list(members) if member_port is not None else None, read)
+
+        def reload():
+            with contextlib.suppress(SiteError):    # said in the log, by name; the settings in service stay
+                app.reload()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
         address = await app.start(host, port, member_port or 0)
         log.info("serves", host=address[0], port=address[1])
         service.settle_memory()
--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -154,8 +154,8 @@
         self.eased = False
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
         self.calls = self.draws = self.list_tries = self.weighed_at = self.usual_use = 0
-        self.taken, self.further = (Ring(max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60)), 64)
-                                    for _ in range(2))
+        width = max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60))
+        self.taken, self.further, self.counts_back = Ring(width, 64), Ring(width, 64), 60 * width
         self.now, self.out = 0, []
         self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
         self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
@@ -176,10 +176,11 @@
         self.rule(event.terms)
         for vw in self.viewings.values():
             self.bind(vw)
-        self.racks, self.links, self.uplinks, self.links_kb = {}, {}, {}, 0
+        self.racks, self.links, self.uplinks = {}, {}, {}
         for srv in self.servers.values():
             self.stand(srv)
             self.recount(srv)
+        self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
         self.set_rungs({vw: vw.in_bounds() for vw in self.viewings.values() if vw.playing and vw.server})
 
     def weigh(self):
@@ -720,8 +721,7 @@
             srv.row._replace(state=State.GONE) for server, srv in self.servers.items() if server not in named]
         for row in [*event.entries, *left_out]:
             self.listed(row)
-        if not self.links_kb:           # it changed
-            self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
+        self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
 
     def listed(self, row):
         fleet, srv = self.terms.fleet, self.servers.get(row.server)
@@ -729,7 +729,6 @@
             # Forgotten, or a fleet that replaces its machines would fill the memory with the old ones.
             if gone := self.servers.pop(row.server, None):
                 self.links[gone.row.cell % fleet.racks].remove(gone.link)
-                self.links_kb = 0
             self.cells.get(row.cell, {}).pop(row.server, None)
             return
         if srv is None:
@@ -747,7 +746,7 @@
         fleet, number, size = self.terms.fleet, srv.row.cell % self.terms.fleet.racks, srv.row.weight
         if not fleet.weighed:       # the places of its kind tell its size
             size = fleet.slots[srv.row.kind] * len(fleet.slots) / sum(fleet.slots)
-        srv.link.kb, self.links_kb = max(1.0, size * fleet.kb_per_weight), 0
+        srv.link.kb = max(1.0, size * fleet.kb_per_weight)
         self.links.setdefault(number, []).append(srv.link)
         srv.rack = self.racks.setdefault(number, Meter(fleet.uplink_kb, lambda: self.usual_uplink(number)))
         srv.rack.own += srv.link.own
--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -46,18 +46,54 @@
     def __init__(self, owner, sense, name, log):
         self.owner, self.name, self.log = owner, name, log
         site = sense.site
-        self.figures = {site.fleet.link_figure: NoteKind.LINK}
-        if site.fleet.uplink_figure:
-            self.figures[site.fleet.uplink_figure] = NoteKind.UPLINK
-        self.dial_s, self.seed = site.allowed.dial_timeout_ms / 1000, sense.seed
-        self.pool = wire.Pool(self.dial_s, site.front.box_connections)
+        self.pool, self.seed = wire.Pool(0, site.front.box_connections), sense.seed
+        self.rule(sense)
         self.token = [("Authorization", f"Bearer {site.front.fleet_token}")] if site.front.fleet_token else []
         self.places, self.watches, self.streams = {}, {}, {}
         self.playing, self.boots = {}, {}       # box: {key: viewing}; key: the start of the box that plays it
         self.epochs = {}            # key: the epoch under which we hold it, where it was taken over
         self.owed, self.orders_out = Owed(sense.seed), {}
+        self.looking = set()        # timers of probes that are out
         self.pushing = {}           # box: the wake-up that will send its orders
 
+    def rule(self, sense):
+        """Goes by these settings from now on."""
+        fleet = sense.site.fleet
+        kinds = {"link": NoteKind.LINK, "uplink": NoteKind.UPLINK}
+        self.load_names = tuple(sense.figures.values())     # of a probe's answer, in the order of the terms
+        self.figures = {sense.figures[name]: kind for name, kind in kinds.items()
+                        if name in sense.figures and fleet.reports == "answers"}
+        self.dial_s = self.pool.dial_s = sense.site.allowed.dial_timeout_ms / 1000
+
+    # Probes
+
+    def probe(self, box, done):
+        """Asks a box for its load. done(How, took, figures) comes once, later; it has as long as a connection has."""
+        place, began, loop = self.places.get(box), now(), asyncio.get_running_loop()
+        if place is None:
+            loop.call_soon(done, How.UNREACHED, 0, ())
+            return
+
+        def came(result):
+            late.cancel()
+            self.looking.discard(late)
+            if isinstance(result, wire.Failed):
+                done(How.RESET if result.sent else How.UNREACHED, now() - began, ())
+                return
+            figures = load.decode(result.headers.get(load.FIELD))
+            whole = result.status == 200 and all(name in figures for name in self.load_names)
+            done(How.OK if whole else How.ERROR, now() - began,
+                 tuple(figures[name] for name in self.load_names) if whole else ())
+
+        def too_late():
+            sent = call.cancel()
+            self.looking.discard(late)
+            done(How.TIMEOUT if sent else How.UNREACHED, now() - began, ())
+        late = loop.call_later(self.dial_s, too_late)
+        self.looking.add(late)
+        call = self.pool.send(place.host, place.port, "GET", "/manager/load",
+                              [("Flaxscale-Manager", self.name), *self.token], b"", came)
+
     # The list
 
     def placed(self, places):
@@ -273,7 +309,7 @@
                 self.owner.session_over(id, How.RESET)
 
     async def close(self):
-        for timer in self.pushing.values():
+        for timer in (*self.pushing.values(), *self.looking):
             timer.cancel()
         for box in list(self.streams):
             self.close_stream(box)
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -6,8 +6,10 @@
 import asyncio
 import json
 import secrets
+from collections import Counter
 from urllib.parse import quote
 
+import msgspec
 import xxhash
 
 from .. import interface as face
@@ -23,6 +25,9 @@
 from ..serve.server import Server, Times
 from ..signalling import endpoint
 from ..signalling.endpoint import Refusal
+from ..site.change import refusals
+from ..site.load import SiteError
+from ..site.terms import Sense
 from ..store.files import Files
 from .boxes import Boxes
 from .journal import FrontJournal
@@ -51,8 +56,13 @@
 
 
 class Front:
-    def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None):
-        """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers."""
+    def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
+                 reread=None):
+        """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
+
+        reread: gives the settings' file as it is now, checked (SiteError where it is not good).
+        """
+        self.reread, self.load_counts = reread, {"loaded": 0, "refused": 0}
         self.sense, self.site, self.lines = sense, sense.site, log
         self.boot, self.name = secrets.token_hex(4), f"m{sense.me}"
         self.runner = Runner(sense.terms, self, tap)
@@ -86,6 +96,55 @@
                                      "turned_away"), 0)
         self.housekeeping = None
 
+    # Settings
+
+    def reload(self):
+        """Reads the settings' file again and goes by it; Refused names what this manager can't take on.
+
+        All or nothing: the new settings are read, checked and made whole before the first of them is used.
+        """
+        try:
+            if self.reread is None:
+                raise SiteError("settings", "", "no file that could be read again")
+            site = self.reread()
+            self.refuse(site)
+            zone = next(name for name, n in self.sense.zones.items() if n == self.sense.zone)
+            sense = Sense(site, self.sense.me, site.zones.index(zone), self.sense.seed, self.sense)
+        except SiteError as bad:
+            self.lines.warning("settings refused", detail=str(bad))
+            self.load_counts["refused"] += 1
+            raise
+        self.sense, self.site = sense, site
+        self.boxes.rule(sense)
+        self.book.rule(sense.kinds, sense.zones, site.fleet.cells, sense.terms.rules.warm_within)
+        if self.watch is None:
+            self.view = FileView(site)
+        else:
+            self.view.packages = sense.packages
+        self.keys.keep, self.gate.on = round(site.front.keep_answers_ms * 10), site.front.gate
+        self.peaks.rule(site)
+        self.runner.changed(sense.terms)
+        self.load_counts["loaded"] += 1
+        self.lines.info("settings loaded", site=site.name, mark=self.mark(), viewings=len(self.viewings))
+
+    def refuse(self, site):
+        numbers = {n: name for name, n in self.sense.numbers.items()}
+        in_use = Counter(numbers[held.ask.package] for held in self.runner.held.values())
+        zone = next(name for name, n in self.sense.zones.items() if n == self.sense.zone)
+        found = refusals(self.site, site, zone, self.sense.me, in_use, self.book.rows.values(),
+                         self.runner.manager.counts_back / 10)
+        if self.watch is not None:      # a catalogue may name packages that no viewing is in yet
+            told = {name for t in self.watch.follower.titles.values() for name in (t.view, t.push) if name}
+            found += [(f"packages.{name}", "the package kept while the catalogue has titles of it")
+                      for name in sorted(told - set(site.packages))]
+        if found:
+            more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
+            raise SiteError("settings in service", found[0][0], f"{found[0][1]} expected{more}")
+
+    def mark(self):
+        """A short mark of the settings in service: the same file gives the same at every manager."""
+        return f"{xxhash.xxh3_64_intdigest(msgspec.json.encode(self.site)):016x}"
+
     # Life
 
     async def start(self, host, port, member_port=0):
@@ -183,6 +242,16 @@
             endpoint.check_token(exchange.request.headers, self.site.front.tokens)
             exchange.respond(200, [("Content-Type", "application/json")], self.state())
             return
+        if segments == ["settings", "reload"] and exchange.request.method == "POST":
+            if self.site.front.fleet_token is None:
+                raise Refusal(403, "without a fleet_token in the settings only SIGHUP loads them")
+            endpoint.check_token(exchange.request.headers, [self.site.front.fleet_token])
+            try:
+                self.reload()
+            except SiteError as bad:
+                raise Refusal(422, str(bad), key=bad.key) from None
+            exchange.respond(200, [("Content-Type", "application/json")], json.dumps(self.settings()).encode())
+            return
         raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
 
     def entry(self, title, sends):
@@ -456,6 +525,9 @@
     def list_wanted(self, on):
         pass                        # the list is pushed here
 
+    def probe(self, server):
+        self.boxes.probe(server, lambda how, took, figures: self.runner.probed(server, how, took, figures))
+
     def tell_peers(self, server, kb):
         if self.members.shell:
             self.members.shell.tell(server, kb)
@@ -550,7 +622,7 @@
 
     def seats_in_use(self):
         names = {title_id(name): name for name in self.view.told}
-        rows = list(self.site.packages.items())
+        rows = list(self.sense.rows.items())
         return {(names[title], rows[p][0]): n for (title, p), n in self.runner.manager.seats.items()
                 if rows[p][1].seats and title in names}
 
@@ -571,6 +643,9 @@
         return {"from": "service", "up": self.watch.up, "epoch": follower.epoch, "version": follower.version,
                 "titles": len(follower.titles), "heard_s_ago": age, "told_module": len(self.view.told)}
 
+    def settings(self):
+        return {"site": self.site.name, "mark": self.mark(), **self.load_counts}
+
     def state(self):
         boxes = {}
         for id, row in self.book.rows.items():
@@ -583,6 +658,7 @@
         age = None if self.book.told_at is None else (now() - self.book.told_at) / 10_000
         return json.dumps({"manager": self.name, "boot": self.boot, "list_version": self.book.version,
                            "list_heard_s_ago": age, "viewings": len(self.viewings), "counts": self.counts,
+                           "settings": self.settings(),
                            "owed": self.boxes.owed.count(), "faults": self.runner.faults,
                            "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
                            "peaks": self.peaks.state(), "members": self.members.state(), "gate": self.gate.state(),
--- a/flaxscale/front/peaks.py
+++ b/flaxscale/front/peaks.py
@@ -25,6 +25,11 @@
             from ..catalogued.peakwatch import PeakWatch  # gRPC is slow to load and most tests need none
             self.watch = PeakWatch(address, front.name, self.changed, self.heard_clock, front.lines, files, self.check)
 
+    def rule(self, site):
+        """Goes by these settings from now on; what was announced and who came to it stands."""
+        self.site, self.room_kb = site, rates_of(site)
+        self.keeper.fleet = Surroundings(self.room_of, self.front.holders, site.fleet.racks, site.fleet.uplink_kb)
+
     def start(self):
         if self.watch:
             self.watch.start()
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -283,10 +283,6 @@
     server: int
 
 
-class LetGo(NamedTuple):
-    server: int
-
-
 class TellPeers(NamedTuple):
     """Tells all other managers that we ask so much more (or less) of a server."""
     server: int
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -60,6 +60,7 @@
     catalogue: ChangesRow | None = None
     peaks: list[Announcement] = []                  # seconds of the day; put in service as it begins
     holders: dict[str, list[int]] | None = None     # with a catalogue: numbers of boxes by title, not the cells
+    after: Site | None = None           # the settings of the trouble `settings`: loaded, then the first ones again
     members: bool = False               # managers talk to each other and take over from those that die
     settle_s: float = 2.0               # before the day begins
     list_late_ms: float = 300
@@ -80,7 +81,7 @@
 
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
-         "crowd", "uplink"}
+         "crowd", "uplink", "settings"}
 MOST_PROCESSES = 400
 
 
@@ -123,6 +124,7 @@
         want(False, f"peaks.{name}", f"another figure ({detail})")
     for n, row in enumerate(day.troubles):
         at = f"troubles.{n}"
+        want(row.what != "settings" or day.after is not None, "after", "the settings that the trouble loads")
         want(row.what in BOX_TROUBLES | WHOLE, f"{at}.what", f"one of {', '.join(sorted(BOX_TROUBLES | WHOLE))}")
         want(0 <= row.at_s <= day.length_s, f"{at}.at_s", f"within the day, 0 to {day.length_s:g}")
         want(row.share is None or 0 < row.share <= 1, f"{at}.share", "over 0, at most 1")
@@ -137,6 +139,8 @@
     """The Day of a file, or SiteError with file, key and what was expected. sockets: it will start processes."""
     day = shape(file, evaluate(file, **given), Day)
     checked(file, day.site, "site.")
+    if day.after is not None:
+        checked(file, day.after, "after.")
     if found := faults(day, sockets):
         more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
         raise SiteError(file, found[0][0], f"{found[0][1]} expected{more}")
--- a/flaxscale/model/manager.py
+++ b/flaxscale/model/manager.py
@@ -16,9 +16,9 @@
         self.life += 1
         self.up, self.viewings = True, {}
         sense = Sense(self.play.day.site, self.me, 0, self.play.seed * 1000 + self.me + self.life * 7919)
-        self.figures = {sense.site.fleet.link_figure: NoteKind.LINK}
-        if sense.site.fleet.uplink_figure:
-            self.figures[sense.site.fleet.uplink_figure] = NoteKind.UPLINK
+        kinds, self.load_names = {"link": NoteKind.LINK, "uplink": NoteKind.UPLINK}, tuple(sense.figures.values())
+        self.figures = {sense.figures[name]: kind for name, kind in kinds.items()
+                        if name in sense.figures and sense.site.fleet.reports == "answers"}
         self.runner = Runner(sense.terms, self, self.play.tap)
         self.keeper = self.play.keeper(self.play.day_s() if self.life > 1 else None)
         self.told = {row.server: row for row in rows}
@@ -75,6 +75,9 @@
     def tell_peers(self, server, kb):
         self.play.peer_word(self, server, kb)
 
+    def probe(self, server):
+        self.play.probe(self, self.life, server)
+
     def log(self, text):
         self.play.faults.append(text)
 
@@ -93,6 +96,10 @@
         else:
             self.runner.ended(id, nth, how, took)
 
+    def probed(self, life, server, how, took, figures):
+        if self.up and life == self.life:
+            self.runner.probed(server, how, took, [figures[name] for name in self.load_names] if figures else ())
+
     def lost(self, life, id, nth, how=How.RESET):
         if self.up and life == self.life and id in self.viewings:
             if self.runner.held[id].phase is Phase.PLAYS:
--- a/flaxscale/recovery/boxes.py
+++ b/flaxscale/recovery/boxes.py
@@ -49,10 +49,14 @@
     """Keeps rows by id. `kinds` and `zones` give the terms' numbers of names; cells is their count."""
 
     def __init__(self, kinds, zones, cells, warm_within):
-        self.kinds, self.zones, self.cells, self.warm_within = kinds, zones, cells, warm_within
+        self.rule(kinds, zones, cells, warm_within)
         self.rows, self.starts, self.places, self.version = {}, {}, {}, None
         self.told_at = None
 
+    def rule(self, kinds, zones, cells, warm_within):
+        """Goes by these settings from now on; the rows that stand fit them."""
+        self.kinds, self.zones, self.cells, self.warm_within = kinds, zones, cells, warm_within
+
     def apply(self, name, text, now):
         """(ListKind, entries) of a `full` or `delta` message, or None where it says nothing new.
 
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -122,7 +122,8 @@
 def read(folder):
     folder = pathlib.Path(folder)
     try:
-        site = json.loads((folder / "day.json").read_text())["site"]
+        day = json.loads((folder / "day.json").read_text())
+        site = laxer(day["site"], day.get("after"))
         clients = rows_of(folder / "clients.jsonl")
         told = rows_of(folder / "boxlist.jsonl")
         lab = rows_of(folder / "lab.jsonl")
@@ -150,6 +151,26 @@
                    Versions(rows_of(folder / "catalogue.jsonl")) if (folder / "catalogue.jsonl").exists() else None)
 
 
+def laxer(site, after):
+    """What binds on a day on which settings changed: of each rule's figure the laxer, as either may be in force."""
+    if not after:
+        return site
+    rules, other, packages = dict(site["rules"]), after["rules"], {}
+    rules["drain_grace_ms"] = max(rules["drain_grace_ms"], other["drain_grace_ms"])
+    if rules.get("further") and other.get("further"):
+        one, two = rules["further"], other["further"]
+        rules["further"] = {"free": max(one["free"], two["free"]), "share": max(one["share"], two["share"]),
+                            "span_ms": min(one["span_ms"], two["span_ms"])}
+    else:
+        rules["further"] = None
+    for name in {**site["packages"], **after["packages"]}:
+        rows = [row for row in (site["packages"].get(name), after["packages"].get(name)) if row]
+        packages[name] = {**rows[0], "floor": min(row["floor"] for row in rows),
+                          "seats": 0 if any(not row["seats"] for row in rows) else max(row["seats"] for row in rows),
+                          "effect": rows[0]["effect"] if len({row["effect"] for row in rows}) == 1 else "safe"}
+    return {**site, "rules": rules, "packages": packages}
+
+
 def spans(lab, begin, finish):
     out = {}
     for row in lab:
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -55,6 +55,7 @@
     def answer(self, id: int, answer: Answer) -> None: ...
     def list_wanted(self, on: bool) -> None: ...
     def tell_peers(self, server: int, kb: float) -> None: ...
+    def probe(self, server: int) -> None: ...                             # comes back as probed(), always
     def log(self, text: str) -> None: ...
 
 
@@ -88,6 +89,7 @@
                      face.Remind: self.remind, face.KeepListed: lambda act: port.list_wanted(act.on),
                      face.FetchList: lambda act: port.list_wanted(True),
                      face.TellPeers: lambda act: port.tell_peers(act.server, act.kb),
+                     face.Probe: lambda act: port.probe(act.server),
                      face.Log: lambda act: port.log(act.text)}
 
     # What the world tells
@@ -181,6 +183,14 @@
     def peer_says(self, peer, server, kb):
         self.step(face.PeerSays(peer, server, kb))
 
+    def probed(self, server, how, took, load=()):
+        """What came of a probe; load: the figures that the terms name, in their order, or none."""
+        self.step(face.Probed(server, how, took, tuple(load)))
+
+    def changed(self, terms):
+        """Other terms from now on. What was taken in stays: its phase, its deadline, the answer that it is owed."""
+        self.step(face.Changed(terms))
+
     def tick(self):
         """Timers that are due."""
         now, self.woken = self.port.now(), None
--- a/flaxscale/site/shapes.py
+++ b/flaxscale/site/shapes.py
@@ -46,6 +46,9 @@
     note_every_ms: float = 3000
     link_figure: str = "x0"             # names in the load reports
     uplink_figure: str | None = None
+    streams_figure: str | None = None   # streams that a box runs
+    reports: Literal["answers", "probe"] = "answers"    # how boxes report their load: unasked, or to probes only
+    weights: Literal["sizes", "none"] = "sizes"         # what the list's weights tell; none: places tell sizes
 
 
 class FurtherRow(Struct, forbid_unknown_fields=True):
@@ -69,6 +72,7 @@
     call_off: bool = True
     hold_off_most_ms: float = 0         # 0: no hold-off
     peers: bool = False
+    probes: bool = False
     dial_timeout_ms: float = 250
 
 
@@ -77,6 +81,7 @@
     move: float = 0.1
     late: float = 0.05
     peer: float = 0.01
+    probe: float = 0
 
 
 class GoalRow(Struct, forbid_unknown_fields=True):
@@ -160,7 +165,14 @@
          "at least one kind, each with 1 stream or more")
     want(fleet.kb_per_weight > 0, "fleet.kb_per_weight", "over 0")
     want(fleet.uplink_kb > 0, "fleet.uplink_kb", "over 0")
-    want(fleet.note_every_ms > 0, "fleet.note_every_ms", "over 0")
+    asked = fleet.reports == "probe"
+    want(fleet.note_every_ms > 0 or fleet.note_every_ms == 0 and asked, "fleet.note_every_ms",
+         "over 0, or 0 where fleet.reports is 'probe'")
+    want(site.allowed.probes or not asked, "allowed.probes", "true, as fleet.reports is 'probe',")
+    figures = [name for name in (fleet.link_figure, fleet.uplink_figure, fleet.streams_figure) if name is not None]
+    want(len(set(figures)) == len(figures), "fleet.link_figure", "another name than the other figures'")
+    for key in ("cross_zone", "move", "late", "peer", "probe"):
+        want(getattr(site.prices, key) >= 0, f"prices.{key}", "0 or more")
     rules = site.rules
     want(rules.warm_within_ms > 0, "rules.warm_within_ms", "over 0")
     want(0 < rules.start_capacity <= 1, "rules.start_capacity", "over 0, at most 1")
--- a/flaxscale/site/terms.py
+++ b/flaxscale/site/terms.py
@@ -24,44 +24,63 @@
     return site
 
 
+def numbered(names, before):
+    """Numbers of names. Those given before stay, also of names that are gone: what is in work goes by them."""
+    out = dict(before)
+    for name in names:
+        out.setdefault(name, len(out))
+    return out
+
+
 class Sense:
-    """A site as one manager reads it: its terms, and numbers for the names of packages, kinds and zones."""
+    """A site as one manager reads it: its terms, and numbers for the names of packages, kinds and zones.
+
+    before: the Sense that is in service, where this one is to follow it in a running manager.
+    """
 
-    def __init__(self, site, me=0, zone=0, seed=0):
-        self.site, self.me, self.zone, self.seed = site, me, zone, seed
-        self.packages = {name: n for n, name in enumerate(site.packages)}
-        self.kinds = {name: n for n, name in enumerate(site.fleet.kinds)}
-        self.zones = {name: n for n, name in enumerate(site.zones)}
+    def __init__(self, site, me=0, zone=0, seed=0, before=None):
+        self.site, self.me, self.seed = site, me, seed
+        self.zones = numbered(site.zones, before.zones if before else {})
+        self.zone = self.zones[site.zones[zone]]
+        self.kinds = numbered(site.fleet.kinds, before.kinds if before else {})
+        self.places = {**(before.places if before else {}), **site.fleet.kinds}     # by kind, gone ones too
+        numbers = numbered(site.packages, before.numbers if before else {})
+        self.rows = {name: site.packages.get(name) or before.rows[name] for name in numbers}
+        self.numbers, self.packages = numbers, {name: numbers[name] for name in site.packages}
+        self.figures = {name: figure for name, figure in (
+            ("link", site.fleet.link_figure), ("uplink", site.fleet.uplink_figure),
+            ("streams", site.fleet.streams_figure)) if figure}
         self.terms = self.make()
 
     def make(self):
         site, rungs = self.site, len(self.site.ladder.kb)
         rules, fleet, allowed = site.rules, site.fleet, site.allowed
-        names = (fleet.link_figure,) + ((fleet.uplink_figure,) if fleet.uplink_figure else ())
         further = rules.further
         return face.SiteTerms(
             me=self.me, peers=site.managers, zone=self.zone, seed=self.seed, asks_for_list=False,
             packages=tuple(face.Package(
                 span(p.join_target_ms), p.value, p.effect, p.group, span(p.repeat_window_ms), p.floor,
-                min(p.top, rungs - 1), p.scale, p.seats, p.live) for p in site.packages.values()),
+                min(p.top, rungs - 1), p.scale, p.seats, p.live) for p in self.rows.values()),
             ladder=face.Ladder(tuple(site.ladder.kb), tuple(site.ladder.worth),
                                round(site.ladder.switch_cost_ms * 10), site.ladder.stall, site.ladder.join),
-            fleet=face.FleetTerms(fleet.cells, fleet.racks, tuple(fleet.kinds.values()), fleet.kb_per_weight,
+            fleet=face.FleetTerms(fleet.cells, fleet.racks, tuple(self.places.values()), fleet.kb_per_weight,
                                   fleet.uplink_kb, fleet.guard, round(fleet.note_lag_ms * 10),
-                                  round(fleet.note_every_ms * 10), names),
+                                  round(fleet.note_every_ms * 10), tuple(self.figures), fleet.reports == "probe",
+                                  fleet.weights == "sizes"),
             rules=face.RuleTerms(span(rules.drain_grace_ms), round(rules.warm_within_ms * 10),
                                  rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10),
                                  span(rules.ask_within_ms), further and further.free, further and further.share,
                                  further and round(further.span_ms * 10)),
             allowed=face.Allowed(allowed.tune_ins, allowed.call_off, allowed.hold_off_most_ms > 0,
-                                 span(allowed.hold_off_most_ms), allowed.peers, False,
+                                 span(allowed.hold_off_most_ms), allowed.peers, allowed.probes,
                                  span(allowed.dial_timeout_ms)),
-            prices=face.Prices(site.prices.cross_zone, site.prices.move, site.prices.late, site.prices.peer),
+            prices=face.Prices(site.prices.cross_zone, site.prices.move, site.prices.late, site.prices.peer,
+                               site.prices.probe),
             goal=face.Goal(site.goal.whole, site.goal.worst_window, site.goal.worst_package))
 
     def patience(self, package, wait):
         """Viewer patience in tenths: the client's own word, up to a bound, else the package's."""
-        row = list(self.site.packages.values())[package]
+        row = list(self.rows.values())[package]
         if wait is None:
             return span(row.patience_ms)
         return span(min(wait * 1000, self.site.front.patience_most_ms))
--- a/flaxscale/standins/box.py
+++ b/flaxscale/standins/box.py
@@ -38,6 +38,7 @@
     start_capacity: float
     tip_multiple: float
     fall: int
+    reports: str = "answers"    # "probe": load is told to probes only
 
 
 def site_of(site):
@@ -46,7 +47,7 @@
     return Site(tuple(site.ladder.kb), {n: (p.scale, p.live, p.floor) for n, p in site.packages.items()},
                 {n: (t.first_cell, t.cells, t.view, t.push) for n, t in site.titles.items()}, site.fleet.cells,
                 site.ladder.join, site.fleet.guard, site.fleet.uplink_kb, round(rules.warm_within_ms * 10),
-                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10))
+                rules.start_capacity, rules.tip_multiple, round(rules.fall_ms * 10), site.fleet.reports)
 
 
 class Session:
@@ -157,7 +158,7 @@
 
     def figures(self, now):
         link, uplink = self.uses(now)
-        return {"x0": link * self.trouble.lie, "x1": uplink * self.trouble.lie}
+        return {"x0": link * self.trouble.lie, "x1": uplink * self.trouble.lie, "inflight": len(self.sessions)}
 
     # Set-ups
 
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -60,7 +60,8 @@
             self.beat()
         if self.catalogue:
             self.catalogue.start()
-        self.later(self.note_every, self.notes)
+        if self.note_every:
+            self.later(self.note_every, self.notes)
         self.later(10_000, self.shortage)
         self.record.put("start", box=self.box.place.id, boot=self.box.boot, cell=self.box.place.cell,
                         slots=self.box.place.slots, up=now() - self.box.started_at)
@@ -190,8 +191,8 @@
             exchange.kill()
             self.record.put("closed", key=key)
             return
-        figures = {**self.box.figures(now())}
-        rows = [(load.FIELD, load.encode(figures)), ("Flaxscale-Ran", "yes" if verdict.ran else "no"),
+        told = [(load.FIELD, load.encode(self.box.figures(now())))] if self.box.site.reports == "answers" else []
+        rows = [*told, ("Flaxscale-Ran", "yes" if verdict.ran else "no"),
                 ("Flaxscale-Boot", self.box.boot)]
         if session is None:
             self.record.put("answer", key=key, status=verdict.status, ran=verdict.ran)
@@ -299,10 +300,10 @@
     def manager(self, exchange, what):
         request, name = exchange.request, exchange.request.headers.get("flaxscale-manager", "")
         act = {("notes", "GET"): self.note_stream, ("orders", "POST"): self.orders, ("sessions", "GET"): self.sessions,
-               ("adopt", "POST"): self.claims}.get((what, request.method))
+               ("adopt", "POST"): self.claims, ("load", "GET"): self.load}.get((what, request.method))
         if act is None or (not name and what in ("notes", "adopt")):
-            raise endpoint.Refusal(404, "the paths are /manager/notes and /manager/sessions (GET), /manager/orders "
-                                        "and /manager/adopt (POST)")
+            raise endpoint.Refusal(404, "the paths are /manager/notes, /manager/load and /manager/sessions (GET), "
+                                        "/manager/orders and /manager/adopt (POST)")
         act(exchange, name)
 
     def note_stream(self, exchange, name):
@@ -343,6 +344,12 @@
                 self.record.put("rung", key=key, rung=set_to)
         self.say(exchange, {"fenced": fenced})
 
+    def load(self, exchange, name):
+        """A probe: answered beside the set-ups, so that it says that the process runs and how full it is."""
+        self.record.put("probed", manager=name)
+        if not self.box.trouble.hang:
+            exchange.respond(200, [(load.FIELD, load.encode(self.box.figures(now())))], b"")
+
     def sessions(self, exchange, name):
         _, args = endpoint.split(exchange.request.target)
         if not self.box.trouble.hang:
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -143,8 +143,6 @@
         return "fetch", (me,)
     if isinstance(act, face.Probe):
         return "inspect", (me, act.server)
-    if isinstance(act, face.LetGo):
-        return "let_go", (me, act.server)
     if isinstance(act, face.TellPeers):
         return "memo_to", (me, ALL_PEERS, PEER_WORD.pack(act.server, act.kb))
     return "log", (me, act.text.encode())
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -367,6 +367,7 @@
 
     async def test_a_push_is_judged_by_its_own_packages_patience(self):
         gate = self.fronts[0].gate
+        self.fronts[0].lag_timer.cancel()   # or it judges anew between the two
         gate.lag = 15_000                   # over the 1.2 s of a push, under the 2 s of who watches the same title
         self.assertEqual("plays", (await self.ask("only")).fate)
         seen = await self.ask("only", sends=True, patience=1.2)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -41,6 +41,9 @@
     def tell_peers(self, server, kb):
         self.did.append(("tell", server))
 
+    def probe(self, server):
+        self.did.append(("probe", server))
+
     def log(self, text):
         self.did.append(("log", text))
 
@@ -167,3 +170,21 @@
             self.later(40_000)
             traces.append(self.port.did)
         self.assertEqual(*traces)
+
+    def test_a_probe_goes_out_and_its_answer_is_heard(self):
+        self.start(probes=True)
+        self.runner.asked(face.Asked(1, 0, 9, 1, 30_000, 2, 0, 3, 0, False, False))
+        self.assertEqual({("probe", 1), ("probe", 2)}, {d for d in self.port.did if d[0] == "probe"})
+        self.runner.probed(1, How.TIMEOUT, 2_500)
+        self.runner.probed(2, How.OK, 30, (5.0, 0.2, 0.1))
+        self.assertEqual((0.2, None), tuple(srv.link.heard_at and srv.link.base
+                                            for srv in map(self.runner.manager.servers.get, (2, 1))))
+
+    def test_every_action_has_somewhere_to_go(self):
+        """An action type without an entry would fail in service only when the module first wants it."""
+        actions = {face.TuneIn, face.SetRung, face.Block, face.Abort, face.CallOff, face.Move, face.Remind,
+                   face.KeepListed, face.FetchList, face.Probe, face.TellPeers, face.Log}
+        self.start()
+        self.assertEqual(actions, set(self.runner.does))
+        rows = [t for t in vars(face).values() if isinstance(t, type) and issubclass(t, tuple)]
+        self.assertEqual(actions, set(rows[rows.index(face.TuneIn):]))
