--- a/flaxscale/cli/journal.py
+++ b/flaxscale/cli/journal.py
@@ -65,14 +65,15 @@
 
 @click.group()
 def managers():
-    """Managers that talk to each other."""
+    """Managers in service: who is alive, and the settings that they go by."""
 
 
 AT = click.option("--at", default="127.0.0.1:8080", show_default=True, metavar="HOST:PORT", help="Any manager.")
 TOKEN = click.option("--token", default=None, help="A bearer token of the site.")
 
 
-def state_of(at, token):
+def asked(at, token, method="GET", path="/state"):
+    """The object that a manager answers with; anything else ends the program with one line and status 2."""
     from ..serve.pool import Answer, Pool
 
     async def ask():
@@ -80,7 +81,7 @@
         host, _, port = at.rpartition(":")
         if not port.isdigit():
             raise OSError("HOST:PORT expected")
-        pool.send(host, int(port), "GET", "/state", [("Authorization", f"Bearer {token}")] if token else [], b"",
+        pool.send(host, int(port), method, path, [("Authorization", f"Bearer {token}")] if token else [], b"",
                   lambda result: came.done() or came.set_result(result))
         try:
             result = await asyncio.wait_for(came, 5.0)
@@ -89,7 +90,11 @@
         if not isinstance(result, Answer):
             raise OSError(result.detail)
         if result.status != 200:
-            raise OSError(f"status {result.status}")
+            try:
+                said = json.loads(result.body)["detail"]
+            except (ValueError, KeyError, TypeError):
+                said = "no more was said"
+            raise OSError(f"status {result.status}: {said}")
         return json.loads(result.body)
     try:
         return service.run(ask())
@@ -98,12 +103,22 @@
         sys.exit(BAD)
 
 
+@managers.command()
+@AT
+@click.option("--token", required=True, help="The site's fleet_token.")
+def reload(at, token):
+    """Let a manager read its settings file again; it refuses by name what it can't take on, and serves on."""
+    told = asked(at, token, "POST", "/settings/reload")
+    click.echo(f"{told['site']}: settings {told['mark']} in service; loaded {told['loaded']} times, "
+               f"refused {told['refused']} times")
+
+
 @managers.command("list")
 @AT
 @TOKEN
 def list_command(at, token):
     """Who is alive, as one manager sees it."""
-    state = state_of(at, token)
+    state = asked(at, token)
     known = state["members"]
     click.echo(f"{state['manager']} (asked): {state['viewings']} viewings, {known['taken_over']} taken over")
     if not known["on"]:
@@ -118,7 +133,7 @@
 @TOKEN
 def why(name, at, token):
     """Why a manager is what it is to the one asked."""
-    known = state_of(at, token)["members"]
+    known = asked(at, token)["members"]
     row = known.get("members", {}).get(name)
     if row is None:
         click.echo(f"flaxscale: {name}: not known at {at}", err=True)
