--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -25,7 +25,7 @@
 REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
 TRY_LEAST = SECOND // 4     # no tune-in gets less than this
-DRAWN, NEARER = 8, 3        # holders drawn of those heard of; how much likelier near ones are of the others
+DRAWN = 8                   # so many are looked at of the holders heard of, and of the others; near ones first
 DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
 PACE_SHARE = 0.7            # of the pace that pushes a cold server over
 DEEP, STILL = 0.94, 0.25    # shares delivered that shed by themselves; under the lower nothing flows at all
@@ -540,11 +540,11 @@
             if not (srv.viewings and every) and (srv.link.heard_at or 0) < old:
                 srv.link.heard_at = None
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
-        dark = {srv: max(1.0, srv.link.kb * (1 - srv.use())) * (1 if self.crossing(srv) else NEARER)
-                for srv in holders if srv.link.heard_at is None}
+        dark = {srv: max(1.0, srv.link.kb * (1 - srv.use()))
+                for srv in self.some([srv for srv in holders if srv.link.heard_at is None], DRAWN)}
         drawn = dark and max(dark, key=lambda srv: log(self.chance() + 1e-9) / dark[srv])
         # Of those heard of a few: figures come to all managers at once, who would all take the same best.
-        heard = self.some([srv for srv in holders if srv not in dark], DRAWN)
+        heard = self.some([srv for srv in holders if srv.link.heard_at is not None], DRAWN)
         fits = [(*self.fit(srv, vw), srv) for srv in (heard + [drawn] if drawn else heard)]
         best = max((fit for fit in fits if fit[0] is not None), default=None, key=lambda fit: (
             vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2]), fit[1]))
