--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -552,8 +552,8 @@
 
     def some(self, holders, count):
         """So many of them by chance, near ones first."""
-        near, found = [srv for srv in holders if not self.crossing(srv)], []
-        for pool in (near, [srv for srv in holders if self.crossing(srv)]):
+        far, found = {srv for srv in holders if self.crossing(srv)} if self.cross else (), []
+        for pool in ([srv for srv in holders if srv not in far], [srv for srv in holders if srv in far]):
             while pool and len(found) < count:
                 found.append(pool.pop(int(self.chance() * len(pool))))
         return found
@@ -582,9 +582,10 @@
                 or vw.nth >= 0 and not self.may_repeat(vw)):
             return []
         holders = [srv for srv in self.holders(vw)
-                   if (srv.usable if srv.judged == self.calls else self.judge(srv))
-                   and self.near_enough(vw, srv.row)
-                   and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)]
+                   if (srv.usable if srv.judged == self.calls else self.judge(srv))]
+        if vw.ran_at is not None or self.lacking:
+            holders = [srv for srv in holders if self.near_enough(vw, srv.row)
+                       and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)]
         sound = [srv for srv in holders if self.sound(srv)]
         if sound or not bad_too:
             return sound
