--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -112,7 +112,7 @@
         self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
-        self.looked_at = None       # when a probe went out that has not come back
+        self.looking = False        # a probe of it is out
         self.judged, self.usable = -1, False    # in which call it was judged, and how
         self.kept = 0.0             # kB a second of its link that an announced peak has not taken yet
 
@@ -144,7 +144,7 @@
 
 class Manager:
     def __init__(self, terms):
-        self.servers, self.racks, self.cells, self.links_kb = {}, {}, {}, 1.0
+        self.servers, self.racks, self.cells = {}, {}, {}
         self.links, self.uplinks = {}, {}       # by rack: links; what others ask of it, and as of when
         self.asked_kb = 0.0         # what all our viewings ask
         self.viewings, self.waiting, self.seats = {}, [], Counter()
@@ -163,7 +163,7 @@
 
     def rule(self, terms):
         """Goes by these terms from now on."""
-        self.terms, self.rules, self.allowed, self.marks = terms, terms.rules, terms.allowed, {}
+        self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
         self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
         self.looks = int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9))) if (
             terms.allowed.probes and terms.fleet.load_by_probe) else 0
@@ -180,7 +180,6 @@
         for srv in self.servers.values():
             self.stand(srv)
             self.recount(srv)
-        self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
         self.set_rungs({vw: vw.in_bounds() for vw in self.viewings.values() if vw.playing and vw.server})
 
     def weigh(self):
@@ -230,12 +229,11 @@
                 self.out.append(face.KeepListed(True))
         if now >= self.weighed_at + SECOND:
             self.weigh()
-        act = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
-               face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
-               face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
-               face.Kept: self.keep, face.Catalogued: self.catalogued,
-               face.Changed: self.changed}.get(type(event))
-        if act:
+        acts = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
+                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
+                face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
+                face.Kept: self.keep, face.Catalogued: self.catalogued, face.Changed: self.changed}
+        if act := acts.get(type(event)):
             act(event)
         return self.out
 
@@ -247,32 +245,34 @@
 
     def look(self, vw):
         """Where only probes bring load reports, a few holders are asked while it waits for its slot."""
-        old = self.now - LOOK_AGAIN
         dim = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
-               and (srv.link.heard_at or 0) <= old] if self.looks else []
+               and self.dim(srv)] if self.looks else []
         for srv in self.some(dim, self.looks):
             self.probe(srv)
 
+    def dim(self, srv):
+        return self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN
+
     def probe(self, srv):
-        if srv.looked_at is None:
-            srv.looked_at = self.now
+        if not srv.looking:
+            srv.looking = True
             self.out.append(face.Probe(srv.row.server))
 
     def look_up(self):
         """What plays at its lowest rung is looked after too: it may have begun in a crowd."""
-        for vw in list(self.viewings.values()) if self.looks else ():
+        for vw in self.viewings.values() if self.looks else ():
             srv = vw.server
             if (vw.playing and srv and vw.rung == vw.floor < vw.top
                     and self.now - vw.stepped_at >= vw.look_after):
                 vw.look_after *= 3
-                if self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN:
+                if self.dim(srv):
                     self.probe(srv)
 
     def probed(self, event):
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
         if srv is None:
             return
-        srv.looked_at = None
+        srv.looking = False
         if event.how is not How.OK:
             srv.rests_until = self.now + REST
         if "uplink" in figures:
@@ -357,7 +357,7 @@
         self.titles[event.title] = event
         changed = [vw for vw in self.viewings.values() if vw.ask.title == event.title]
         for vw in changed:
-            vw.bound(event.low, event.top)
+            self.bind(vw)
         self.set_rungs({vw: vw.in_bounds() for vw in changed if vw.playing and vw.server})
 
     def keep(self, event):
@@ -552,8 +552,10 @@
 
     def some(self, holders, count):
         """So many of them by chance, near ones first."""
-        far, found = {srv for srv in holders if self.crossing(srv)} if self.cross else (), []
-        for pool in ([srv for srv in holders if srv not in far], [srv for srv in holders if srv in far]):
+        near, far, found = [], [], []
+        for srv in holders:
+            (far if self.crossing(srv) else near).append(srv)
+        for pool in (near, far):
             while pool and len(found) < count:
                 found.append(pool.pop(int(self.chance() * len(pool))))
         return found
@@ -654,7 +656,7 @@
         if self.usual_at != self.now:
             self.usual_at, peers, few = self.now, self.terms.peers, FEW / (len(self.viewings) + FEW)
             n, told = (sum(ring.since(self.now - 8 * SECOND)) for ring in (self.tellings, self.told))
-            own = self.asked_kb / self.links_kb
+            own = self.asked_kb / max(1.0, sum(srv.link.kb for srv in self.servers.values()))
             self.usual_use = told / n if n else (peers - 1) * ((1 - few) * own + few * GUESS / peers)
         return self.usual_use
 
@@ -674,7 +676,7 @@
     # Health and the cold pace
 
     def sound(self, srv):
-        return (self.now >= max(srv.rests_until, srv.shut_until) and srv.looked_at is None
+        return (self.now >= max(srv.rests_until, srv.shut_until) and not srv.looking
                 and not (srv.ills and any(not vw.playing for vw in srv.viewings.values())))
 
     def ill(self, srv):
@@ -722,7 +724,6 @@
             srv.row._replace(state=State.GONE) for server, srv in self.servers.items() if server not in named]
         for row in [*event.entries, *left_out]:
             self.listed(row)
-        self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
 
     def listed(self, row):
         fleet, srv = self.terms.fleet, self.servers.get(row.server)
