Reread of the program: one request with a limit, one way to refuse a file, numbers by order

Probes, orders and PATCH had a timer each round Pool.send; the pool owns the limit now (within_s), and set-ups are still sent without. The first fault of a file and the count of the others was put together in three places: site.load.refuse. The settings' mark is made at a load, not at each GET /state. The lab's trouble settings names its managers like others.

--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -15,6 +15,7 @@
 from ..signalling import load
 
 GATHER_S = 0.05                 # orders to one box wait so long for others
+ORDERS_S = 2.0                  # orders left unanswered so long are sent again
 RAN = "flaxscale-ran"           # "no" in an answer: the set-up never ran and never will
 
 
@@ -53,46 +54,33 @@
         self.playing, self.boots = {}, {}       # box: {key: viewing}; key: the start of the box that plays it
         self.epochs = {}            # key: the epoch under which we hold it, where it was taken over
         self.owed, self.orders_out = Owed(sense.seed), {}
-        self.looking = set()        # timers of probes that are out
         self.pushing = {}           # box: the wake-up that will send its orders
 
     def rule(self, sense):
         """Goes by these settings from now on."""
-        fleet = sense.site.fleet
-        kinds = {"link": NoteKind.LINK, "uplink": NoteKind.UPLINK}
-        self.load_names = tuple(sense.figures.values())     # of a probe's answer, in the order of the terms
-        self.figures = {sense.figures[name]: kind for name, kind in kinds.items()
-                        if name in sense.figures and fleet.reports == "answers"}
+        self.load_names, self.figures = sense.load_names, sense.notes
         self.dial_s = self.pool.dial_s = sense.site.allowed.dial_timeout_ms / 1000
 
     # Probes
 
     def probe(self, box, done):
         """Asks a box for its load. done(How, took, figures) comes once, later; it has as long as a connection has."""
-        place, began, loop = self.places.get(box), now(), asyncio.get_running_loop()
+        place, began = self.places.get(box), now()
         if place is None:
-            loop.call_soon(done, How.UNREACHED, 0, ())
+            asyncio.get_running_loop().call_soon(done, How.UNREACHED, 0, ())
             return
 
         def came(result):
-            late.cancel()
-            self.looking.discard(late)
             if isinstance(result, wire.Failed):
-                done(How.RESET if result.sent else How.UNREACHED, now() - began, ())
+                how = How.UNREACHED if not result.sent else How.TIMEOUT if result.late else How.RESET
+                done(how, now() - began, ())
                 return
             figures = load.decode(result.headers.get(load.FIELD))
             whole = result.status == 200 and all(name in figures for name in self.load_names)
             done(How.OK if whole else How.ERROR, now() - began,
                  tuple(figures[name] for name in self.load_names) if whole else ())
-
-        def too_late():
-            sent = call.cancel()
-            self.looking.discard(late)
-            done(How.TIMEOUT if sent else How.UNREACHED, now() - began, ())
-        late = loop.call_later(self.dial_s, too_late)
-        self.looking.add(late)
-        call = self.pool.send(place.host, place.port, "GET", "/manager/load",
-                              [("Flaxscale-Manager", self.name), *self.token], b"", came)
+        self.pool.send(place.host, place.port, "GET", "/manager/load",
+                       [("Flaxscale-Manager", self.name), *self.token], b"", came, self.dial_s)
 
     # The list
 
@@ -198,7 +186,6 @@
 
     def send_orders(self, box, place, ends, rungs):
         def came(result):
-            late.cancel()
             self.orders_out.pop(box, None)
             good = isinstance(result, wire.Answer) and result.status == 200
             self.owed.sent(box, good, now())
@@ -208,16 +195,11 @@
                     if key not in self.owed.keys(box):
                         self.epochs.pop(key, None)
             self.push(box)
-
-        def too_late():
-            call.cancel()
-            came(wire.Failed(True, "no answer to orders"))
-        late = asyncio.get_running_loop().call_later(2.0, too_late)
-        call = self.orders_out[box] = self.pool.send(
+        self.orders_out[box] = self.pool.send(
             place.host, place.port, "POST", "/manager/orders",
             [("Content-Type", "application/json"), ("Flaxscale-Manager", self.name), *self.token],
             msgspec.json.encode({"end": ends, "rungs": rungs, "epochs": {
-                key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs}}), came)
+                key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs}}), came, ORDERS_S)
 
     def fenced(self, box, body):
         """Orders that the box refused: another manager took the viewing over. It is let go, not ended."""
@@ -309,7 +291,7 @@
                 self.owner.session_over(id, How.RESET)
 
     async def close(self):
-        for timer in (*self.pushing.values(), *self.looking):
+        for timer in self.pushing.values():
             timer.cancel()
         for box in list(self.streams):
             self.close_stream(box)
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -26,7 +26,7 @@
 from ..signalling import endpoint
 from ..signalling.endpoint import Refusal
 from ..site.change import refusals
-from ..site.load import SiteError
+from ..site.load import SiteError, refuse
 from ..site.terms import Sense
 from ..store.files import Files
 from .boxes import Boxes
@@ -55,6 +55,11 @@
         self.slot_wait = 0      # what the module's slot kept it waiting, less what the timer was late
 
 
+def mark_of(site):
+    """A short mark of settings: the same file gives the same at every manager."""
+    return f"{xxhash.xxh3_64_intdigest(msgspec.json.encode(site)):016x}"
+
+
 class Front:
     def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
                  reread=None):
@@ -63,7 +68,7 @@
         reread: gives the settings' file as it is now, checked (SiteError where it is not good).
         """
         self.reread, self.load_counts = reread, {"loaded": 0, "refused": 0}
-        self.sense, self.site, self.lines = sense, sense.site, log
+        self.sense, self.site, self.mark, self.lines = sense, sense.site, mark_of(sense.site), log
         self.boot, self.name = secrets.token_hex(4), f"m{sense.me}"
         self.runner = Runner(sense.terms, self, tap)
         self.boxes = Boxes(self, sense, self.name, log)
@@ -99,22 +104,21 @@
     # Settings
 
     def reload(self):
-        """Reads the settings' file again and goes by it; Refused names what this manager can't take on.
+        """Reads the settings' file again and goes by it; SiteError names what this manager can't take on.
 
         All or nothing: the new settings are read, checked and made whole before the first of them is used.
         """
         try:
             if self.reread is None:
                 raise SiteError("settings", "", "no file that could be read again")
-            site = self.reread()
-            self.refuse(site)
-            zone = next(name for name, n in self.sense.zones.items() if n == self.sense.zone)
-            sense = Sense(site, self.sense.me, site.zones.index(zone), self.sense.seed, self.sense)
+            site, was = self.reread(), self.sense
+            refuse("settings in service", self.refusals(site))
+            sense = Sense(site, was.me, site.zones.index(was.zone_name), was.seed, was)
         except SiteError as bad:
             self.lines.warning("settings refused", detail=str(bad))
             self.load_counts["refused"] += 1
             raise
-        self.sense, self.site = sense, site
+        self.sense, self.site, self.mark = sense, site, mark_of(site)
         self.boxes.rule(sense)
         self.book.rule(sense.kinds, sense.zones, site.fleet.cells, sense.terms.rules.warm_within)
         if self.watch is None:
@@ -125,25 +129,18 @@
         self.peaks.rule(site)
         self.runner.changed(sense.terms)
         self.load_counts["loaded"] += 1
-        self.lines.info("settings loaded", site=site.name, mark=self.mark(), viewings=len(self.viewings))
+        self.lines.info("settings loaded", site=site.name, mark=self.mark, viewings=len(self.viewings))
 
-    def refuse(self, site):
-        numbers = {n: name for name, n in self.sense.numbers.items()}
-        in_use = Counter(numbers[held.ask.package] for held in self.runner.held.values())
-        zone = next(name for name, n in self.sense.zones.items() if n == self.sense.zone)
-        found = refusals(self.site, site, zone, self.sense.me, in_use, self.book.rows.values(),
+    def refusals(self, site):
+        names = list(self.sense.rows)
+        in_use = Counter(names[held.ask.package] for held in self.runner.held.values())
+        found = refusals(self.site, site, self.sense.zone_name, self.sense.me, in_use, self.book.rows.values(),
                          self.runner.manager.counts_back / 10)
         if self.watch is not None:      # a catalogue may name packages that no viewing is in yet
             told = {name for t in self.watch.follower.titles.values() for name in (t.view, t.push) if name}
             found += [(f"packages.{name}", "the package kept while the catalogue has titles of it")
                       for name in sorted(told - set(site.packages))]
-        if found:
-            more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
-            raise SiteError("settings in service", found[0][0], f"{found[0][1]} expected{more}")
-
-    def mark(self):
-        """A short mark of the settings in service: the same file gives the same at every manager."""
-        return f"{xxhash.xxh3_64_intdigest(msgspec.json.encode(self.site)):016x}"
+        return found
 
     # Life
 
@@ -373,27 +370,20 @@
         vw = self.session(exchange, want)
 
         def came(result):
-            late.cancel()
             if not hasattr(result, "status"):
+                if result.late:
+                    exchange.refuse(504, "No video server answered in time")
+                    return
                 exchange.refuse(502, "The video server failed", result.detail)
                 return
             keep = [(name.title(), result.headers[name]) for name in ("etag", "content-type", "accept-patch")
                     if name in result.headers]
             exchange.respond(result.status, [*keep, *endpoint.CORS], result.body)
-
-        def too_late():
-            call.cancel()
-            exchange.refuse(504, "No video server answered in time")
-        late = self.loop.call_later(PATCH_S, too_late)
         host, port = vw.place
         call = self.boxes.pool.send(host, port, "PATCH", vw.path,
                                     [("Content-Type", endpoint.FRAGMENT), ("If-Match", want.match),
-                                     ("Flaxscale-Manager", self.name), *self.boxes.token], want.body, came)
-
-        def gone():
-            late.cancel()
-            call.cancel()
-        exchange.gone = gone
+                                     ("Flaxscale-Manager", self.name), *self.boxes.token], want.body, came, PATCH_S)
+        exchange.gone = call.cancel
 
     # The runner's port
 
@@ -644,7 +634,7 @@
                 "titles": len(follower.titles), "heard_s_ago": age, "told_module": len(self.view.told)}
 
     def settings(self):
-        return {"site": self.site.name, "mark": self.mark(), **self.load_counts}
+        return {"site": self.site.name, "mark": self.mark, **self.load_counts}
 
     def state(self):
         boxes = {}
--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -202,7 +202,7 @@
         await asyncio.sleep(row.at_s)
         boxes = self.struck(n, row, range(len(self.day.boxes)), row.boxes)
         managers = self.struck(n, row, range(self.day.site.managers), row.managers)
-        hit = managers if row.what.startswith("manager") else [] if row.what == "settings" else boxes
+        hit = managers if row.what.startswith("manager") or row.what == "settings" else boxes
         self.lab.put("trouble", name=row.what, value=row.value, hit=list(hit), for_s=row.for_s)
         self.log.info("trouble", what=row.what, hit=list(hit), for_s=row.for_s)
         if row.what == "crash":
@@ -245,7 +245,7 @@
         elif row.what == "settings":
             for site, wait_s in ((self.day.after, row.for_s), (self.day.site, 0)):
                 (self.out / "site.json").write_bytes(msgspec.json.encode(site))
-                for m in range(self.day.site.managers):
+                for m in managers:
                     self.lab.put("settings", manager=f"m{m}", site=site.name)
                     self.fronts[m].signal(signal.SIGHUP)
                 await asyncio.sleep(wait_s)
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -3,7 +3,7 @@
 
 from ..peaks.announce import Announcement
 from ..peaks.announce import faults as peak_faults
-from ..site.load import SiteError, evaluate, shape
+from ..site.load import evaluate, refuse, shape
 from ..site.shapes import Site, Struct
 from ..site.terms import checked
 from ..standins.box import Trouble
@@ -141,7 +141,5 @@
     checked(file, day.site, "site.")
     if day.after is not None:
         checked(file, day.after, "after.")
-    if found := faults(day, sockets):
-        more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
-        raise SiteError(file, found[0][0], f"{found[0][1]} expected{more}")
+    refuse(file, faults(day, sockets))
     return day
--- a/flaxscale/model/manager.py
+++ b/flaxscale/model/manager.py
@@ -1,5 +1,5 @@
 """A session manager in virtual time: the very runner and module of the front, behind a port without sockets."""
-from ..interface import How, ListKind, NoteKind
+from ..interface import How, ListKind
 from ..run import Phase, Runner
 from ..site.terms import Sense
 
@@ -16,9 +16,7 @@
         self.life += 1
         self.up, self.viewings = True, {}
         sense = Sense(self.play.day.site, self.me, 0, self.play.seed * 1000 + self.me + self.life * 7919)
-        kinds, self.load_names = {"link": NoteKind.LINK, "uplink": NoteKind.UPLINK}, tuple(sense.figures.values())
-        self.figures = {sense.figures[name]: kind for name, kind in kinds.items()
-                        if name in sense.figures and sense.site.fleet.reports == "answers"}
+        self.load_names, self.figures = sense.load_names, sense.notes
         self.runner = Runner(sense.terms, self, self.play.tap)
         self.keeper = self.play.keeper(self.play.day_s() if self.life > 1 else None)
         self.told = {row.server: row for row in rows}
--- a/flaxscale/serve/pool.py
+++ b/flaxscale/serve/pool.py
@@ -23,16 +23,22 @@
 class Failed(NamedTuple):
     sent: bool                  # it may have arrived
     detail: str
+    late: bool = False          # its limit ran out
 
 
 class Call:
     """One request. done(Answer | Failed) comes once, never after cancel() and never from within send()."""
-    __slots__ = "bytes", "done", "line", "sent", "over", "head", "body", "origin", "began"
+    __slots__ = "bytes", "done", "line", "sent", "over", "head", "body", "origin", "began", "limit"
 
     def __init__(self, origin, data, done):
         self.origin, self.bytes, self.done, self.line = origin, data, done, None
         self.sent = self.over = False
-        self.head, self.body, self.began = None, [], now()
+        self.head, self.body, self.began, self.limit = None, [], now(), None
+
+    def stop(self):
+        self.over = True
+        if self.limit is not None:
+            self.limit.cancel()
 
     def cancel(self):
         """Nobody waits for it any more: its connection is closed, which is how the other side hears of it.
@@ -41,7 +47,7 @@
         """
         if self.over:
             return self.sent
-        self.over = True
+        self.stop()
         if self.line is not None:
             self.line.abort()
         else:
@@ -50,9 +56,12 @@
 
     def finish(self, result):
         if not self.over:
-            self.over = True
+            self.stop()
             self.done(result)
 
+    def run_out(self):
+        self.done(Failed(self.cancel(), "no answer in time", True))
+
 
 class Link(asyncio.Protocol):
     """One connection to an origin."""
@@ -198,12 +207,14 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def send(self, host, port, method, target, headers, body, done):
-        """Sends one request. done is called later, never from here."""
+    def send(self, host, port, method, target, headers, body, done, within_s=None):
+        """Sends one request. done is called later, never from here; with within_s, by then at the latest."""
         if (origin := self.origins.get((host, port))) is None:
             origin = self.origins[host, port] = Origin(self, host, port)
         call = Call(origin, request(method, target, f"{host}:{port}", headers, body), done)
         origin.start(call)
+        if within_s is not None:
+            call.limit = asyncio.get_running_loop().call_later(within_s, call.run_out)
         return call
 
     def sweep(self):
--- a/flaxscale/site/load.py
+++ b/flaxscale/site/load.py
@@ -13,6 +13,13 @@
         self.file, self.key, self.expected = str(file), key, expected
 
 
+def refuse(file, found, under=""):
+    """Raises for the first of (key, what was expected) and counts the others; nothing where none was found."""
+    if found:
+        more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
+        raise SiteError(file, under + found[0][0], f"{found[0][1]} expected{more}")
+
+
 def evaluate(file, **given):
     """The JSON that a Jsonnet file gives; `given` are external variables, for std.extVar."""
     path = pathlib.Path(file)
--- a/flaxscale/site/terms.py
+++ b/flaxscale/site/terms.py
@@ -2,7 +2,7 @@
 import math
 
 from .. import interface as face
-from .load import SiteError, evaluate, shape
+from .load import evaluate, refuse, shape
 from .shapes import Site, faults
 
 
@@ -17,39 +17,36 @@
 
 
 def checked(file, site, under=""):
-    if found := faults(site):
-        key, expected = found[0]
-        more = f" (and {len(found) - 1} more)" if len(found) > 1 else ""
-        raise SiteError(file, under + key, f"{expected} expected{more}")
+    refuse(file, faults(site), under)
     return site
 
 
-def numbered(names, before):
-    """Numbers of names. Those given before stay, also of names that are gone: what is in work goes by them."""
-    out = dict(before)
-    for name in names:
-        out.setdefault(name, len(out))
-    return out
+def numbers(names):
+    return {name: n for n, name in enumerate(names)}
 
 
 class Sense:
     """A site as one manager reads it: its terms, and numbers for the names of packages, kinds and zones.
 
-    before: the Sense that is in service, where this one is to follow it in a running manager.
+    before: the Sense that is in service, where this one follows it in a running manager. What is in work goes by its
+    numbers: names keep their places in its dicts, those that are gone too, and new ones come after them.
     """
 
     def __init__(self, site, me=0, zone=0, seed=0, before=None):
         self.site, self.me, self.seed = site, me, seed
-        self.zones = numbered(site.zones, before.zones if before else {})
-        self.zone = self.zones[site.zones[zone]]
-        self.kinds = numbered(site.fleet.kinds, before.kinds if before else {})
-        self.places = {**(before.places if before else {}), **site.fleet.kinds}     # by kind, gone ones too
-        numbers = numbered(site.packages, before.numbers if before else {})
-        self.rows = {name: site.packages.get(name) or before.rows[name] for name in numbers}
-        self.numbers, self.packages = numbers, {name: numbers[name] for name in site.packages}
+        self.rows = {**(before.rows if before else {}), **site.packages}
+        self.places = {**(before.places if before else {}), **site.fleet.kinds}     # streams at most, by kind
+        self.packages = {name: n for name, n in numbers(self.rows).items() if name in site.packages}
+        self.kinds = numbers(self.places)
+        self.zones = numbers({**(before.zones if before else {}), **numbers(site.zones)})
+        self.zone_name, self.zone = site.zones[zone], self.zones[site.zones[zone]]
+        fleet = site.fleet
         self.figures = {name: figure for name, figure in (
-            ("link", site.fleet.link_figure), ("uplink", site.fleet.uplink_figure),
-            ("streams", site.fleet.streams_figure)) if figure}
+            ("link", fleet.link_figure), ("uplink", fleet.uplink_figure), ("streams", fleet.streams_figure)) if figure}
+        self.load_names = tuple(self.figures.values())      # in a probe's answer, in the order of the terms
+        self.notes = {self.figures[name]: kind for name, kind in (
+            ("link", face.NoteKind.LINK), ("uplink", face.NoteKind.UPLINK))
+            if name in self.figures and fleet.reports == "answers"}     # that a set-up's answer brings
         self.terms = self.make()
 
     def make(self):
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -191,7 +191,7 @@
             exchange.kill()
             self.record.put("closed", key=key)
             return
-        told = [(load.FIELD, load.encode(self.box.figures(now())))] if self.box.site.reports == "answers" else []
+        told = [self.report()] if self.box.site.reports == "answers" else []
         rows = [*told, ("Flaxscale-Ran", "yes" if verdict.ran else "no"),
                 ("Flaxscale-Boot", self.box.boot)]
         if session is None:
@@ -300,7 +300,7 @@
     def manager(self, exchange, what):
         request, name = exchange.request, exchange.request.headers.get("flaxscale-manager", "")
         act = {("notes", "GET"): self.note_stream, ("orders", "POST"): self.orders, ("sessions", "GET"): self.sessions,
-               ("adopt", "POST"): self.claims, ("load", "GET"): self.load}.get((what, request.method))
+               ("adopt", "POST"): self.claims, ("load", "GET"): self.probe}.get((what, request.method))
         if act is None or (not name and what in ("notes", "adopt")):
             raise endpoint.Refusal(404, "the paths are /manager/notes, /manager/load and /manager/sessions (GET), "
                                         "/manager/orders and /manager/adopt (POST)")
@@ -344,11 +344,14 @@
                 self.record.put("rung", key=key, rung=set_to)
         self.say(exchange, {"fenced": fenced})
 
-    def load(self, exchange, name):
+    def report(self):
+        return load.FIELD, load.encode(self.box.figures(now()))
+
+    def probe(self, exchange, name):
         """A probe: answered beside the set-ups, so that it says that the process runs and how full it is."""
         self.record.put("probed", manager=name)
         if not self.box.trouble.hang:
-            exchange.respond(200, [(load.FIELD, load.encode(self.box.figures(now())))], b"")
+            exchange.respond(200, [self.report()], b"")
 
     def sessions(self, exchange, name):
         _, args = endpoint.split(exchange.request.target)
