The model is held to the sockets by what its seeds span, not by one seed

Cause: chance is drawn apart in the model and on sockets. Now each share lies within what 20 seeds span and 0.1 beyond.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -100,7 +100,11 @@
 
 class Agreement(unittest.TestCase):
     def test_the_model_and_the_sockets_play_the_same_day_alike(self):
-        """Bounds, on one seed of a day with three troubles: answers by kind within 0.15 of the requests."""
+        """Answers by kind, on a day with three troubles: within what 20 seeds of the model span, and 0.1 beyond.
+
+        Chance is drawn apart on sockets and in the model. Held to one seed of the model, where none was blocked, two
+        of four days on sockets failed, which had blocked 0.21; the model's seeds themselves span 0 to 0.22.
+        """
         day = bad_day()
         small = msgspec.structs.replace(day, length_s=7.0, settle_s=1.0, boxes=day.boxes[:6], troubles=[
             msgspec.structs.replace(t, at_s=min(t.at_s, 3.0)) for t in day.troubles
@@ -116,8 +120,9 @@
             rows = [json.loads(line) for line in (pathlib.Path(folder) / "out" / "clients.jsonl").read_text()
                     .splitlines()]
         sockets = Counter(r["fate"] for r in rows if r["what"] == "seen")
-        model = Play(small, 4).run().totals()
-        fates = model["fates"]
+        seeds = [Play(small, seed).run().totals() for seed in range(1, 21)]
         for fate in ("plays", "blocked", "aborted"):
-            there = (fates.get(fate, 0) + (fates.get("late", 0) if fate == "plays" else 0)) / model["requests"]
-            self.assertAlmostEqual(sockets[fate] / sum(sockets.values()), there, delta=0.15, msg=(fate, sockets, fates))
+            there = [(t["fates"].get(fate, 0) + (t["fates"].get("late", 0) if fate == "plays" else 0)) / t["requests"]
+                     for t in seeds]
+            here = sockets[fate] / sum(sockets.values())
+            self.assertTrue(min(there) - 0.1 <= here <= max(there) + 0.1, (fate, sockets, min(there), max(there)))
