Streams as reported bound what goes to a server

Ruled out: the racks' uplinks, which are told there. Now others' streams as last reported count, until they are forgotten.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -114,7 +114,7 @@
         self.turn = None            # the last turn of the cold pace that we used
         self.seen_warm = False      # it carried viewings that we did not send
         self.short_at = self.short_since = self.asked = 0   # short delivery: last told, since when, how short
-        self.looking = False        # a probe of it is out
+        self.looking, self.others = False, 0    # a probe of it is out; others' streams, as last reported
         self.judged, self.usable = -1, False    # in which call it was judged, and how
         self.kept = 0.0             # kB a second of its link that an announced peak has not taken yet
 
@@ -268,7 +268,7 @@
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
         if srv is None:
             return
-        srv.looking = False
+        srv.looking, srv.others = False, max(0, figures.get("streams", 0) - len(srv.viewings))
         if event.how is not How.OK:
             srv.rests_until = self.now + REST
         if "uplink" in figures:
@@ -528,7 +528,7 @@
         old = self.now - 2 * (every or 2 * SECOND)
         for srv in holders:     # where we hold nothing no figure comes, and the last one misleads
             if not (srv.viewings and every) and (srv.link.heard_at or 0) < old:
-                srv.link.heard_at = None
+                srv.link.heard_at, srv.others = None, 0
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
         dark = {srv: max(1.0, srv.link.kb * (1 - srv.use()))
                 for srv in self.some([srv for srv in holders if srv.link.heard_at is None], DRAWN)}
@@ -587,8 +587,9 @@
 
     def judge(self, srv):
         """Whether rules and places let anything go there; once a call, as a slot asks that many times."""
-        srv.judged, srv.usable = self.calls, (srv.row.state is State.READY and self.in_pace(srv)
-                                              and len(srv.viewings) < self.terms.fleet.slots[srv.row.kind])
+        srv.judged, srv.usable = self.calls, (
+            srv.row.state is State.READY and self.in_pace(srv)
+            and len(srv.viewings) + srv.others + 1 <= self.terms.fleet.slots[srv.row.kind])
         return srv.usable
 
     def near_enough(self, vw, row):
@@ -648,10 +649,7 @@
         return self.usual_use
 
     def usual_uplink(self, rack):
-        """What others ask of an uplink that none reports: what its links tell, for the rest the usual.
-
-        By the usual of all links alone, every rack looks like the busiest: those are heard of most.
-        """
+        """What others ask of an unreported uplink, by its own links: the usual alone is that of busy ones."""
         if self.now - rack.reckoned[0] > FRESH:
             others = sum((max(0.0, link.use() - link.own / link.kb) if link.heard_at is not None
                           and self.now - link.heard_at < 8 * SECOND else self.usual()) * link.kb
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -292,6 +292,16 @@
         self.at(S)
         self.compare()
 
+    def test_a_box_whose_streams_are_all_taken_gets_nothing_though_its_link_has_room(self):
+        # Two in five full answers of a bad day came from boxes whose probe had just told so.
+        self.start(pack(), servers=2, probes=True, peers=50)
+        self.at(0, self.ask(1, cells=2))
+        self.at(100, self.looked(1, 0.2, streams=7.6), self.looked(2, 0.6, streams=6.9), say="eight at most")
+        self.at(S, self.begun(1, 2))
+        self.at(0, self.ask(2, cells=2), say="now there is no place at 2 either")
+        self.at(S)
+        self.compare()
+
     def test_what_plays_lowest_is_probed_for_room_ever_less_often(self):
         self.start(pack(), servers=1, probes=True, peers=2)
         self.at(0, *self.handed(1, 1), say="handed over at the lowest rung; nothing is told of its link")
