The switch test holds its set-ups out by a second, not by 0.15 s

asks() let boxes answer in 2 to 150 ms and then asserted that none was answered: a slow machine could answer the first before the last was out, as with the test of cancels.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -35,6 +35,12 @@
 }"""
 
 
+def patient(terms):
+    """The terms, but no tune-in of a clip lapses while a slow machine still sends others' requests."""
+    return terms.replace('"join_target_ms": 800, "patience_ms": 2000, "value": 1',
+                         '"join_target_ms": 20000, "patience_ms": 40000, "value": 1')
+
+
 class Rows:
     """A recorder and a logger in one: rows in memory, and whoever waits for one is woken."""
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,7 +5,7 @@
 from flaxscale.interface import How
 from flaxscale.lab.players import headers_of, offer_of
 from flaxscale.signalling import sdp
-from tests.rig import Rig
+from tests.rig import Rig, patient
 
 
 class OneBoxFails(Rig):
@@ -386,9 +386,7 @@
 
 
 class Leaving(Rig):
-    # No tune-in lapses while a slow machine still sends others' requests: each leaves once its set-up is out.
-    terms = Rig.terms.replace('"join_target_ms": 800, "patience_ms": 2000, "value": 1',
-                              '"join_target_ms": 20000, "patience_ms": 40000, "value": 1')
+    terms = patient(Rig.terms)
 
     async def test_after_a_cancel_nothing_more_is_sent_and_the_box_is_free(self):
         # Left by the clock, some clients of a slow machine had gone before the front heard of them.
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -9,14 +9,14 @@
 from flaxscale.site.load import SiteError, shape
 from flaxscale.site.shapes import Site
 from flaxscale.site.terms import Sense, checked, read_site
-from tests.rig import Rig
+from tests.rig import Rig, patient
 from tests.test_day import ROOT, Played, flaxscale
 
 EXAMPLES = ROOT / "examples"
 
 
 class Switch(Rig):
-    terms = Rig.terms.replace('"front": {', '"front": {"tokens": [], "fleet_token": "ours", ')
+    terms = patient(Rig.terms.replace('"front": {', '"front": {"tokens": [], "fleet_token": "ours", '))
 
     def other(self, **changes):
         """The rig's own settings as boxes that tell their load to probes only would have them."""
@@ -46,17 +46,19 @@
         return answer.status, json.loads(answer.body)
 
     async def asks(self, count):
-        """So many viewings, all of whose set-ups are out when this returns; their answers come later."""
+        """So many viewings, all of whose set-ups are out when this returns; their answers come a second later."""
         before = sum(len(self.setups(n)) for n in self.boxes)
-        tries = [asyncio.ensure_future(self.ask("one", length=60.0)) for _ in range(count)]
+        for box in self.boxes.values():     # a slow machine must not answer the first before the last is out
+            box.box.work = 10_000
+        tries = [asyncio.ensure_future(self.ask("one", length=60.0, patience=40.0)) for _ in range(count)]
         await self.until(lambda: sum(len(self.setups(n)) for n in self.boxes) >= before + count, "all are out")
         self.assertFalse([t for t in tries if t.done()])
+        for box in self.boxes.values():
+            box.box.work = 20
         return tries
 
     async def test_there_and_back_with_set_ups_out_at_both_moments(self):
         front = self.fronts[0]
-        for box in self.boxes.values():
-            box.box.work = 1_500
         first_mark = front.mark
         playing = [await t for t in await self.asks(3)]
         out = await self.asks(4)
