Streams that were reported are forgotten when settings change

A load of settings whose boxes report no streams left others' streams as last told, for as long as notes kept the link's figure fresh: places there were believed taken. Shown by the trace of terms that change and come back ([4, 5] of eight places after the way back, [0, 0] now).

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -178,6 +178,7 @@
             self.bind(vw)
         self.racks = {}
         for srv in self.servers.values():
+            srv.others = 0      # streams may be reported no more
             self.stand(srv)
             self.recount(srv)
         self.set_rungs({vw: vw.in_bounds() for vw in self.viewings.values() if vw.playing and vw.server})
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -350,5 +350,6 @@
         self.at(S)
         self.lines.append(f"further tune-ins counted: {sum(self.manager.further.since(0))}, "
                           f"asked of links: {[srv.link.own for srv in self.manager.servers.values()]}, "
-                          f"of the rack: {[round(m.own, 3) for m in self.manager.racks.values()]}")
+                          f"of the rack: {[round(m.own, 3) for m in self.manager.racks.values()]}, "
+                          f"others' streams: {[srv.others for srv in self.manager.servers.values()]}")
         self.compare()
