managers drain: a manager leaves by an operators' call as at SIGTERM

Need: a planned stop took a signal on the manager's own machine. POST /drain under the fleet's token begins the same stop; the answer says how many viewings it has and how many managers would take them.

--- a/flaxscale/cli/front.py
+++ b/flaxscale/cli/front.py
@@ -52,8 +52,9 @@
     log = logger(log_level, log_file, manager=f"m{me}")
 
     async def main():
+        over = asyncio.Event()
         app = Front(made, log, list_address, state, None, catalogue_address,
-                    list(members) if member_port is not None else None, read)
+                    list(members) if member_port is not None else None, read, over.set)
 
         def reload():
             with contextlib.suppress(SiteError):    # said in the log, by name; the settings in service stay
@@ -65,7 +66,7 @@
         if say_ready:
             more = {"members": "%s:%d" % app.members.address} if member_port is not None else {}
             ready(*address, **more)
-        await service.until_signal()
+        await service.until_signal(done=over)
         log.info("leaves")
         await app.stop()
     service.run(main())
--- a/flaxscale/cli/journal.py
+++ b/flaxscale/cli/journal.py
@@ -89,7 +89,7 @@
             await pool.close()
         if not isinstance(result, Answer):
             raise OSError(result.detail)
-        if result.status != 200:
+        if result.status not in (200, 202):
             try:
                 said = json.loads(result.body)["detail"]
             except (ValueError, KeyError, TypeError):
@@ -113,6 +113,15 @@
                f"refused {told['refused']} times")
 
 
+@managers.command()
+@AT
+@click.option("--token", required=True, help="The site's fleet_token.")
+def drain(at, token):
+    """Let a manager leave service as at SIGTERM: what plays goes to the others, or ends where there are none."""
+    told = asked(at, token, "POST", "/drain")
+    click.echo(f"{told['manager']} leaves: {told['viewings']} viewings, {told['others']} other managers alive to it")
+
+
 @managers.command("list")
 @AT
 @TOKEN
--- a/flaxscale/cli/service.py
+++ b/flaxscale/cli/service.py
@@ -8,9 +8,12 @@
 import uvloop
 
 
-async def until_signal(commands=None):
-    """Returns at SIGTERM or SIGINT. commands(row) is called for each JSON line on standard input."""
-    loop, done = asyncio.get_running_loop(), asyncio.Event()
+async def until_signal(commands=None, done=None):
+    """Returns at SIGTERM or SIGINT, or when done, an Event, is set.
+
+    commands(row) is called for each JSON line on standard input.
+    """
+    loop, done = asyncio.get_running_loop(), done or asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, done.set)
     if commands is not None:
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -62,12 +62,13 @@
 
 class Front:
     def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
-                 reread=None):
+                 reread=None, leave=None):
         """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
 
         reread: gives the settings' file as it is now, checked (SiteError where it is not good).
+        leave: begins this program's planned end, once.
         """
-        self.reread, self.load_counts = reread, {"loaded": 0, "refused": 0}
+        self.reread, self.leave, self.load_counts = reread, leave, {"loaded": 0, "refused": 0}
         self.sense, self.site, self.mark, self.lines = sense, sense.site, mark_of(sense.site), log
         self.boot, self.name = secrets.token_hex(4), f"m{sense.me}"
         self.runner = Runner(sense.terms, self, tap)
@@ -239,10 +240,17 @@
             endpoint.check_token(exchange.request.headers, self.site.front.tokens)
             exchange.respond(200, [("Content-Type", "application/json")], self.state())
             return
+        if segments == ["drain"] and exchange.request.method == "POST":
+            self.check_operator(exchange, "only SIGTERM drains it")
+            if self.leave is None:
+                raise Refusal(409, "this manager's program does not end by a call")
+            told = {"manager": self.name, "viewings": len(self.viewings), "others": len(self.members.alive()) - 1}
+            exchange.respond(202, [("Content-Type", "application/json")], json.dumps(told).encode())
+            self.lines.info("drain asked for", viewings=len(self.viewings))
+            self.leave()
+            return
         if segments == ["settings", "reload"] and exchange.request.method == "POST":
-            if self.site.front.fleet_token is None:
-                raise Refusal(403, "without a fleet_token in the settings only SIGHUP loads them")
-            endpoint.check_token(exchange.request.headers, [self.site.front.fleet_token])
+            self.check_operator(exchange, "only SIGHUP loads them")
             try:
                 self.reload()
             except SiteError as bad:
@@ -251,6 +259,11 @@
             return
         raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
 
+    def check_operator(self, exchange, else_only):
+        if self.site.front.fleet_token is None:
+            raise Refusal(403, f"without a fleet_token in the settings {else_only}")
+        endpoint.check_token(exchange.request.headers, [self.site.front.fleet_token])
+
     def entry(self, title, sends):
         """(what the front needs of a title, the package of who watches or pushes it), or None each."""
         row = self.view.look(title, now())
