Reread: one operators' call for tests, and patience set by key

The takeover test's drain() was the switch test's load() again; both go through the rig's operate() now. patient() replaced a piece of text and would have done nothing, unsaid, had that text changed; it sets the package's own keys and fails without them.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,6 +4,7 @@
 does not come within LIMIT seconds.
 """
 import asyncio
+import json
 import pathlib
 import tempfile
 import unittest
@@ -37,8 +38,9 @@
 
 def patient(terms):
     """The terms, but no tune-in of a clip lapses while a slow machine still sends others' requests."""
-    return terms.replace('"join_target_ms": 800, "patience_ms": 2000, "value": 1',
-                         '"join_target_ms": 20000, "patience_ms": 40000, "value": 1')
+    row = json.loads(terms)
+    row["packages"]["clip"].update(join_target_ms=20_000, patience_ms=40_000)
+    return json.dumps(row)
 
 
 class Rows:
@@ -184,6 +186,14 @@
     async def ask(self, title="one", front=0, **more):
         return await self.player.ask(self.fronts[front].address, f"m{front}", self.wish(title, **more))
 
+    async def operate(self, path, token="ours", front=0):
+        """An operators' call; (status, the answer's object)."""
+        came = asyncio.get_running_loop().create_future()
+        self.player.pool.send(*self.fronts[front].address, "POST", path, [("Authorization", f"Bearer {token}")], b"",
+                              came.set_result)
+        answer = await came
+        return answer.status, json.loads(answer.body)
+
     async def raw(self, data, front=0, until_close=True):
         """Bytes in, all bytes out."""
         reader, writer = await asyncio.open_connection(*self.fronts[front].address)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -38,12 +38,7 @@
         self.fronts[0].reread = lambda: checked("site.json", shape("site.json", text, Site))
 
     async def load(self, token="ours"):
-        """One operators' call; (status, the answer's object)."""
-        front, came = self.fronts[0], asyncio.get_running_loop().create_future()
-        self.player.pool.send(*front.address, "POST", "/settings/reload",
-                              [("Authorization", f"Bearer {token}")], b"", came.set_result)
-        answer = await came
-        return answer.status, json.loads(answer.body)
+        return await self.operate("/settings/reload", token)
 
     async def asks(self, count):
         """So many viewings, all of whose set-ups are out when this returns; their answers come a second later."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -132,24 +132,16 @@
         self.assertEqual(1, self.playing())
         writer.close()
 
-    async def drain(self, front, token):
-        """The operators' call; (status, the answer's object)."""
-        came = asyncio.get_running_loop().create_future()
-        self.player.pool.send(*front.address, "POST", "/drain", [("Authorization", f"Bearer {token}")], b"",
-                              came.set_result)
-        answer = await came
-        return answer.status, json.loads(answer.body)
-
     async def test_a_planned_stop_hands_over_and_sends_on(self):
         await self.all_met()
         left = []
         for token, status in (("theirs", 401), ("ours", 409)):      # a stranger's; a program that can't be ended so
-            self.assertEqual(status, (await self.drain(self.fronts[0], token))[0])
+            self.assertEqual(status, (await self.operate("/drain", token))[0])
         self.fronts[0].leave = lambda: left.append(asyncio.ensure_future(self.fronts[0].stop(4.0)))
         seen = [await self.ask("one", front=0) for _ in range(4)]
         media = [await self.media(s) for s in seen]
         address = self.fronts[0].address
-        self.assertEqual((202, {"manager": "m0", "viewings": 4, "others": 2}), await self.drain(self.fronts[0], "ours"))
+        self.assertEqual((202, {"manager": "m0", "viewings": 4, "others": 2}), await self.operate("/drain"))
         await self.log[1].seen("member", name="m0", state="left")
         wish = self.wish("one")
         answer = await self.player.ask(address, "m0", wish)
