--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -1,23 +1,29 @@
-"""The flaxscale command."""
+"""The flaxscale command. A program's modules are loaded when it is called: a small one must not pay for the others."""
+import importlib
+
 import click
 
-from .attempt import try_command
-from .catalogue import catalogue
-from .days import check_command, config, day
-from .front import front
-from .journal import journal, managers
-from .model import model
-from .peaks import peak
-from .players import push, view
-from .standins import box, boxlist
+PROGRAMS = {            # program: its module here, and its name there
+    "front": ("front", "front"), "box": ("standins", "box"), "boxlist": ("standins", "boxlist"),
+    "try": ("attempt", "try_command"), "view": ("players", "view"), "push": ("players", "push"), "day": ("days", "day"),
+    "check": ("days", "check_command"), "config": ("days", "config"), "catalogue": ("catalogue", "catalogue"),
+    "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
+    "managers": ("journal", "managers"), "platform": ("platform", "platform"),
+}
+
+
+class Programs(click.Group):
+    def list_commands(self, ctx):
+        return sorted(PROGRAMS)
 
+    def get_command(self, ctx, name):
+        if name not in PROGRAMS:
+            return None
+        module, attribute = PROGRAMS[name]
+        return getattr(importlib.import_module(f".{module}", __package__), attribute)
 
-@click.group()
+
+@click.group(cls=Programs)
 @click.version_option("0.2.0", prog_name="flaxscale")
 def main():
     """A session front that places and shapes video sessions on streaming servers."""
-
-
-for command in (front, box, boxlist, try_command, view, push, day, check_command, config,
-                catalogue, peak, model, journal, managers):
-    main.add_command(command)
--- /dev/null
+++ b/flaxscale/cli/platform.py
@@ -0,0 +1,32 @@
+"""flaxscale platform: one session manager on the operators' platform, told by its environment what it is."""
+import asyncio
+import signal
+
+import click
+
+from ..platform import config as configuration
+from ..platform.host import Host, descriptors
+from . import service, site_errors
+from .logs import LEVELS, logger
+
+
+@click.command()
+@click.option("--log-level", default="info", type=click.Choice(list(LEVELS)), show_default=True)
+def platform(log_level):
+    """Serve as one session manager of the platform: BALANCER_CONFIG names its configuration."""
+    file, config = site_errors(configuration.from_environment)
+    descriptors(config)
+    log = logger(log_level, None, manager=config.name)
+
+    async def main():
+        host = Host(file, config, log)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, host.reload)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, host.leave)
+        await host.start()
+        service.settle_memory()
+        log.info("serves", listen="%s:%d" % config.listen, list=host.bulletin.last)
+        await host.done.wait()
+        await host.stop()
+    site_errors(lambda: service.run(main()))
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -115,12 +115,13 @@
         self.step(ask, self.now)
 
     def handed_over(self, ask, server, rung):
-        """A viewing that plays already, from before this runner was made."""
+        """A viewing that plays already, from before this runner was made; rung None: a note will tell."""
         self.now = self.port.now()
         held = self.held[ask.id] = Held(ask, self.now + ask.left)
-        held.phase, held.nth, held.server, held.rung, held.answered = Phase.PLAYS, 0, server, rung, True
+        held.phase, held.nth, held.server, held.rung, held.answered = Phase.PLAYS, 0, server, rung or 0, True
         self.step(face.HandedOver(ask, server), self.now)
-        self.step(face.Note(ask.id, 0, server, NoteKind.RUNG, float(rung)), self.now)
+        if rung is not None:
+            self.step(face.Note(ask.id, 0, server, NoteKind.RUNG, float(rung)), self.now)
 
     def begun(self, id, nth, took, load=()):
         """The box plays it. False: nobody waits for this tune-in any more, so the caller must end it there.
--- a/flaxscale/wirehost.py
+++ b/flaxscale/wirehost.py
@@ -3,78 +3,27 @@
 Started by deploy/balancer.toml: batches on standard input, one reply each on standard output.
 """
 import json
-import math
-import struct
 import sys
 
 from . import interface as face
 from . import wire
 from .decide import Manager
+from .site.settings import NOTES, PEER_WORD, site_terms, span, tenths
 
 HOWS = {0: face.How.OK, 13: face.How.ERROR, 8: face.How.FULL, 4: face.How.TIMEOUT, 14: face.How.UNREACHED,
         10: face.How.RESET, 1: face.How.CANCELLED, 9: face.How.MOOT}
 STATES = {0: face.State.GONE, 1: face.State.READY, 2: face.State.DRAINING}
 LISTS = {0: None, 1: face.ListKind.FULL, 2: face.ListKind.DELTA, 4: face.ListKind.CACHED}
-NOTES = {1: face.NoteKind.DELIVERED, 2: face.NoteKind.RUNG, 3: face.NoteKind.LINK, 4: face.NoteKind.UPLINK}
-LOADS = {"x0": "link", "x1": "uplink", "busy_reqs": "streams"}
 ALL_PEERS = 0xFFFFFFFF
-PEER_WORD = struct.Struct("<If")        # a server and kB a second
 MOVED, AGAIN, HINTED = 8, 16, 1
 
 
-def tenths(ms):
-    return round(ms * 10)
-
-
-def span(ms):
-    """A span that bounds us: cut down to whole tenths, so that it is never overrun."""
-    return math.floor(ms * 10 + 1e-6)
-
-
 def known(table, code, what, where):
     if code not in table:
         raise wire.WireError(f"{what} {code} at byte {where} is none that this wire knows")
     return table[code]
 
 
-def site_terms(text, seed):
-    """The settings of a new_instance in our words; a missing key is a KeyError that names it."""
-    top = json.loads(text)
-    stream, rules, caps, prices = top["specifics"], top["obligations"], top["caps"], top["penalties"]
-    goal = top["objectiveMix"]
-    packages = tuple(
-        face.Package(
-            join_target=span(row["goalTimeMs"]), value=row["worth"],
-            effect=row["effect"], group=row["group"], repeat_window=span(row["repeatWindowMs"]),
-            floor=stream["lowestRung"][i], top=stream["highestRung"][i], scale=stream["scaleByClass"][i],
-            seats=stream["licenceCap"][i], live=bool(stream["live"][i]))
-        for i, row in enumerate(top["classes"]))
-    rationed = "resendSpanMs" in rules
-    return face.SiteTerms(
-        me=top["me"], peers=top["peersTotal"], zone=top["myZone"], seed=seed,
-        packages=packages,
-        ladder=face.Ladder(tuple(stream["levelKb"]), tuple(stream["levelWorth"]),
-                           tenths(stream["switchCostS"] * 1000), stream["stall"], stream["join"]),
-        fleet=face.FleetTerms(stream["cells"], stream["shelves"], tuple(stream["kindSlots"]),
-                              stream["kbPerWeight"], stream["uplinkKb"], stream["guard"],
-                              tenths(stream["seenAfterMs"]), tenths(stream["tellMs"]),
-                              tuple(LOADS.get(name, name) for name in top["loadInfo"]["names"])
-                              if top["loadInfo"]["how"] != "off" else (),
-                              top["loadInfo"]["how"] == "on_probe", top["weightSource"] != "off"),
-        rules=face.RuleTerms(span(rules["drainGraceMs"]), tenths(rules["warmWithinMs"]),
-                             rules["startCapacity"], rules["tipMultiple"], tenths(rules["fallMs"]),
-                             span(rules["mustAskInMs"]),
-                             rules.get("freeResends", 0) if rationed else None,
-                             rules.get("furtherRatio", 0) if rationed else None,
-                             tenths(rules["resendSpanMs"]) if rationed else None),
-        allowed=face.Allowed(caps["tryLimit"], caps["cancelling"], caps["retryAfter"],
-                             span(caps["maxRetryAfterMs"]), caps["peers"], caps["mayProbe"],
-                             tenths(caps["dialTimeoutMs"])),
-        prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"],
-                           prices["probe"]),
-        goal=face.Goal(goal["whole"], goal["worstWindow"], goal["worstClass"]))
-
-
 def listed(row, where):
     return face.Listed(row["server"], row["type"], row["slotNo"], row["area"], row["rating"],
                        tenths(row["startTimeMs"]), known(STATES, row["readiness"], "readiness", where))
@@ -153,7 +102,7 @@
 
     def start(self, row, where):
         try:
-            terms = site_terms(row["params"], row["rngSeed"])
+            terms = site_terms(json.loads(row["params"]), row["rngSeed"])
         except KeyError as lack:
             raise wire.WireError(f"new_instance at byte {where}: the settings lack the key {lack}") from lack
         except (ValueError, TypeError, IndexError, AttributeError) as bad:
