--- a/flaxscale/jsonl/messages.py
+++ b/flaxscale/jsonl/messages.py
@@ -133,8 +133,8 @@
         raise Fault(f"left: 1 to {LEFT_MOST} expected")
     return SetUp(message.call, int(message.call, 16), package, left, extras.get("again") == "1", key, int(key, 16),
                  count(extras["home"], "extras.home", 0, COUNT_MOST),
-                 count(extras["copies"], "extras.copies", 1, COUNT_MOST), count(extras["top"], "extras.top", 0, COUNT_MOST),
-                 int(extras["viewer"], 16), at, desc)
+                 count(extras["copies"], "extras.copies", 1, COUNT_MOST),
+                 count(extras["top"], "extras.top", 0, COUNT_MOST), int(extras["viewer"], 16), at, desc)
 
 
 def line(op, call, fields=None, why=None, desc=None):
