An error alike at two servers that serve others is the viewing's own fault

Ruled out: CPU (0.29 s in the busiest second), descriptors (231 of 384), the account of links (off by 0.13, bias 0.01). The log of failed set-ups showed one and the same impossible set-up of a bad client answered with an error by each holder in turn, five tune-ins in 100 ms, some 70 a manager in 20 s; Manager.ended shut every server for a second or more and, by its doubt, made it count as cold for 12 s. Now an error is put down to the viewing when two servers that answered others well within 5 s gave it alike: both are what they were before, and no third is asked.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -1,8 +1,8 @@
 """All decisions of flaxscale: who plays, where and at what quality.
 
-A Manager is one instance. It is made from the site's terms and then called with handle(now, event) for each
-event in order; every call returns the actions that it wants carried out, in order. interface.py has the types
-of both. Times are whole tenths of a millisecond. No clock, no I/O, nothing shared between instances.
+A Manager is one instance, made from the site's terms: handle(now, event) takes each event in order and gives
+the actions wanted, in order. interface.py has the types of both. Times are whole tenths of a millisecond.
+No clock, no I/O, nothing shared between instances.
 """
 from collections import Counter
 from math import exp, log
@@ -14,10 +14,8 @@
 SECOND = 10_000
 SLOT = 500                  # viewings gathered this long are placed together
 BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
-MARK = 0.97                 # mark for the rung step that earns most per kB ...
-MARK_SPREAD = 0.5           # ... and so much lower for the one that earns least
-SHED_OVER = 1.1             # only over this do playing viewings step down: less passes by itself ...
-SHED_TO = 1.0               # ... and to here
+MARK, MARK_SPREAD = 0.97, 0.5   # mark for the rung step that earns most per kB; so much lower for the least
+SHED_OVER, SHED_TO = 1.1, 1.0   # only over this do playing viewings step down, to here: less passes by itself
 STEP_PAUSE = 3 * SECOND     # a viewing that stepped stays there this long before it steps up
 PAYBACK = 3                 # a step up must earn its price this many times over in the life expected
 LIFE = 30 * SECOND          # life left that is expected where no hint came
@@ -38,9 +36,9 @@
 BLAMED, BEYOND = 12 * SECOND, 0.2   # an uplink is to blame so long for so much more than links explain
 FEW, GUESS = 4, 0.5         # a manager with so few viewings half believes that links are so full
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
-LOOK_AGAIN = 2 * SECOND     # a figure younger than this is not asked for again
+LOOK_AGAIN, LOOK_LAG = 2 * SECOND, SECOND // 2  # a younger figure is not asked for again; a probe's is so old
 LOOK_UP = 4 * SECOND        # what plays lowest is looked after so long after its last step, then 3 times that
-LOOK_LAG = SECOND // 2      # a probe's figure is about so old
+SERVES = 5 * SECOND         # a server that answered well so lately serves
 SLOT_ALARM, BEAT_ALARM = 0, 1
 BEAT = SECOND // 4          # we look this often whether we stood still
 
@@ -108,11 +106,10 @@
     def __init__(self, row, link):
         self.row, self.link, self.rack = row, link, None
         self.viewings = {}
-        self.ills = 0               # failures not yet answered by as many successes
-        self.shut_until = self.rests_until = self.shed_at = 0
+        self.ills = self.shut_until = self.rests_until = self.shed_at = 0   # ills: failures, halved by good
         self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
-        self.turn = None            # the last turn of the cold pace that we used
-        self.seen_warm = False      # it carried viewings that we did not send
+        self.turn, self.seen_warm = None, False     # last turn of the pace used; it carried others' viewings
+        self.well_at = -SERVES      # when it last answered well
         self.short_at = self.short_since = self.asked = 0   # short delivery: last told, since when, how short
         self.looking, self.others = False, 0    # a probe of it is out; others' streams, as last reported
         self.judged, self.usable = -1, False    # in which call it was judged, and how
@@ -128,10 +125,10 @@
     def __init__(self, ask, now):
         self.ask, self.id, self.seat = ask, ask.id, (ask.title, ask.package)
         self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
-        self.nth = -1               # number of the last tune-in
-        self.server = None          # where a tune-in is out or it plays
+        self.nth, self.server = -1, None    # number of the last tune-in; where one is out or it plays
         self.playing = self.answered = self.waiting = False
         self.held = self.rung = 0   # held: slots in which nothing fitted
+        self.erred = {}             # servers that serve and answered it with an error: what they were before
         self.stepped_at, self.begun_at = now, None
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
         self.life, self.look_after = None, LOOK_UP     # look_after: when its server is looked at for room
@@ -147,7 +144,6 @@
 class Manager:
     def __init__(self, terms):
         self.servers, self.racks, self.cells = {}, {}, {}
-        self.asked_kb = 0.0         # what all our viewings ask
         self.viewings, self.waiting, self.seats = {}, [], Counter()
         self.titles = {}            # what a catalogue told of titles
         self.lacking = {}           # (server, title): until when it is not asked for it
@@ -156,7 +152,7 @@
         self.calls = self.draws = self.weighed_at = self.usual_use = 0
         width = max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60))
         self.taken, self.further, self.counts_back = Ring(width, 64), Ring(width, 64), 60 * width
-        self.now, self.out, self.eased = 0, [], False
+        self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0   # asked_kb: by all our viewings
         self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
         self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
         self.rule(terms)
@@ -251,7 +247,7 @@
         return self.now - (srv.link.heard_at or 0) >= LOOK_AGAIN
 
     def probe(self, srv):
-        if not srv.looking:
+        if self.dim(srv) and not srv.looking:
             srv.looking = True
             self.out.append(face.Probe(srv.row.server))
 
@@ -262,8 +258,7 @@
             if (vw.playing and srv and vw.rung == vw.floor < vw.top
                     and self.now - vw.stepped_at >= vw.look_after):
                 vw.look_after *= 3
-                if self.dim(srv):
-                    self.probe(srv)
+                self.probe(srv)
 
     def probed(self, event):
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
@@ -329,7 +324,12 @@
         if vw is None or event.nth != vw.nth:
             return
         if srv and event.how in (How.ERROR, How.TIMEOUT, How.UNREACHED, How.RESET):
+            if event.how is How.ERROR and self.now - srv.well_at < SERVES:
+                vw.erred.setdefault(srv, (srv.ills, srv.shut_until, srv.doubt_at))
             self.ill(srv)
+            # Two that serve others well answered it alike: the fault is its own, and no third is asked.
+            for other, was in vw.erred.items() if len(vw.erred) > 1 else ():
+                other.ills, other.shut_until, other.doubt_at = was
         elif srv and event.how is How.FULL:
             srv.rests_until = self.now + REST
         elif event.how is How.LACKING:
@@ -460,7 +460,8 @@
         return crc32(b"%d:%d" % (self.terms.seed, self.draws)) * 0x9E3779B1 % 2 ** 32 / 2 ** 32
 
     def may_repeat(self, vw):
-        if vw.nth + 1 >= self.allowed.tune_ins or self.now + TRY_LEAST > self.out_until(vw) or (
+        late = self.now + TRY_LEAST > self.out_until(vw)
+        if late or len(vw.erred) > 1 or vw.nth + 1 >= self.allowed.tune_ins or (
                 vw.ran_at is not None and vw.pack.effect != "safe"
                 and (vw.pack.effect == "unsafe" or self.now - vw.ran_at >= vw.pack.repeat_window)):
             return False
@@ -487,8 +488,7 @@
         vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, self.out_until(vw)
         # Against servers that answer nothing: leave time for another, except where it could not be used.
         if vw.pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
-            left = expire - self.now
-            expire = self.now + min(left, max(TRY_LEAST, vw.pack.join_target // 2))
+            expire = min(expire, self.now + max(TRY_LEAST, vw.pack.join_target // 2))
         if self.is_cold(srv):
             srv.turn = self.pace_turn(srv)
         if rung != vw.floor or vw.rung != vw.floor:
@@ -672,7 +672,7 @@
         srv.doubt_at = self.now
 
     def well(self, srv):
-        srv.ills = srv.ills // 2
+        srv.ills, srv.well_at = srv.ills // 2, self.now
         # A server that failed and came back may have restarted, whatever the list says.
         if srv.doubt_at is not None:
             srv.doubt_at, srv.cold_until = None, max(srv.cold_until, self.now + self.rules.warm_within)
@@ -720,7 +720,7 @@
         self.drop(srv)
 
     def drop(self, srv):
-        """Gone and empty is forgotten, or replaced machines fill the memory and weigh on their rack's uplink."""
+        """Gone and empty is forgotten, or replaced machines fill the memory and weigh on their rack."""
         if srv.row.state is State.GONE and not srv.viewings and self.servers.pop(srv.row.server, None):
             srv.rack.links.remove(srv.link)
             self.cells[srv.row.cell].pop(srv.row.server, None)
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -295,7 +295,8 @@
 
     def ended(self, vw, how, load=()):
         """A set-up that came to nothing."""
-        self.counts[f"set-up {how.value}"] += 1
+        self.said(f"set-up {how.value}", call=vw.call, server=f"{vw.server.server:08x}", key=vw.key, nth=vw.nth,
+                  took=self.now() - vw.sent_at)
         self.runner.ended(vw.id, vw.nth, how, self.now() - vw.sent_at, load)
         self.settle(vw)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -120,6 +120,28 @@
                           f"its use {rack.use():.2f}")
         self.compare()
 
+    def test_what_servers_that_serve_refuse_alike_is_its_own_fault(self):
+        # Each impossible set-up shut every holder for seconds, and made it count as cold, five tune-ins at a time.
+        self.start(pack(), slots=(30,))
+        for id in (1, 2, 3):
+            self.at(0, self.ask(id, cells=1, first=id - 1))
+            self.at(500, self.begun(id, id))
+        self.at(0, self.ask(20), say="impossible: an error at one, then at another, and no third is asked")
+        self.at(500)
+        for nth in range(2):
+            server = self.manager.viewings[20].server.row.server
+            self.at(10, self.ended(20, server, How.ERROR, nth=nth))
+        for server, srv in sorted(self.manager.servers.items()):
+            self.lines.append(f"{server}: ills {srv.ills}, shut {srv.shut_until > self.now}, cold "
+                              f"{self.manager.is_cold(srv)}")
+        self.at(6 * S, self.ask(21), say="none of them served within 5 s: each error counts against its server")
+        self.at(500)
+        for nth in range(2):
+            server = self.manager.viewings[21].server.row.server
+            self.at(10, self.ended(21, server, How.ERROR, nth=nth))
+        self.lines.append(f"shut {sorted(n for n, srv in self.manager.servers.items() if srv.shut_until > self.now)}")
+        self.compare()
+
     def test_cold_server_takes_our_turns_of_the_pace(self):
         self.start(pack(), servers=1, peers=2, me=1)
         self.at(0, self.list(1, kind=ListKind.DELTA, started_at=120 * S), say="restarted just now")
