--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -275,6 +275,9 @@
                 del self.releases[call]
                 self.counts["releases not heard"] += 1
             elif now - said > RELEASE_AGAIN:
+                if now - since > 8_000:
+                    line = self.releases[call][3]
+                    self.said("slow release", call=call, since=now - since, carried=line.carried, closed=line.closed)
                 self.say_release(call)
 
     def release_heard(self, call):
--- a/flaxscale/platform/servers.py
+++ b/flaxscale/platform/servers.py
@@ -292,6 +292,8 @@
         elif op == "end":
             if vw is not None and vw.id in self.playing:
                 host.over_there(self, vw, message)
+            elif vw is not None:
+                host.said("end of what is out", call=call, why=message.why, out=vw.line is not None)
             self.settled(line, call)
             line.say(messages.line("ended", call))
         elif op not in ("accept", "ringing", "tested", "test", "set", "redirect", "offer"):
