Two checks that could not fail, and a move that nobody called, are gone

The time from the last tune-in to the block was compared with itself; it is measured from the set-up now and holds under 0.5 s. The clock's test asserted a class to be a class. Host.moved had no caller: moves stand in docs/ROADMAP.md as not told to viewers yet.

--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -401,11 +401,6 @@
         elif answer.fate is Fate.ABORTED:
             vw.client.say(messages.line("end", vw.call, why=messages.CUT))
 
-    def moved(self, id):
-        """A viewing that the module moved: its viewer is told to come again."""
-        vw = self.viewings[id]
-        vw.client.say(messages.line("redirect", vw.call))
-
     def tell_peers(self, server, kb):
         self.words.say(PEER_WORD.pack(server, kb))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,6 @@
 from flaxscale import wirehost
 from flaxscale.platform import config as configuration
 from flaxscale.platform.bulletin import Bulletin, Unreadable
-from flaxscale.platform.host import Host
 from flaxscale.site.load import SiteError
 from tests.platform_rig import ANSWER, DESC, Platform, line, plays
 from tests.test_host import frame, init, knock, listed, record
@@ -118,7 +117,7 @@
         self.assertEqual(34, found["why"])
         self.assertTrue(250 <= found["fields"]["wait"] <= 500)
         # Given up by the module, told in the same step: not held back until near its patience.
-        self.assertLess(found["at"] - self.all("end", who="viewer")[0]["at"], 15_000)
+        self.assertLess(found["at"] - self.all("offer", call=call)[-1]["at"], 5_000)
 
     async def test_handed_over_viewings_are_taken_once_and_ended_by_either_side(self):
         await self.server(1)
@@ -513,7 +512,6 @@
 
         from flaxscale.serve.clock import unix_clock
         self.assertAlmostEqual(time.time() * 10_000, unix_clock()(), delta=1_000)
-        self.assertTrue(issubclass(Host, object))
 
 
 if __name__ == "__main__":
