Seats are kept for claims that are out and for what an earlier life may have left

Cause: FrontMembers.claim asked has_seat for each of a batch against one count and kept no seat while the claim was out (front/members.py), so that a batch, other boxes' batches and newcomers shared one free seat; adopted() ended the excess only after the box had granted it. And a restarted manager seated newcomers while boxes that had not answered still played its earlier life's viewings, which its own new streams even kept alive: boxes counted the lease by name.

Now: members/seats.py reserves a seat from before a claim is sent until it is known not to take it, and while a listed box that may hold a title has not told what an earlier life left there, no seat of it is given (fleet.lease_ms and 0.5 s at most; Reserved tells the module). A claim whose answer is lost is asked for again. Boxes keep a lease for each life of a manager. A session that was taken up proves its box warm only where it is older than the warm-up.

A refusal of 2 MB was taken back by a reset: the front closed with bytes unread; it lingers now, 2 s and 4 MB at most.

--- a/flaxscale/cli/standins.py
+++ b/flaxscale/cli/standins.py
@@ -18,7 +18,8 @@
              catalogue=None):
     place = Place(id, cell, cell % site.fleet.racks, zone, kind, weight, link_kb, site.fleet.kinds[kind])
     box = Box(place, site_of(site), secrets.token_hex(4), now() - round(up_ms * 10), seed, round(work_ms * 10))
-    row = round(site.fleet.note_every_ms * 10), round(site.fleet.note_lag_ms * 10), round(lease_ms * 10)
+    lease = lease_ms if lease_ms is not None else site.fleet.lease_ms
+    row = round(site.fleet.note_every_ms * 10), round(site.fleet.note_lag_ms * 10), round(lease * 10)
     return BoxServer(box, row, list_address, record, site.front.fleet_token, catalogue,
                      logger("warning", None, box=id))
 
@@ -38,7 +39,8 @@
 @click.option("--port", default=0, show_default=True)
 @click.option("--up-ms", default=0.0, show_default=True, help="How long it counts as having been up.")
 @click.option("--work-ms", default=15.0, show_default=True, help="What a set-up takes.")
-@click.option("--lease-ms", default=4000.0, show_default=True, help="Viewings end so long after their manager went.")
+@click.option("--lease-ms", default=None, type=float, help="Viewings end so long after their manager went; the site's "
+              "fleet.lease_ms if left out.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--record", default=None, type=click.Path())
 @click.option("--ready", "say_ready", is_flag=True)
--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -89,9 +89,8 @@
         self.own_then -= kb
 
     def use(self):
-        if self.heard_at is None:
-            return self.own / self.kb + self.unheard()
-        return max(0.0, self.base + (self.own - self.own_then) / self.kb)
+        return (self.own / self.kb + self.unheard() if self.heard_at is None
+                else max(0.0, self.base + (self.own - self.own_then) / self.kb))
 
     def share(self):
         return min(1.0, max(self.own, 1.0) / self.kb / max(self.use(), 1e-9))
@@ -146,6 +145,7 @@
         self.servers, self.racks, self.cells = {}, {}, {}
         self.viewings, self.waiting, self.seats = {}, [], Counter()
         self.titles = {}            # what a catalogue told of titles
+        self.reserved = {}, ()      # seats that claims may take; servers that may play an earlier life's
         self.lacking = {}           # (server, title): until when it is not asked for it
         self.kept_for = {}, {}      # titles, packages of an announced peak: the rung that room is kept for
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
@@ -181,12 +181,11 @@
 
     def weigh(self):
         """The site's goal counts the worst-served package apart: steps of those near it earn more."""
-        self.weighed_at, goal, asked, served = self.now, self.terms.goal, {}, {}
+        self.weighed_at, goal, asked, served = self.now, self.terms.goal, Counter(), Counter()
         self.lacking = {key: until for key, until in self.lacking.items() if until > self.now}
         for vw in self.viewings.values():
-            p = vw.ask.package
-            asked[p] = asked.get(p, 0) + self.terms.ladder.worth[vw.top]
-            served[p] = served.get(p, 0) + self.terms.ladder.worth[vw.rung] * vw.playing
+            asked[vw.ask.package] += self.terms.ladder.worth[vw.top]
+            served[vw.ask.package] += self.terms.ladder.worth[vw.rung] * vw.playing
         if not asked or not goal.worst_package:
             return
         near = {p: exp(-served[p] / asked[p] / NEAR_WORST) for p in asked}
@@ -226,7 +225,8 @@
         acts = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
                 face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
                 face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
-                face.Kept: self.keep, face.Catalogued: self.catalogued, face.Changed: self.changed}
+                face.Kept: self.keep, face.Reserved: self.reserve, face.Changed: self.changed,
+                face.Catalogued: self.catalogued}
         acts[type(event)](event)
         return self.out
 
@@ -254,11 +254,10 @@
     def look_up(self):
         """What plays at its lowest rung is looked after too: it may have begun in a crowd."""
         for vw in self.viewings.values() if self.looks else ():
-            srv = vw.server
-            if (vw.playing and srv and vw.rung == vw.floor < vw.top
+            if (vw.playing and vw.server and vw.rung == vw.floor < vw.top
                     and self.now - vw.stepped_at >= vw.look_after):
                 vw.look_after *= 3
-                self.probe(srv)
+                self.probe(vw.server)
 
     def probed(self, event):
         srv, figures = self.servers.get(event.server), dict(zip(self.terms.fleet.load_names, event.load))
@@ -300,7 +299,7 @@
         vw.stepped_at -= STEP_PAUSE
         next(vw.life)
         if srv := self.servers.get(event.server):
-            srv.seen_warm = True
+            srv.seen_warm |= event.age >= self.rules.warm_within
         self.occupy(vw, srv)
 
     def left(self, event):
@@ -375,6 +374,9 @@
             srv.kept = event.rooms.get(server, 0.0) * left
             srv.rack.kept += srv.kept
 
+    def reserve(self, event):
+        self.reserved = event.seats, event.servers
+
     def kept_rung(self, vw):
         return max(self.kept_for[0].get(vw.ask.title, -1), self.kept_for[1].get(vw.ask.package, -1))
 
@@ -564,18 +566,21 @@
         return [srv for j in range(vw.ask.cells)
                 for srv in self.cells.get((vw.ask.first_cell + j) % self.terms.fleet.cells, {}).values()]
 
-    def seats_of(self, vw):
-        known = self.titles.get(vw.ask.title)
-        return dict(known.seats).get(vw.ask.package, vw.pack.seats) if known else vw.pack.seats
+    def has_seat(self, seat, holders=()):
+        """Whether one more may play there. Not while an earlier life of ours may fill seats unknown to us."""
+        (taken, unheard), known, pack = self.reserved, self.titles.get(seat[0]), self.terms.packages[seat[1]]
+        seats = dict(known.seats).get(seat[1], pack.seats) if known else pack.seats
+        # A catalogue's holders are those of today; what plays may have begun when others held the title.
+        hidden = unheard and holders and (known or any(srv.row.server in unheard for srv in holders))
+        return not seats or not hidden and self.seats[seat] + taken.get(seat, 0) < seats
 
     def open_holders(self, vw, bad_too=True):
         """The holders of the title to which the rules and their health let a tune-in go now."""
-        seats = self.seats_of(vw)
-        if (seats and self.seats[vw.seat] >= seats or self.now >= self.out_until(vw)
+        every = self.holders(vw)
+        if (not self.has_seat(vw.seat, every) or self.now >= self.out_until(vw)
                 or vw.nth >= 0 and not self.may_repeat(vw)):
             return []
-        holders = [srv for srv in self.holders(vw)
-                   if (srv.usable if srv.judged == self.calls else self.judge(srv))]
+        holders = [srv for srv in every if (srv.usable if srv.judged == self.calls else self.judge(srv))]
         if vw.ran_at is not None or self.lacking:
             holders = [srv for srv in holders if self.near_enough(vw, srv.row)
                        and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)]
@@ -595,16 +600,14 @@
 
     def near_enough(self, vw, row):
         """A keyed package that may have run is repeated only inside its group."""
-        pack, ran = vw.pack, vw.ran_near
-        free = pack.effect != "keyed" or vw.ran_at is None or pack.group == "all"
-        return free or ran and (row.zone == ran.zone if pack.group == "zone" else row.cell == ran.cell)
+        ran, free = vw.ran_near, vw.pack.effect != "keyed" or vw.ran_at is None or vw.pack.group == "all"
+        return free or ran and (row.zone == ran.zone if vw.pack.group == "zone" else row.cell == ran.cell)
 
     def rate(self, srv, vw, rung):
         """What the viewing would add at this server: less where it joins a live stream of ours."""
-        kb = self.step(vw, rung)[0]
         joins = vw.pack.live and any(
             o.rung == rung and o.seat == vw.seat and o is not vw for o in srv.viewings.values())
-        return kb * self.terms.ladder.join if joins else kb
+        return self.step(vw, rung)[0] * (self.terms.ladder.join if joins else 1)
 
     def fit(self, srv, vw):
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
@@ -701,9 +704,8 @@
 
     def listing(self, event):
         named = {row.server for row in event.entries}
-        left_out = [] if event.kind is ListKind.DELTA else [
-            srv.row._replace(state=State.GONE) for server, srv in self.servers.items() if server not in named]
-        for row in [*event.entries, *left_out]:
+        for row in [*event.entries, *(srv.row._replace(state=State.GONE) for n, srv in self.servers.items()
+                                      if event.kind is not ListKind.DELTA and n not in named)]:
             self.listed(row)
 
     def listed(self, row):
@@ -841,6 +843,5 @@
                 plan[vw] += 1
             if not fits or plan[vw] == vw.top:
                 open_to.discard(vw)
-        life = {vw: vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE for vw in plan}
-        self.set_rungs({vw: rung for vw, rung in plan.items() if (
-            ladder.worth[rung] - ladder.worth[vw.rung]) * life[vw] >= PAYBACK * ladder.switch_cost})
+        self.set_rungs({vw: r for vw, r in plan.items() if (ladder.worth[r] - ladder.worth[vw.rung]) * (
+            vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE) >= PAYBACK * ladder.switch_cost})
--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -44,12 +44,15 @@
 class Boxes:
     """All boxes of one front. The owner (front) gives: held keys by box, and hears of notes and losses."""
 
-    def __init__(self, owner, sense, name, log):
-        self.owner, self.name, self.log = owner, name, log
+    def __init__(self, owner, sense, name, life, log):
+        """life: of this manager, another one at each start: a box keeps what a life left for a lease."""
+        self.owner, self.log = owner, log
         site = sense.site
         self.pool, self.seed = wire.Pool(0, site.front.box_connections), sense.seed
         self.rule(sense)
-        self.token = [("Authorization", f"Bearer {site.front.fleet_token}")] if site.front.fleet_token else []
+        self.who = [("Flaxscale-Manager", name), ("Flaxscale-Life", life)]
+        if site.front.fleet_token:
+            self.who.append(("Authorization", f"Bearer {site.front.fleet_token}"))
         self.places, self.watches, self.streams = {}, {}, {}
         self.playing, self.boots = {}, {}       # box: {key: viewing}; key: the start of the box that plays it
         self.epochs = {}            # key: the epoch under which we hold it, where it was taken over
@@ -80,7 +83,7 @@
             done(How.OK if whole else How.ERROR, now() - began,
                  tuple(figures[name] for name in self.load_names) if whole else ())
         self.pool.send(place.host, place.port, "GET", "/manager/load",
-                       [("Flaxscale-Manager", self.name), *self.token], b"", came, self.dial_s)
+                       self.who, b"", came, self.dial_s)
 
     # The list
 
@@ -91,7 +94,7 @@
             self.lose(box, self.watch(box).listed_gone(self.keys(box)), "the list says gone")
             if not self.keys(box):
                 self.close_stream(box)
-                self.owed.gone(box)
+                self.gone(box)
         for box, place in places.items():
             if box in self.watches:
                 self.watches[box].listed()
@@ -123,7 +126,7 @@
                 done(How.RESET if result.sent else How.UNREACHED, took, None, ())
                 return
             done(self.how_of(result), took, result, self.notes_of(result.headers))
-        return self.pool.send(place.host, place.port, "POST", target, [*headers, *self.token], body, came)
+        return self.pool.send(place.host, place.port, "POST", target, [*headers, *self.who], body, came)
 
     def how_of(self, answer):
         """An answer as an outcome. What is not said to have never run may have run."""
@@ -154,6 +157,17 @@
             if not held:
                 del self.playing[box]
 
+    def gone(self, box):
+        """No process is there any more, and nothing is owed to it."""
+        for key in list(self.owed.keys(box)):
+            self.settled(box, key)
+        self.owed.gone(box)
+
+    def settled(self, box, key):
+        """Whatever became of it there, it plays there for us no more."""
+        self.owed.over(box, key)
+        self.owner.ended_there(key)
+
     # Orders
 
     def end(self, box, key):
@@ -178,7 +192,7 @@
         place = self.places.get(box)
         if place is None:
             if not self.keys(box):
-                self.owed.gone(box)
+                self.gone(box)
         elif at > time:
             self.push(box, (at - time) / 10_000 + 0.001)
         else:
@@ -194,10 +208,11 @@
                 for key in ends:
                     if key not in self.owed.keys(box):
                         self.epochs.pop(key, None)
+                        self.owner.ended_there(key)
             self.push(box)
         self.orders_out[box] = self.pool.send(
             place.host, place.port, "POST", "/manager/orders",
-            [("Content-Type", "application/json"), ("Flaxscale-Manager", self.name), *self.token],
+            [("Content-Type", "application/json"), *self.who],
             msgspec.json.encode({"end": ends, "rungs": rungs, "epochs": {
                 key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs}}), came, ORDERS_S)
 
@@ -209,7 +224,7 @@
             return
         for key in keys:
             id = self.keys(box).get(key)
-            self.owed.over(box, key)
+            self.settled(box, key)
             if id is not None:
                 self.over(box, key)
                 self.log.info("fenced", viewing=id, box=box)
@@ -224,7 +239,7 @@
             return
         watch.opening(self.keys(box))
         self.streams[box] = stream = wire.EventStream(
-            place.host, place.port, "/manager/notes", [("Flaxscale-Manager", self.name), *self.token],
+            place.host, place.port, "/manager/notes", self.who,
             lambda: None, lambda event: self.heard(box, event),
             lambda refused, detail: self.stream_closed(box, refused, detail))
         stream.start(self.dial_s)
@@ -267,7 +282,7 @@
             return
         if event.name == "over":
             id = self.keys(box).get(over.key)
-            self.owed.over(box, over.key)
+            self.settled(box, over.key)
             if id is not None:
                 self.over(box, over.key)
                 self.owner.session_over(id, How.RESET if over.how == "lost" else How.OK)
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -72,7 +72,7 @@
         self.sense, self.site, self.mark, self.lines = sense, sense.site, mark_of(sense.site), log
         self.boot, self.name = secrets.token_hex(4), f"m{sense.me}"
         self.runner = Runner(sense.terms, self, tap)
-        self.boxes = Boxes(self, sense, self.name, log)
+        self.boxes = Boxes(self, sense, self.name, self.boot, log)
         fleet = self.site.fleet
         self.book = BoxBook(sense.kinds, sense.zones, fleet.cells, sense.terms.rules.warm_within)
         self.follower = ListFollower(list_address, self.name, self.book, state, self.listed,
@@ -395,7 +395,7 @@
         host, port = vw.place
         call = self.boxes.pool.send(host, port, "PATCH", vw.path,
                                     [("Content-Type", endpoint.FRAGMENT), ("If-Match", want.match),
-                                     ("Flaxscale-Manager", self.name), *self.boxes.token], want.body, came, PATCH_S)
+                                     *self.boxes.who], want.body, came, PATCH_S)
         exchange.gone = call.cancel
 
     # The runner's port
@@ -420,7 +420,7 @@
             vw.slot_wait = max(0, self.runner.due - vw.taken_at)
         offer = vw.offer
         headers = [("Content-Type", endpoint.SDP), ("Idempotency-Key", f'"{vw.key}"'),
-                   ("Flaxscale-Manager", self.name), ("Flaxscale-Rung", str(rung)),
+                   ("Flaxscale-Rung", str(rung)),
                    ("Flaxscale-Patience", str(left // 10)), ("Flaxscale-Cookie", vw.cookie)]
         if offer.trace:
             headers.append(("traceparent", offer.trace))
@@ -538,7 +538,7 @@
     # From boxes
 
     def is_out(self, key):
-        return key in self.by_key or key in self.members.claiming
+        return key in self.by_key or key in self.members.book.claims
 
     def found(self, box, keys):
         """Sessions that a box holds for us and we do not know: of an earlier life they are taken up, else ended."""
@@ -548,25 +548,40 @@
                 self.boxes.end(box, key)
         if any(not key.startswith(life) for key in keys):
             self.members.listed([box])
+        else:                       # a box that answers nothing may still say by its stream that it has none
+            self.members.said(box)
 
-    def has_seat(self, cookie):
-        """Whether one more of this title may play here: seats bound a manager, also in what it takes over."""
+    def seat_of(self, cookie):
+        """(title, package) as the module numbers them, which hears what the title is; None where it is not known."""
         row, package = self.entry(cookie.title, cookie.sends)
         if package is None:
-            return False
-        number = self.sense.packages[package]
-        known = self.runner.manager.titles.get(row.title)
-        seats = dict(known.seats).get(number) if known else None
-        seats = self.site.packages[package].seats if seats is None else seats
-        return not seats or self.runner.manager.seats[row.title, number] < seats
+            return None
+        if news := self.view.news(cookie.title):
+            self.runner.catalogued([news])
+        return row.title, self.sense.packages[package]
+
+    def has_seat(self, seat, own):
+        """Whether a claim may take one more: seats bound a manager in what it takes over too.
+
+        own: of what an earlier life left, which is among what may be out there; another's comes on top of that.
+        """
+        manager = self.runner.manager
+        return manager.has_seat(seat, () if own else manager.servers.values())
+
+    def let_end(self, box, key, epoch, why):
+        """Ends a session there that is ours by name and epoch, and that we don't hold."""
+        self.boxes.epochs[key] = epoch
+        self.boxes.end(box, key)
+        self.lines.info("ended instead of taken over", box=box, key=key, why=why)
+
+    def ended_there(self, key):
+        self.members.ended_there(key)
 
     def adopted(self, box, place, key, epoch, row, cookie, boot, orphan):
         """A box granted a claim: the viewing plays on, under this manager."""
         entry, package = self.entry(cookie.title, cookie.sends)
-        if package is None or orphan or cookie.name in self.names or not self.has_seat(cookie):
-            self.boxes.epochs[key] = epoch
-            self.boxes.end(box, key)
-            self.lines.info("ended instead of taken over", box=box, key=key, orphan=orphan)
+        if package is None or orphan or cookie.name in self.names:
+            self.let_end(box, key, epoch, "nobody watches" if orphan else "not known, or held already")
             return
         self.ids += 1
         vw = self.viewings[self.ids] = Viewing(self.ids, None, None, self.name)
@@ -577,7 +592,7 @@
         self.boxes.plays(box, key, vw.id, boot, epoch)
         self.boxes.keep_stream(box)
         self.runner.handed_over(ask_of(vw.id, cookie, self.sense.packages[package], entry.title, entry,
-                                       len(self.site.ladder.kb) - 1), box, row.rung)
+                                       len(self.site.ladder.kb) - 1), box, row.rung, round(row.age_ms * 10))
         self.journal.restore(vw)
         self.lines.info("took over", viewing=vw.id, box=box, key=key, epoch=epoch)
 
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -6,9 +6,11 @@
 
 from .. import interface as face
 from ..members.adopt import Session, keeper_of, plan
+from ..members.seats import SeatBook
 from ..members.shell import MemberShell
 from ..members.swim import State
 from ..serve import pool as wire
+from ..serve.clock import now
 from ..store.shapes import decoded
 
 ASK_S, PAUSE_S, TRIES = 1.0, 0.25, 16
@@ -66,7 +68,8 @@
         self.front, self.keys, self.seeds = front, [k.encode() for k in keys], seeds
         self.shell, self.jobs, self.on = None, {}, members
         self.taken = self.refused = 0
-        self.claiming = set()           # keys asked for: their box may name them before we know them as ours
+        self.book = SeatBook(now(), round(front.site.fleet.lease_ms * 10))
+        self.told, self.timer = None, None
 
     async def start(self, host, port, serves):
         front = self.front
@@ -79,7 +82,20 @@
 
     def recover(self):
         """At a start: whatever an earlier life of this manager left playing."""
-        self.take_over(self.front.name)
+        self.timer = asyncio.get_running_loop().call_later((self.book.until - now()) / 10_000, self.reserve)
+        self.listed(self.front.boxes.places)
+
+    def reserve(self):
+        """Tells the module of the seats that may be taken without it, where that changed."""
+        made = self.book.reserved(now())
+        if made != self.told:
+            self.told = made
+            self.front.runner.reserved(*made)
+
+    def ended_there(self, key):
+        """A box ended a session, or is gone with it: where we had claimed it only for that, its seat is free."""
+        if self.book.settled(key):
+            self.reserve()
 
     # Members
 
@@ -123,8 +139,15 @@
 
     def listed(self, boxes):
         """Boxes that the list names only now may hold sessions of an earlier life."""
+        if self.book.listed(boxes, now()):
+            self.reserve()
         self.take_over(self.front.name, boxes)
 
+    def said(self, box):
+        """Nothing of an earlier life is left at a box that we don't know of."""
+        self.book.said(box)
+        self.reserve()
+
     def still_away(self, manager):
         return manager == self.front.name or manager not in self.alive()
 
@@ -147,7 +170,7 @@
         came = asyncio.get_running_loop().create_future()
         call = self.front.boxes.pool.send(
             place.host, place.port, method, target,
-            [("Content-Type", "application/json"), ("Flaxscale-Manager", self.front.name), *self.front.boxes.token],
+            [("Content-Type", "application/json"), *self.front.boxes.who],
             msgspec.json.encode(body) if body is not None else b"",
             lambda result: came.done() or came.set_result(result))
         try:
@@ -162,7 +185,7 @@
     async def claim(self, box, place, manager, found):
         """Claims what is ours to take of a box's answer; True where nothing is left to do."""
         front, own = self.front, manager == self.front.name
-        rows, cookies = {}, {}
+        rows, cookies, whole = {}, {}, True
         for row in found.sessions:
             if row.key in front.boxes.keys(box) or front.is_out(row.key) or row.key.startswith(
                     f"{front.name}.{front.boot}."):
@@ -171,41 +194,81 @@
                 cookies[row.key] = cookie_in(row.cookie)
             except ValueError as bad:
                 front.lines.info("session not taken over", key=row.key, detail=str(bad))
+                whole = False
                 continue
             rows[row.key] = row
         sessions = [Session(r.key, r.owner, r.epoch, cookies[r.key].name, r.media or r.age_ms < YOUNG_MS)
                     for r in rows.values()]
         made = plan(sessions, manager, front.name, [front.name] if own else self.alive())
-        claims = {c.key: c.epoch for c in made.claims if front.has_seat(cookies[c.key])}
-        if not claims:
-            return True
-        self.claiming |= claims.keys()
-        try:
-            said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted)
-            granted = [k for k in said.granted if k in claims]
+        claims, later = {}, False
+        for c in sorted(made.claims, key=lambda c: c.key in made.ends):     # who watches first, where seats are few
+            seat = front.seat_of(cookies[c.key])
+            if seat is None:
+                later = True        # its title is not known yet, or not any more
+            elif front.has_seat(seat, own):
+                claims[c.key] = c.epoch
+                self.book.claim(c.key, seat)
+                self.reserve()      # each is asked for with those before it counted
+            elif own:               # over what seats allow by now, and it bears our name
+                self.book.claim(c.key, seat)
+                front.let_end(box, c.key, rows[c.key].epoch, "no seat")
+            else:                   # the lease ends it, unless we only don't know yet what we have ourselves
+                later = later or bool(self.book.reserved(now()).boxes)
+        if claims:
+            granted = await self.granted(box, place, claims)
             for key in granted:
                 front.adopted(box, place, key, claims[key], rows[key], cookies[key], found.boot, key in made.ends)
+            for key in claims:
+                if key not in front.boxes.owed.keys(box):
+                    self.book.settled(key)
             self.taken += len(granted)
             self.refused += len(claims) - len(granted)
             front.lines.info("taken over", box=box, of=manager, count=len(granted), refused=len(claims) - len(granted))
-        finally:
-            self.claiming -= claims.keys()
-        return True
+        if own and whole and not later:
+            self.said(box)
+        self.reserve()
+        return not later
+
+    async def granted(self, box, place, claims):
+        """Keys that a box granted. An answer that is lost may have granted all: the same claims are asked for again.
+
+        Where the box stays silent they are given up: it is told to end what it may have granted.
+        """
+        try:
+            for n in range(TRIES):
+                try:
+                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted)
+                    return [key for key in said.granted if key in claims]
+                except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
+                    self.front.lines.info("claims not answered", box=box, count=len(claims), tries=n + 1,
+                                          detail=str(bad)[:200])
+                    if box not in self.front.boxes.places:
+                        break
+                await asyncio.sleep(PAUSE_S)
+        except asyncio.CancelledError:
+            for key in claims:
+                self.book.settled(key)
+            raise
+        for key, epoch in claims.items():
+            self.front.let_end(box, key, epoch, "claim not answered")
+        return []
 
     def state(self):
         if self.shell is None:
-            return {"on": False, "taken_over": self.taken}
+            return {"on": False, "taken_over": self.taken, "not_heard_yet": len(self.book.reserved(now()).boxes)}
         members = {m.name: {"state": m.state.name.lower(), "incarnation": m.incarnation, "address": m.address,
                             "serves": m.serves} for m in self.shell.swim.members.values()}
         return {"on": True, "alive": self.alive(), "members": members, "taken_over": self.taken,
-                "claims_refused": self.refused, "stood_still": self.shell.swim.stood,
-                "messages_refused": self.shell.refused}
+                "claims_refused": self.refused, "not_heard_yet": len(self.book.reserved(now()).boxes),
+                "stood_still": self.shell.swim.stood, "messages_refused": self.shell.refused}
 
     def leave(self):
         if self.shell:
             self.shell.leave()
 
     async def stop(self):
+        if self.timer is not None:
+            self.timer.cancel()
         for job in list(self.jobs.values()):
             job.cancel()
         await asyncio.gather(*self.jobs.values(), return_exceptions=True)
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -176,6 +176,12 @@
     packages: dict              # the same for all titles of a package
 
 
+class Reserved(NamedTuple):
+    """Seats that viewings may take which are not held yet, from now until it is told anew."""
+    seats: dict                 # (title, package): claims that are out there
+    servers: frozenset          # those that may play what an earlier life of this instance left, and did not say yet
+
+
 class Changed(NamedTuple):
     """Other terms from now on. Packages, kinds and zones keep their numbers; new ones come after them."""
     terms: SiteTerms
@@ -184,6 +190,7 @@
 class HandedOver(NamedTuple):
     viewing: Asked
     server: int
+    age: int = 1 << 60      # how long it has played there; not told: long
 
 
 class Begun(NamedTuple):
--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -129,8 +129,8 @@
              "--id", str(n + 1), "--cell", str(row.cell), "--kind", row.kind,
              "--zone", row.zone, "--weight", str(row.weight), "--link-kb", str(link_of(self.day, row)),
              "--list", self.list_address,
-             "--up-ms", str(up), "--seed", str(self.seed), "--port", str(port), "--lease-ms",
-             str(self.day.lease_ms), "--work-ms", str(self.day.work_ms),
+             "--up-ms", str(up), "--seed", str(self.seed), "--port", str(port),
+             "--work-ms", str(self.day.work_ms),
              "--record", str(self.out / f"box-{n + 1}-{starts[n]}.jsonl"), "--ready"],
             self.out / f"box-{n + 1}.log").start()
 
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -64,7 +64,7 @@
     members: bool = False               # managers talk to each other and take over from those that die
     settle_s: float = 2.0               # before the day begins
     list_late_ms: float = 300
-    lease_ms: float = 4000
+    lease_ms: float | None = None       # the site's fleet.lease_ms if left out
     work_ms: float = 15
 
 
@@ -138,6 +138,8 @@
 def read_day(file, sockets=True, **given):
     """The Day of a file, or SiteError with file, key and what was expected. sockets: it will start processes."""
     day = shape(file, evaluate(file, **given), Day)
+    if day.lease_ms is not None:
+        day.site.fleet.lease_ms = day.lease_ms
     checked(file, day.site, "site.")
     if day.after is not None:
         checked(file, day.after, "after.")
--- a/flaxscale/model/play.py
+++ b/flaxscale/model/play.py
@@ -330,7 +330,7 @@
             vw.gone = True
             self.come_again(vw.player)
         if vw.key is not None:
-            self.world.later(round(self.day.lease_ms * 10), self.ended_at_box, vw.server, vw.key)
+            self.world.later(round(self.day.site.fleet.lease_ms * 10), self.ended_at_box, vw.server, vw.key)
 
     # What boxes tell, and what it is all worth
 
--- a/flaxscale/rules/check.py
+++ b/flaxscale/rules/check.py
@@ -170,6 +170,22 @@
                for title in records.catalogue.between(t.title, *known))
 
 
+def lives(since, until, kills):
+    """Spans of [since, until] in which the manager ran. What a killed one left plays on under its name, and counts
+    again from its return: claimed by then or not, it takes one of its seats."""
+    spans = []
+    for killed, back in kills:
+        if killed < since:
+            continue
+        if killed >= until:
+            break
+        spans.append((since, killed))
+        since = back
+        if since >= until:
+            return spans
+    return [*spans, (since, until)]
+
+
 def rule_5(records):
     """No rung under the floor; no more of a title and package than seats; nothing on boxes that do not hold it."""
     breaks, packages = [], records.site["packages"]
@@ -185,9 +201,9 @@
             # Under its own manager, then under each that took it over.
             spans = [(t.at, t.manager), *t.taken]
             for n, (since, manager) in enumerate(spans):
-                ends = [k for k, _ in records.kills.get(manager, ()) if k >= since]
-                until = min([t.freed_at, *ends, *(at for at, _ in spans[n + 1:n + 2])])
-                held[manager, t.title, t.package] += [(since, 1, t), (max(since, until - SLACK), -1, t)]
+                until = min([t.freed_at, *(at for at, _ in spans[n + 1:n + 2])])
+                for begun, over in lives(since, until, records.kills.get(manager, ())):
+                    held[manager, t.title, t.package] += [(begun, 1, t), (max(begun, over - SLACK), -1, t)]
     for (manager, title, package), changes in held.items():
         count = 0
         for at, change, t in sorted(changes, key=lambda row: row[:2]):
@@ -214,7 +230,7 @@
 
 
 def rule_6(records):
-    """Further tune-ins of one manager in any window: a few, plus a share of the viewings that it took."""
+    """Further tune-ins of one life of a manager in any window: a few, plus a share of the viewings that it took."""
     further = records.site["rules"].get("further")
     if not further:
         return []
@@ -229,8 +245,10 @@
             taken[a.manager].append(a.at)
     for manager, times in made.items():
         for n, at in enumerate(times):
-            count = sum(1 for other in times[:n + 1] if other > at - span)
-            took = sum(1 for other in taken[manager] if at - span - SLACK < other <= at)
+            # An instance counts from its start: whoever comes back knows of nothing that it made before.
+            born = max((killed for killed, _ in records.kills.get(manager, ()) if killed < at), default=0)
+            count = sum(1 for other in times[:n + 1] if other > max(born, at - span))
+            took = sum(1 for other in taken[manager] if max(born, at - span - SLACK) < other <= at)
             if count > further["free"] + further["share"] * took:
                 breaks.append(Break(6, at, f"{manager}: {count} further tune-ins within {span / 10:.0f} ms, "
                                     f"{took} viewings taken"))
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -101,6 +101,10 @@
         for event in events:
             self.step(event, now)
 
+    def reserved(self, seats, servers):
+        """Seats that claims may take, and servers that may play what an earlier life of this manager left."""
+        self.step(face.Reserved(seats, servers))
+
     def kept(self, rooms, titles, packages):
         """Room kept for announced peaks, from now on."""
         self.step(face.Kept(rooms, titles, packages))
@@ -114,12 +118,15 @@
         self.at(self.now + max(0, ask.left - GUARD), OVERDUE, ask.id, 0)
         self.step(ask, self.now)
 
-    def handed_over(self, ask, server, rung):
-        """A viewing that plays already, from before this runner was made; rung None: a note will tell."""
+    def handed_over(self, ask, server, rung, *age):
+        """A viewing that plays already, from before this runner was made; rung None: a note will tell.
+
+        age: how long it has played there, in tenths of a millisecond, where that is known.
+        """
         self.now = self.port.now()
         held = self.held[ask.id] = Held(ask, self.now + ask.left)
         held.phase, held.nth, held.server, held.rung, held.answered = Phase.PLAYS, 0, server, rung or 0, True
-        self.step(face.HandedOver(ask, server), self.now)
+        self.step(face.HandedOver(ask, server, *age), self.now)
         if rung is not None:
             self.step(face.Note(ask.id, 0, server, NoteKind.RUNG, float(rung)), self.now)
 
--- a/flaxscale/serve/server.py
+++ b/flaxscale/serve/server.py
@@ -13,6 +13,7 @@
 
 WAITING = 8                 # requests read ahead on one connection
 STREAM_BACKLOG = 1 << 20    # a stream whose reader is further behind is cut
+LINGER, LINGER_BYTES = 20_000, 4 << 20  # after a refusal so long, and so much, is read for nothing
 
 
 class Times(NamedTuple):
@@ -71,6 +72,7 @@
         self.server, self.side = server, ServerSide(server.limits)
         self.transport, self.current, self.waiting = None, None, deque()
         self.full = self.paused = self.closing = False
+        self.lingers = 0            # bytes still read for nothing after a refusal
         self.deadline, self.phase = None, None
 
     def connection_made(self, transport):
@@ -86,6 +88,10 @@
 
     def data_received(self, data):
         if self.closing:
+            if self.lingers:
+                self.lingers -= min(self.lingers, len(data))
+                if not self.lingers:
+                    self.transport.close()
             return
         self.server.tap(self, data)
         for event in self.side.feed(data):
@@ -113,7 +119,7 @@
                 self.server.refused += 1
                 self.write(response(first.status, [("Content-Type", problem.KIND)], problem.problem(
                     first.status, "The request can't be taken", first.detail), False, self.server.date()))
-                self.close()
+                self.linger()
                 return
             self.current = first
             self.server.handle(first)
@@ -146,6 +152,18 @@
         self.closing = True
         self.transport.close()
 
+    def linger(self):
+        """Closes our side and reads on for a while: closed with bytes unread, TCP would take the refusal back with a
+        reset (RFC 9112, 9.6). The client's own close, the bytes or the time end it."""
+        self.closing, self.lingers = True, LINGER_BYTES
+        self.waiting.clear()
+        self.deadline = now() + LINGER
+        if self.paused:
+            self.paused = False
+            self.transport.resume_reading()
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+
     def abort(self):
         self.closing = True
         if self.transport is not None:
@@ -159,10 +177,15 @@
         """Called now and then; what is being answered is bounded by its patience, not here."""
         if self.current is not None or self.waiting or self.deadline is None or time < self.deadline:
             return
+        if self.lingers or self.closing:
+            self.transport.close()
+            return
         if self.phase != "idle":
             self.server.cut_off += 1
             self.write(response(408, [("Content-Type", problem.KIND)], problem.problem(
                 408, "Too slow", f"the {self.phase} of the request took too long"), False, self.server.date()))
+            self.linger()
+            return
         self.close()
 
     def eof_received(self):
--- a/flaxscale/site/shapes.py
+++ b/flaxscale/site/shapes.py
@@ -44,6 +44,7 @@
     guard: float = 0
     note_lag_ms: float = 900
     note_every_ms: float = 3000
+    lease_ms: float = 4000              # a box keeps what its manager left so long, unless somebody claims it
     link_figure: str = "x0"             # names in the load reports
     uplink_figure: str | None = None
     streams_figure: str | None = None   # streams that a box runs
@@ -166,6 +167,7 @@
     want(fleet.kb_per_weight > 0, "fleet.kb_per_weight", "over 0")
     want(fleet.uplink_kb > 0, "fleet.uplink_kb", "over 0")
     asked = fleet.reports == "probe"
+    want(fleet.lease_ms > 0, "fleet.lease_ms", "over 0")
     want(fleet.note_every_ms > 0 or fleet.note_every_ms == 0 and asked, "fleet.note_every_ms",
          "over 0, or 0 where fleet.reports is 'probe'")
     want(site.allowed.probes or not asked, "allowed.probes", "true, as fleet.reports is 'probe',")
--- a/flaxscale/standins/box.py
+++ b/flaxscale/standins/box.py
@@ -52,13 +52,14 @@
 
 class Session:
     __slots__ = ("key", "title", "package", "manager", "rung", "began", "ufrag", "etag", "name", "sends", "cookie",
-                 "media")
+                 "media", "life")
 
     def __init__(self, key, title, package, manager, rung, began, sends):
         self.key, self.title, self.package, self.manager = key, title, package, manager
         self.rung, self.began, self.sends = rung, began, sends
         self.ufrag = self.etag = self.name = None
         self.cookie, self.media = "", False     # put down by its manager; whether its media were ever asked for
+        self.life = ""              # of its manager, which is another one after a restart
 
 
 class Verdict(NamedTuple):
@@ -229,12 +230,12 @@
         self.fence.over(key)
         return self.sessions.pop(key, None)
 
-    def adopt(self, key, epoch, manager):
+    def adopt(self, key, epoch, manager, life=""):
         """A manager's claim to a session; (granted, the manager that it was taken from)."""
         session = self.sessions.get(key)
         if session is None or not self.fence.claim(key, epoch, manager):
             return False, None
-        before, session.manager = session.manager, manager
+        before, session.manager, session.life = session.manager, manager, life
         return True, before
 
     def set_rung(self, key, rung):
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -39,7 +39,7 @@
         self.server = Server(self.handle, Limits(16384, 64, 2048, 65536), most=100_000)
         self.record, self.token = record or Recorder(), token
         self.streams, self.timers, self.media, self.names, self.short = {}, set(), {}, {}, {}
-        self.last_stream = {}
+        self.lives, self.last_stream = {}, {}   # manager: the life whose stream this is; (manager, life): its end
         self.udp, self.loop, self.address = None, None, None
         self.list_address = list_address
         self.catalogue = None
@@ -132,6 +132,9 @@
         if session is not None:
             self.open(session, offer)
             session.cookie = headers.get("flaxscale-cookie", "")[:2000]
+            session.life = self.life_of(exchange)
+            if manager:
+                self.attend(manager, session.life)
         kind = next((k for k in ("answer_lost", "reset_after", "half")
                      if session is not None and getattr(trouble, k) and box.chance() < getattr(trouble, k)), None)
         patience = headers.get("flaxscale-patience", "")
@@ -307,12 +310,17 @@
         act(exchange, name)
 
     def note_stream(self, exchange, name):
+        life = self.life_of(exchange)
         old, self.streams[name] = self.streams.get(name), exchange
         if old is not None:
             old.end()
-        self.last_stream[name] = now()
+        before = self.lives.get(name, life)
+        if before != life and (name, before) not in self.last_stream:   # it still had its stream: its lease begins
+            self.begin_lease(name, before)
+        self.lives[name] = life
+        self.last_stream.pop((name, life), None)
         exchange.stream([("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")])
-        exchange.gone = lambda: self.manager_gone(name, exchange)
+        exchange.gone = lambda: self.manager_gone(name, life, exchange)
         mine = [key for key, s in self.box.sessions.items() if s.manager == name]
         exchange.send(sse.encode("hello", json.dumps({"boot": self.box.boot, "keys": mine})))
 
@@ -364,28 +372,47 @@
     def claims(self, exchange, name):
         claims = self.body_of(exchange, Claims, "claims").claims
         if not self.box.trouble.hang:
-            self.say(exchange, {"granted": [key for key, epoch in claims.items() if self.adopt(key, epoch, name)]})
+            life = self.life_of(exchange)
+            self.say(exchange, {"granted": [key for key, epoch in claims.items()
+                                            if self.adopt(key, epoch, name, life)]})
 
-    def adopt(self, key, epoch, name):
+    def life_of(self, exchange):
+        return exchange.request.headers.get("flaxscale-life", "")
+
+    def adopt(self, key, epoch, name, life=""):
         """One claim. Who held the session before hears that it is another's now, if it still listens."""
-        good, before = self.box.adopt(key, epoch, name)
+        good, before = self.box.adopt(key, epoch, name, life)
         if good:
             self.record.put("adopted", key=key, manager=name, epoch=epoch)
+            self.attend(name, life)
             if before != name and before in self.streams:
                 self.streams[before].send(sse.encode("over", json.dumps({"key": key, "how": "moved"})))
         return good
 
-    def manager_gone(self, name, exchange):
+    def manager_gone(self, name, life, exchange):
         if self.streams.get(name) is exchange:
             del self.streams[name]
-            self.last_stream[name] = now()
-            self.later(self.lease, self.lease_over, name)
-
-    def lease_over(self, name):
-        """A manager that stayed away takes its viewings with it."""
-        if name not in self.streams and now() - self.last_stream[name] >= self.lease:
-            for key in [key for key, s in self.box.sessions.items() if s.manager == name]:
-                self.finish(key, "lease", tell=False)
+            self.begin_lease(name, life)
+
+    def attend(self, name, life):
+        """Something of this life is here now: without a stream of its own its lease begins."""
+        if (name, life) not in self.last_stream and not self.attended(name, life):
+            self.begin_lease(name, life)
+
+    def attended(self, name, life):
+        return name in self.streams and self.lives.get(name) == life
+
+    def begin_lease(self, name, life):
+        self.last_stream[name, life] = now()
+        self.later(self.lease, self.lease_over, name, life)
+
+    def lease_over(self, name, life):
+        """A manager's life that stayed away takes with it what nobody claimed."""
+        if self.attended(name, life) or now() - self.last_stream.get((name, life), now()) < self.lease:
+            return
+        del self.last_stream[name, life]
+        for key in [key for key, s in self.box.sessions.items() if s.manager == name and s.life == life]:
+            self.finish(key, "lease", tell=False)
 
     def one_each(self):
         """For each manager with viewings here, one of them: notes are told on it."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -8,10 +8,12 @@
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
 from flaxscale.cli.standins import make_box
 from flaxscale.front.front import Front
 from flaxscale.lab.players import Player, Wish, headers_of, offer_of, target_of
+from flaxscale.members import swim
 from flaxscale.serve.clock import now
 from flaxscale.site.load import shape
 from flaxscale.site.shapes import Site
@@ -26,7 +28,7 @@
               "push": {"join_target_ms": 800, "patience_ms": 1200, "value": 5, "effect": "unsafe"}},
  "ladder": {"kb": [100, 200, 400], "worth": [0.3, 0.6, 1]},
  "fleet": {"cells": 3, "racks": 1, "kinds": {"std": 30}, "kb_per_weight": 20000, "uplink_kb": 100000,
-           "note_lag_ms": 20, "note_every_ms": 100},
+           "note_lag_ms": 20, "note_every_ms": 100, "lease_ms": 1000},
  "rules": {"drain_grace_ms": 500, "warm_within_ms": 100, "start_capacity": 0.4, "tip_multiple": 3, "fall_ms": 500},
  "allowed": {"tune_ins": 4, "hold_off_most_ms": 400}, "front": {"gate": false},
  "titles": {"one": {"first_cell": 0, "cells": 3, "view": "clip"},
@@ -125,7 +127,7 @@
     async def start_box(self, n, up_ms=None, port=0, work_ms=2, weight=1.0):
         rows = self.box_rows.setdefault(n, Rows())
         self.boxes[n] = make_box(self.site, n, (n - 1) % 3, "std", "one", weight, 20000.0 * weight,
-                                 self.up_ms if up_ms is None else up_ms, n, work_ms, 1000,
+                                 self.up_ms if up_ms is None else up_ms, n, work_ms, None,
                                  "%s:%d" % self.list.address, rows, self.catalogue)
         self.boxes[n].catalogue and setattr(self.boxes[n].catalogue, "log", rows)
         await self.boxes[n].start(port=port)
@@ -218,5 +220,84 @@
         self.boxes[box].command({"trouble": name, "value": value})
 
 
+def talking(terms):
+    row = json.loads(terms)
+    row["allowed"]["peers"] = True
+    row["front"] = {"member_keys": ["k"], "gate": False, "fleet_token": "ours"}
+    return json.dumps(row)
+
+
+class Talking(Rig):
+    """Managers that talk to each other."""
+    managers, terms, lease = 3, talking(TERMS), 80_000
+
+    def setUp(self):
+        # The same protocol, two and a half times as fast.
+        fast = unittest.mock.patch.multiple(swim, PERIOD=2_000, ACK_WAIT=700, STOOD=10_000)
+        fast.start()
+        self.addCleanup(fast.stop)
+
+    async def start_box(self, n, **more):
+        box = await super().start_box(n, **more)
+        box.lease = self.lease
+        return box
+
+    async def start_front(self, m, listed=True):
+        log = Rows()
+        seeds = [f.members.shell.swim.me.address for f in self.fronts]
+        front = Front(Sense(self.site, m, 0, 7 + m), log, "%s:%d" % self.list.address, self.folder.name, None,
+                      self.catalogue, seeds)
+        self.fronts.append(front)
+        self.log.append(log)
+        await front.start("127.0.0.1", 0)
+        await self.listed(front, log)
+        return front
+
+    async def all_met(self):
+        for m, log in enumerate(self.log):
+            for other in range(self.managers):
+                if other != m:
+                    await log.seen("member", name=f"m{other}", state="alive")
+
+    async def kill(self, m):
+        """As a process that is killed: sockets close, nothing is said."""
+        await self.kill_front(self.fronts[m])
+
+    @staticmethod
+    async def kill_front(front):
+        if front.members.shell:
+            front.members.shell.close()
+            front.members.shell.muted = True
+        front.members.timer.cancel()
+        front.timer and front.timer.cancel()
+        front.housekeeping.cancel()
+        front.server.stop_listening()
+        front.server.abort_all()
+        front.boxes.places = {}             # nothing of it opens a stream again
+        for box in list(front.boxes.streams):
+            front.boxes.close_stream(box)
+        await front.boxes.pool.close()
+        front.follower.stop()
+        await front.peaks.stop()
+
+    async def media(self, seen):
+        """The player's media, opened and read once."""
+        from flaxscale.signalling import sdp
+        host, port, ufrag = sdp.candidate_of(seen.body)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(f"GET /media/{ufrag} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        await asyncio.wait_for(reader.readline(), 5)
+        return reader, writer
+
+    def playing(self):
+        return sum(len(b.box.sessions) for b in self.boxes.values())
+
+    def rows(self, what):
+        return [r for rows in self.box_rows.values() for r in rows.all(what)]
+
+    async def delete(self, address, location):
+        return await self.player.end(address, location)
+
+
 def file_of(name):
     return pathlib.Path(__file__).parent / name
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -55,6 +55,24 @@
         row = {"at": 1_093_000, "what": "answer", "key": "m0.50.0", "status": 503, "ran": False}
         self.assertEqual([], self.changed("rule-2-unsafe-again", self.add("box-1-1.jsonl", row)).breaks)
 
+    def test_what_a_killed_manager_left_takes_its_seats_again_from_its_return(self):
+        # Two seats; one plays on from the life before, unclaimed, and two newcomers come: three.
+        lab = [{"at": 1_091_500, "what": "kill", "manager": "m0"}, {"at": 1_092_000, "what": "back", "manager": "m0"}]
+        self.assertEqual([5], [b.rule for b in self.changed("rule-5-over-the-seats",
+                                                            self.add("lab.jsonl", *lab)).breaks])
+        lease = {"at": 1_091_900, "what": "over", "key": "m0.50.0", "how": "lease"}
+
+        def ended(folder):
+            self.add("lab.jsonl", *lab)(folder)
+            self.add("box-1-1.jsonl", lease)(folder)
+        self.assertEqual([], self.changed("rule-5-over-the-seats", ended).breaks)
+
+    def test_further_tune_ins_are_counted_from_a_managers_start(self):
+        kills = [{"at": at, "what": "kill", "manager": "m0"} for at in (1_092_000, 1_095_500)]
+        self.assertEqual([6], [b.rule for b in self.changed("rule-6-over-the-budget", self.add("lab.jsonl",
+                                                                                               kills[1])).breaks])
+        self.assertEqual([], self.changed("rule-6-over-the-budget", self.add("lab.jsonl", *kills)).breaks)
+
     def test_records_that_cannot_be_read_are_named(self):
         def torn(folder):
             with (folder / "clients.jsonl").open("a") as out:
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -15,8 +15,11 @@
 
 
 class Played(unittest.TestCase):
-    def play(self, file, seed):
-        """Plays a day that must keep the rules. Its folder (for this test), its boxes' rows, its managers' logs."""
+    def play(self, file, seed, troubled=("lost",)):
+        """Plays a day that must keep the rules. Its folder (for this test), its boxes' rows, its managers' logs.
+
+        troubled: what must have happened on it.
+        """
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         out = pathlib.Path(folder.name) / "day"
@@ -29,7 +32,8 @@
         rows = [json.loads(line) for file in out.glob("box-*.jsonl") for line in file.read_text().splitlines()]
         logs = [file.read_text() for file in sorted(out.glob("front-*.log"))]
         self.assertEqual(0, sum(log.count("Traceback") + log.count('"fault"') for log in logs))
-        self.assertTrue([r for r in rows if r["what"] == "lost"])
+        for what in troubled:
+            self.assertTrue([r for r in rows if r["what"] == what], what)
         return out, rows, logs
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,9 +1,11 @@
 """The front on sockets against stand-ins, with the failures that it is for. Each test causes one kind."""
 import asyncio
 import json
+import unittest.mock
 
 from flaxscale.interface import How
 from flaxscale.lab.players import headers_of, offer_of
+from flaxscale.serve import server
 from flaxscale.signalling import sdp
 from tests.rig import Rig, patient
 
@@ -283,6 +285,21 @@
         self.assertEqual([], self.log[0].all("fault"))
         self.assertEqual(0, sum(len(self.setups(n)) for n in (1, 2, 3)))
 
+    async def test_a_refusal_can_be_read_though_the_offer_goes_on_and_nothing_is_read_without_end(self):
+        offer = b"v" * (2 << 20)
+        status, _ = await self.status(self.post(self.wish(), body=offer))       # a reset took the 413 back before
+        self.assertEqual(413, status)
+        reader, writer = await asyncio.open_connection(*self.fronts[0].address)
+        head = self.post(self.wish(), body=b"").replace(b"Content-Length: 0", b"Content-Length: 999999999")
+        with unittest.mock.patch.object(server, "LINGER_BYTES", 100_000):
+            writer.write(head)
+            self.assertIn(b" 413 ", await reader.readline())
+            with self.assertRaises(ConnectionError):
+                while True:
+                    writer.write(b"v" * 65_536)
+                    await writer.drain()
+        await self.until(lambda: not self.fronts[0].server.lines, "its connection is closed")
+
     async def test_405_says_what_is_allowed_and_options_what_is_taken(self):
         _, reply = await self.status(b"PUT /whep/one HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         self.assertIn(b"Allow: OPTIONS, POST", reply)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,7 +1,5 @@
 """Take-over on sockets: a manager that dies, stands cut off, restarts or leaves; none of its viewings is lost."""
 import asyncio
-import json
-import unittest.mock
 
 from flaxscale.front.members import Cookie, cookie_in, cookie_out
 from flaxscale.lab.players import elsewhere, headers_of, offer_of, target_of
@@ -9,83 +7,10 @@
 from flaxscale.serve import pool as wire
 from flaxscale.signalling import endpoint
 from flaxscale.store.faulty import FaultyFiles
-from tests.rig import TERMS, Rig
+from tests.rig import Rig, Talking
 
 
-def talking(terms):
-    row = json.loads(terms)
-    row["allowed"]["peers"] = True
-    row["front"] = {"member_keys": ["k"], "gate": False, "fleet_token": "ours"}
-    return json.dumps(row)
-
-
-class Members(Rig):
-    managers, terms, lease = 3, talking(TERMS), 80_000
-
-    def setUp(self):
-        # The same protocol, two and a half times as fast.
-        fast = unittest.mock.patch.multiple(swim, PERIOD=2_000, ACK_WAIT=700, STOOD=10_000)
-        fast.start()
-        self.addCleanup(fast.stop)
-
-    async def start_box(self, n, **more):
-        box = await super().start_box(n, **more)
-        box.lease = self.lease
-        return box
-
-    async def start_front(self, m, listed=True):
-        from flaxscale.front.front import Front
-        from flaxscale.site.terms import Sense
-        from tests.rig import Rows
-        log = Rows()
-        seeds = [f.members.shell.swim.me.address for f in self.fronts]
-        front = Front(Sense(self.site, m, 0, 7 + m), log, "%s:%d" % self.list.address, self.folder.name, None,
-                      self.catalogue, seeds)
-        self.fronts.append(front)
-        self.log.append(log)
-        await front.start("127.0.0.1", 0)
-        await self.listed(front, log)
-        return front
-
-    async def all_met(self):
-        for m, log in enumerate(self.log):
-            for other in range(self.managers):
-                if other != m:
-                    await log.seen("member", name=f"m{other}", state="alive")
-
-    async def kill(self, m):
-        """As a process that is killed: sockets close, nothing is said."""
-        front = self.fronts[m]
-        front.members.shell.close()
-        front.members.shell.muted = True
-        front.timer and front.timer.cancel()
-        front.housekeeping.cancel()
-        front.server.stop_listening()
-        front.server.abort_all()
-        for box in list(front.boxes.streams):
-            front.boxes.close_stream(box)
-        await front.boxes.pool.close()
-        front.follower.stop()
-        await front.peaks.stop()
-
-    async def media(self, seen):
-        """The player's media, opened and read once."""
-        from flaxscale.signalling import sdp
-        host, port, ufrag = sdp.candidate_of(seen.body)
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(f"GET /media/{ufrag} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-        await asyncio.wait_for(reader.readline(), 5)
-        return reader, writer
-
-    def playing(self):
-        return sum(len(b.box.sessions) for b in self.boxes.values())
-
-    def rows(self, what):
-        return [r for rows in self.box_rows.values() for r in rows.all(what)]
-
-    async def delete(self, address, location):
-        return await self.player.end(address, location)
-
+class Members(Talking):
     async def test_a_killed_managers_viewings_play_on_under_others_and_end_by_their_delete(self):
         await self.all_met()
         seen = [await self.ask("one", front=0) for _ in range(6)]
@@ -213,8 +138,8 @@
         for log in self.log[1:]:
             await log.seen("member", name="m0", state="dead")
         for box in self.boxes.values():
-            box.last_stream["m0"] = -self.lease             # as when the lease is over
-            box.lease_over("m0")
+            box.last_stream["m0", gone.boot] = -self.lease  # as when the lease is over
+            box.lease_over("m0", gone.boot)
         # The boxes' lease ends what nobody had a seat for.
         await self.until(lambda: self.playing() == 6, "six play on")
         self.assertEqual(6, self.playing())
