Three ways to lose a release on the platform are closed

Checked by building the sequences against stand-ins, before any change; three of them lose one: 1. a release that meets our close of its connection: ServerLine.close() (platform/servers.py) closed at once, what was on its way there was dropped, and where another connection stays open the server says it nowhere else. Each has a test that fails without its change. Also: a set-up answered by a server whose address another has by now is cut at once instead of standing unwatched.

--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -46,7 +46,7 @@
         self.file, self.config, self.log_to, self.now = file, config, log, unix_clock()
         self.counts = Counter()
         self.viewings, self.reaches, self.viewer_lines = {}, {}, {}
-        self.releases = {}          # call: [cause, since, said at, the line that it goes on]
+        self.releases = {}          # call: [cause, since, said at, the line that it goes on, lines that did not hear]
         self.tasks, self.loop = set(), None
         self.over, self.leaving_since, self.rounds = False, None, 0
         self.alarm = None
@@ -88,7 +88,7 @@
             line.close()
         for reach in self.reaches.values():
             for line in list(reach.lines):
-                line.close()
+                line.close(read_on=False)
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -256,21 +256,22 @@
     # What is owed to viewers
 
     def release(self, vw, cause):
-        self.releases[vw.call] = [cause, self.now(), 0, vw.client]
+        self.releases[vw.call] = [cause, self.now(), 0, vw.client, set()]
         self.say_release(vw.call)
 
     def say_release(self, call):
         """On the connection of its set-up; if that is gone or does not hear, on others that carry viewings, in turn."""
         row = self.releases[call]
         if row[2] or row[3].closed:
+            row[4].add(row[3])
             row[3] = max((one for one in self.viewer_lines if one.good and not one.closed and one is not row[3]),
-                         default=row[3], key=lambda one: (one.carried, one.heard_at))
+                         default=row[3], key=lambda one: (one not in row[4], one.carried, one.heard_at))
         if not row[3].closed:
             row[2] = self.now()
             row[3].say(messages.line("end", call, why=row[0]))
 
     def release_again(self, now):
-        for call, (_, since, said, _) in list(self.releases.items()):
+        for call, (_, since, said, _, _) in list(self.releases.items()):
             if now - since > RELEASE_MOST:
                 del self.releases[call]
                 self.counts["releases not heard"] += 1
--- a/flaxscale/platform/servers.py
+++ b/flaxscale/platform/servers.py
@@ -17,6 +17,7 @@
 QUIET = 20_000              # where something plays and nothing was heard so long, a new connection must prove the way
 BACKLOG = 64 * 1024
 HELD = 4                    # idle connections kept to one server
+PARTING = 10_000            # a connection that we closed is read so long for what was on its way
 
 
 class ServerLine(asyncio.Protocol):
@@ -26,12 +27,14 @@
         self.reach, self.lines, self.transport = reach, Lines(), None
         self.call = self.ending = None
         self.closed, self.since = False, reach.host.now()
+        self.parting = False        # closed by us, and read on until the server has closed too
 
     def connection_made(self, transport):
         self.transport = transport
         transport.set_write_buffer_limits(BACKLOG)
 
     def connection_lost(self, exc):
+        self.parting = False
         if not self.closed:
             self.closed = True
             self.reach.host.counts["server closed" if self.call is None else "server closed under a set-up"] += 1
@@ -42,14 +45,14 @@
 
     def data_received(self, data):
         for line in self.lines.take(data):
-            if self.closed:
+            if self.closed and not self.parting:
                 return
             try:
                 self.reach.heard(self, messages.read(line))
             except Fault:
                 self.spoilt()
                 return
-        if self.lines.fault and not self.closed:
+        if self.lines.fault and (self.parting or not self.closed):
             self.spoilt()
 
     def spoilt(self):
@@ -61,14 +64,26 @@
         if not self.closed:
             self.transport.write(data)
 
-    def close(self):
-        if not self.closed:
+    def close(self, read_on=True):
+        """Says that we are done, and reads what was on its way: a release that met our close is said nowhere else."""
+        if not self.closed and not read_on:
             self.closed = True
             self.transport.close()
+        elif not self.closed:
+            self.closed = self.parting = True
+            self.since = self.reach.host.now()
+            self.transport.write_eof()
+            self.reach.host.counts["closed by us"] += 1
+            self.reach.host.loop.call_later(PARTING / 10_000, self.cut_off)
+
+    def cut_off(self):
+        if self.parting and not self.transport.is_closing():
+            self.reach.host.counts["closed by us alone"] += 1
+            self.abort()
 
     def abort(self):
-        if not self.closed:
-            self.closed = True
+        if self.parting or not self.closed:
+            self.closed, self.parting = True, False
             self.transport.abort()
 
     def free(self):
@@ -82,6 +97,7 @@
         self.host, self.server, self.address = host, server, address
         self.lines, self.dialing = set(), 0
         self.waiting = {}           # call: set-ups that wait for their connection
+        self.early = {}             # call: a release that came by another connection before the answer that it ends
         self.owed, self.rungs = {}, {}      # call: (cause, owed since, the line it was said on); call: rung
         self.playing = set()        # ids of what stands there
         self.heard_at = host.now()
@@ -124,6 +140,7 @@
             del self.waiting[vw.call]
             return False
         line, vw.line = vw.line, None
+        self.early.pop(vw.call, None)
         if line is not None and line.call == vw.call:
             line.call, line.ending, line.since = None, vw.call, self.host.now()
             self.release(vw.call, messages.NORMAL, line)
@@ -211,6 +228,7 @@
         vw = call and self.host.by_call(call)
         if vw and vw.line is line:
             vw.line = None
+            self.early.pop(call, None)
             # It may have run, and may stand there: ended by name, on another connection.
             self.release(call, messages.NORMAL)
             self.host.ended(vw, How.RESET)
@@ -285,8 +303,11 @@
             if op == "accept" and not message.desc:
                 raise Fault("desc: a description expected")
             line.call, vw.line, line.since = None, None, host.now()
+            early = self.early.pop(call, None)
             if op == "accept":
                 host.begun(self, vw, message)
+                if vw.id in self.playing and (early or self.gone):
+                    host.over_there(self, vw, early) if early else host.cut(vw.id)
             else:
                 host.ended(vw, messages.BEFORE.get(message.why, How.RESET), messages.load(message, host.config.figures))
         elif op == "end":
@@ -294,11 +315,19 @@
                 host.over_there(self, vw, message)
             elif vw is not None:
                 host.said("end of what is out", call=call, why=message.why, out=vw.line is not None)
+                if vw.line is not None and vw.line.reach is self:
+                    self.early[call] = message
             self.settled(line, call)
-            line.say(messages.line("ended", call))
+            self.hear_out(line, call)
         elif op not in ("accept", "ringing", "tested", "test", "set", "redirect", "offer"):
             raise Fault("op: none that we know")
 
+    def hear_out(self, line, call):
+        """Tells the server that its release was heard, on another connection where this one is closed already."""
+        if line.closed:
+            line = next((other for other in self.lines if not other.closed), line)
+        line.say(messages.line("ended", call))
+
     def settled(self, line, call):
         self.owed.pop(call, None)
         if line.ending == call:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 from flaxscale.platform import config as configuration
 from flaxscale.platform.bulletin import Bulletin, Unreadable
 from flaxscale.site.load import SiteError
-from tests.platform_rig import ANSWER, DESC, Platform, line, plays
+from tests.platform_rig import ANSWER, DESC, Platform, Stand, line, plays
 from tests.test_host import frame, init, knock, listed, record
 
 
@@ -84,6 +84,64 @@
         await self.seen("tested", who="other")
         self.assertEqual({}, self.host.releases)
 
+    async def test_a_release_goes_to_every_connection_before_one_that_did_not_hear_is_asked_again(self):
+        # Two that carry most have gone without a word: turning between these two, the third was never asked.
+        await self.server(1)
+        await self.start(1)
+        conns = {who: await self.viewer(who) for who in ("deaf", "dumb", "third")}
+        for who, times in (("deaf", 3), ("dumb", 2), ("third", 1)):
+            for _ in range(times):
+                call = self.ask(conns[who])
+                await self.seen("accept", who=who, call=call)
+        call = self.all("accept", who="deaf")[0]["call"]
+        self.all("offer", call=call)[0]["conn"].say(line("end", call, why=41))
+        await self.seen("end", who="third", call=call)
+        conns["third"].say(line("ended", call), line("test", "ffff"))
+        await self.seen("tested", who="third")
+        self.assertEqual({}, self.host.releases)
+
+    async def test_a_release_that_meets_our_close_of_its_connection_is_heard(self):
+        # Closed at once, what was on its way there was lost, and the server said it nowhere else.
+        class Parting(Stand):
+            def eof_received(self):
+                for row in self.rows.all("offer", conn=self):
+                    self.say(line("end", row["call"], why=41))
+        held = []
+        self.servers[1] = await self.loop.create_server(lambda: Parting(1, self.rows, lambda conn, row: held.append(
+            (conn, row)) if row["op"] == "offer" else plays(conn, row)), "127.0.0.1", 0)
+        await self.start(1)
+        conn = await self.viewer()
+        first, second = self.ask(conn), self.ask(conn)
+        for n in (1, 2):
+            await self.seen("offer", n, who=1)
+        for one, row in held:
+            plays(one, row)
+        for call in (first, second):
+            await self.seen("accept", who="viewer", call=call)
+        went = self.all("offer", call=first)[0]["conn"]
+        next(ln for ln in self.host.reaches[1].lines
+             if ln.transport.get_extra_info("sockname") == went.transport.get_extra_info("peername")).close()
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=first))["why"])
+        self.assertIsNot(went, (await self.seen("ended", who=1, call=first))["conn"])
+        await self.seen("closed", conn=went)
+        self.assertEqual([], self.all("end", who="viewer", call=second))
+
+    async def test_a_release_by_another_connection_before_the_answer_that_it_ends(self):
+        # Two connections have no order between them; heard first, the release was taken for one of nothing.
+        held = []
+        await self.server(1, lambda conn, row: held.append((conn, row)) if row["op"] == "offer" else plays(conn, row))
+        await self.start(1)
+        conn = await self.viewer()
+        first, second = self.ask(conn), self.ask(conn)
+        await self.seen("offer", 2, who=1)
+        (one, row), (other, _) = held
+        other.say(line("end", row["call"], why=41))
+        await self.seen("end of what is out")
+        one.say(line("accept", row["call"], desc=ANSWER))
+        await self.seen("accept", who="viewer", call=row["call"])
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=row["call"]))["why"])
+        self.assertEqual([], self.all("end", who="viewer", call=({first, second} - {row["call"]}).pop()))
+
     async def test_a_set_up_given_up_is_ended_at_its_server_and_a_late_answer_too(self):
         conn, call, server = await self.one_out()
         conn.say(line("end", call, why=16))
