--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -144,4 +144,4 @@
         return self.rows.all(what, **fields)
 
 
-__all__ = ["ANSWER", "DESC", "LIMIT", "Platform", "Stand", "line", "plays"]
+__all__ = ["ANSWER", "DESC", "LIMIT", "SETTINGS", "Platform", "Stand", "line", "plays"]
