--- a/bench/fleetlogs.py
+++ b/bench/fleetlogs.py
@@ -17,9 +17,9 @@
 def rows_of(file):
     """(bench's seconds, row) of a log; lines that are none of ours are passed over."""
     for text in file.read_text(errors="replace").splitlines():
-        head, _, rest = text.partition("] ")
+        head, _, rest = text.partition(" ")
         try:
-            yield float(head[1:]), json.loads(rest)
+            yield float(head.strip("[]")), json.loads(rest)
         except (ValueError, IndexError):
             continue
 
@@ -69,7 +69,7 @@
     print("most at one manager: " + ", ".join(f"{name} {n}" for name, n in fleet.peak.items()))
     if fleet.belief:
         weight = sum(b["figures"] for b in fleet.belief)
-        for name in ("use_off", "use_bias"):
+        for name in ("use_told", "use_off", "use_bias"):
             print(f"belief, {name}: {sum(b[name] * b['figures'] for b in fleet.belief) / weight:.3f}")
         for name in ("shut", "rests", "cold"):
             print(f"servers taken as {name}, mean: {sum(b[name] for b in fleet.belief) / len(fleet.belief):.2f}")
--- a/flaxscale/cli/days.py
+++ b/flaxscale/cli/days.py
@@ -64,7 +64,7 @@
     def run():
         text = evaluate(file)
         if '"demand"' in text and '"boxes"' in text:
-            found = read_day(file, sockets=False)
+            found = read_day(file, sockets=None)
             click.echo(f"{file}: a day of {found.length_s:g} s on {found.site.name}: {len(found.boxes)} boxes, "
                        f"{found.site.managers} managers, {len(found.troubles)} troubles")
         else:
--- a/flaxscale/cli/front.py
+++ b/flaxscale/cli/front.py
@@ -1,6 +1,8 @@
 """flaxscale front: one session manager."""
 import asyncio
 import contextlib
+import functools
+import json
 import pathlib
 import signal
 import zlib
@@ -8,8 +10,11 @@
 import click
 
 from ..front.front import Front
+from ..serve.clock import set_wrong
 from ..site.load import SiteError
 from ..site.terms import Sense, read_site
+from ..store.files import Files
+from ..store.troubled import TroubledFiles
 from . import ready, service, site_errors
 from .logs import LEVELS, logger
 
@@ -29,9 +34,12 @@
 @click.option("--seed", default=None, type=int, help="Of the manager's chance; drawn anew if left out.")
 @click.option("--log-level", default="info", type=click.Choice(list(LEVELS)), show_default=True)
 @click.option("--log-file", default=None, type=click.Path())
+@click.option("--via", default=None, type=click.Path(), hidden=True, help="The lab's: addresses of members by ours.")
+@click.option("--clock", default=None, hidden=True, metavar="STEP_S:RATE", help="The lab's: a clock that is wrong.")
+@click.option("--disk-fault", default=None, type=click.Path(), hidden=True, help="The lab's: full or slow:MS.")
 @click.option("--ready", "say_ready", is_flag=True, help="Print one JSON line with the address once it listens.")
 def front(site, me, zone, host, port, list_address, catalogue_address, member_port, members, state, seed, log_level,
-          log_file, say_ready):
+          log_file, via, clock, disk_fault, say_ready):
     """Serve WHIP and WHEP as one session manager of SITE (a Jsonnet file)."""
     def read():
         found = read_site(site)
@@ -47,6 +55,11 @@
             raise SiteError(site, "zones", f"the zone {zone!r} of --zone expected among them")
         return found
     found = site_errors(read)
+    if clock:
+        step, _, rate = clock.partition(":")
+        set_wrong(float(step), float(rate or 1))
+    paths = json.loads(pathlib.Path(via).read_text()) if via else None
+    files = functools.partial(TroubledFiles, pathlib.Path(disk_fault)) if disk_fault else Files
     made = Sense(found, me, found.zones.index(zone) if zone else 0,
                  seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
     log = logger(log_level, log_file, manager=f"m{me}")
@@ -54,7 +67,8 @@
     async def main():
         over = asyncio.Event()
         app = Front(made, log, list_address, state, None, catalogue_address,
-                    list(members) if member_port is not None else None, read, over.set)
+                    list(members) if member_port is not None else None, read, over.set,
+                    paths, files)
 
         def reload():
             with contextlib.suppress(SiteError):    # said in the log, by name; the settings in service stay
--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -8,7 +8,7 @@
     "try": ("attempt", "try_command"), "view": ("players", "view"), "push": ("players", "push"), "day": ("days", "day"),
     "check": ("days", "check_command"), "config": ("days", "config"), "catalogue": ("catalogue", "catalogue"),
     "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
-    "managers": ("journal", "managers"), "platform": ("platform", "platform"),
+    "managers": ("journal", "managers"), "platform": ("platform", "platform"), "relay": ("relay", "relay"),
 }
 
 
--- a/flaxscale/cli/platform.py
+++ b/flaxscale/cli/platform.py
@@ -26,7 +26,8 @@
             loop.add_signal_handler(number, host.leave)
         await host.start()
         service.settle_memory()
-        log.info("serves", listen="%s:%d" % config.listen, list=host.bulletin.last)
+        log.info("serves", listen="%s:%d" % config.listen, list=host.bulletin.last,
+                 prices=config.terms.prices._asdict())
         await host.done.wait()
         await host.stop()
     site_errors(lambda: service.run(main()))
--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -160,7 +160,8 @@
     def rule(self, terms):
         """Goes by these terms from now on."""
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
-        self.cross = terms.prices.cross_zone * sum(p.value for p in terms.packages) / len(terms.packages)
+        self.cross, self.dial = (price * sum(p.value for p in terms.packages) / len(terms.packages)
+                                 for price in (terms.prices.cross_zone, terms.prices.handshake))
         self.looks = int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9))) if (
             terms.allowed.probes and terms.fleet.load_by_probe) else 0
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
@@ -426,8 +427,7 @@
         if vw.nth >= 0 or slot_end > due:
             # At once only where it should work: a sole holder that just failed gets till the slot's end.
             last = self.now + 2 * SLOT > self.out_until(vw) - TRY_LEAST
-            spot = self.spot(vw, bad_too=last)
-            if spot or last:
+            if (spot := self.spot(vw, bad_too=last)) or last:
                 self.resume(vw, spot)
                 return
         self.wait(vw)
@@ -539,16 +539,16 @@
         # Of those heard of a few: figures come to all managers at once, who would all take the same best.
         heard = self.some([srv for srv in holders if srv.link.heard_at is not None], DRAWN)
         fits = [(*self.fit(srv, vw), srv) for srv in (heard + [drawn] if drawn else heard)]
+        # Where nothing of ours plays there is no connection: it has its price, and many managers pay it.
         best = max((fit for fit in fits if fit[0] is not None), default=None, key=lambda fit: (
-            vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2]), fit[1]))
+            vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2])
+            - (0 if fit[2].viewings else self.dial), fit[1]))
         return best and (best[2], best[0])
 
     def some(self, holders, count):
         """So many of them by chance, near ones first."""
-        near, far, found = [], [], []
-        for srv in holders:
-            (far if self.crossing(srv) else near).append(srv)
-        for pool in (near, far):
+        found, far = [], {srv for srv in holders if self.crossing(srv)}
+        for pool in ([srv for srv in holders if srv not in far], [srv for srv in holders if srv in far]):
             while pool and len(found) < count:
                 found.append(pool.pop(int(self.chance() * len(pool))))
         return found
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -14,6 +14,7 @@
 
 from .. import interface as face
 from ..admission.gate import Gate
+from ..admission.still import Still
 from ..catalogue.view import FileView, LiveView, title_id
 from ..http1 import fields
 from ..http1.server import Limits
@@ -62,9 +63,11 @@
 
 class Front:
     def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
-                 reread=None, leave=None):
+                 reread=None, leave=None, via=None, files=Files):
         """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
 
+        via: as FrontMembers has it. files: makes the disk's side of a folder.
+
         reread: gives the settings' file as it is now, checked (SiteError where it is not good).
         leave: begins this program's planned end, once.
         """
@@ -80,16 +83,18 @@
         self.watch, self.view = None, FileView(self.site)
         if catalogue_address:
             from ..catalogued.watch import CatalogueWatch  # gRPC is slow to load and most tests need none
-            files = Files(f"{state}/catalogue-{self.name}", lasting=False) if state else None
-            self.watch = CatalogueWatch(catalogue_address, self.name, "manager", self.title_news, log, files,
+            kept = files(f"{state}/catalogue-{self.name}", lasting=False) if state else None
+            self.watch = CatalogueWatch(catalogue_address, self.name, "manager", self.title_news, log, kept,
                                         self.check_titles, self.seats_in_use)
             self.view = LiveView(sense, self.watch.follower)
         self.peaks = FrontPeaks(self, catalogue_address,
-                                Files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
+                                files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
                                 else None)
-        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None)
-        self.journal = FrontJournal(self, Files(f"{state}/keys-{self.name}") if state else None)
+        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None,
+                                    via)
+        self.journal = FrontJournal(self, files(f"{state}/keys-{self.name}") if state else None)
         self.gate = Gate(sense.seed, self.site.front.gate)
+        self.still = Still(now(), round(LAG_S * 10_000))
         row = self.site.front
         self.keys = KeyBook(round(row.keep_answers_ms * 10))
         self.server = Server(self.handle, Limits(row.head_bytes, 64, 2048, row.body_bytes),
@@ -278,7 +283,7 @@
         stated = args.get("viewer") or headers.get("flaxscale-viewer")
         time, client = now(), stated or self.address_of(exchange)
         left = self.sense.patience(self.sense.packages[package], fields.wait_of(headers.get("prefer"))) - (
-            time - exchange.arrived)
+            time - exchange.arrived) - self.still.older(exchange.arrived)
         again = time - self.seen.get((self.viewer_id(stated, exchange), title), -AGAIN) < AGAIN
         if no := self.gate.ask(time, client, left, again):
             self.counts["turned_away"] += 1
@@ -292,6 +297,7 @@
 
     def watch_lag(self, due):
         """A timer of our own, only to see how late it rings."""
+        self.still.rings(now())
         self.gate.lagged(now(), max(0, now() - due))
         self.lag_timer = self.loop.call_later(LAG_S, self.watch_lag, now() + round(LAG_S * 10_000))
 
@@ -321,7 +327,8 @@
         self.seen[viewer, offer.title] = time
         self.counts["taken"] += 1
         vw.asked_at = exchange.arrived
-        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived)
+        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived) - self.still.older(
+            exchange.arrived)
         rungs = len(self.site.ladder.kb) - 1
         vw.cookie = cookie_out(vw.name, offer, viewer, rungs if offer.top is None else min(offer.top, rungs))
         if news := self.view.news(offer.title):
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -63,8 +63,12 @@
 
 
 class FrontMembers:
-    def __init__(self, front, keys, seeds, members=True):
-        """members: False: no talk between managers; only what was this manager's own is taken up again at a start."""
+    def __init__(self, front, keys, seeds, members=True, via=None):
+        """members: False: no talk between managers; only what was this manager's own is taken up again at a start.
+
+        via: {a member's address: the one by which we reach it}, where that is another one.
+        """
+        self.via = via
         self.front, self.keys, self.seeds = front, [k.encode() for k in keys], seeds
         self.shell, self.jobs, self.on = None, {}, members
         self.taken = self.refused = 0
@@ -75,7 +79,7 @@
         front = self.front
         if self.on:
             self.shell = MemberShell(front.name, "%s:%d" % serves, front.boot, front.sense.seed, self.keys,
-                                     front.lines, self.changed, self.word)
+                                     front.lines, self.changed, self.word, self.via)
             self.address = await self.shell.start(host, port, self.seeds)
             return self.address
         return None
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -105,6 +105,7 @@
     late: float
     peer: float
     probe: float = 0.0
+    handshake: float = 0.0  # of a new connection
 
 
 class Goal(NamedTuple):
--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -8,6 +8,7 @@
 import json
 import math
 import pathlib
+import shutil
 import signal
 import time
 
@@ -19,9 +20,10 @@
 from .chance import Dice
 from .changes import Changes
 from .players import Player, Wish, trace_of
-from .processes import Process, talk_args
+from .processes import Process, free_udp_port, talk_args
 from .records import Recorder
-from .shapes import link_of
+from .shapes import by_relay, link_of, parties_of, ways_of
+from .ways import all_ways, in_pieces
 
 START_AT_ONCE = 8
 
@@ -64,6 +66,7 @@
         token = day.site.front.tokens[0] if day.site.front.tokens else None
         self.player = Player(self.record, token, others=lambda: {f"m{m}": p.address for m, p in self.fronts.items()})
         self.list, self.boxes, self.fronts, self.starts = None, {}, {}, {}
+        self.relay, self.member_ports = None, {}
         self.catalogue = self.changes = None
         self.tasks, self.count, self.up = set(), 0, set()
         self.stopping = False
@@ -73,10 +76,16 @@
     async def begin(self):
         day = self.day
         (self.out / "site.json").write_bytes(msgspec.json.encode(day.site))
+        if by_relay(day):
+            await self.start_relay()
         self.list = await Process(["boxlist", str(self.out / "site.json"), "--late-ms", str(day.list_late_ms),
                                    "--record", str(self.out / "boxlist.jsonl"), "--ready"],
                                   self.out / "boxlist.log").start()
         self.list_address = "%s:%d" % self.list.address
+        if self.relay:
+            self.reached("list", self.list.address, self.list.address)
+            self.list.say(ways={m: {b[1:]: self.way(m, b) for b in self.parties["boxes"]}
+                                for m in self.parties["managers"]})
         if day.catalogue:
             await self.start_catalogue()
         for first in range(0, len(day.boxes), START_AT_ONCE):
@@ -96,10 +105,56 @@
             ["catalogue", "serve", str(self.out / "site.json"), "--store", str(self.out / "catalogue"), "--port",
              str(port), "--record", str(self.out / "catalogue.jsonl"), "--ready"],
             self.out / "catalogue.log").start()
+        self.reached("catalogue", self.catalogue.address)
         if not self.catalogue.ready["version"]:
             self.changes = Changes(self.day, self.seed, "%s:%d" % self.catalogue.address, self.lab)
             await self.changes.begin()
 
+    # Ways
+
+    async def start_relay(self):
+        self.parties = parties_of(self.day)
+        (self.out / "pairs.json").write_text(json.dumps(all_ways(self.parties)))
+        self.relay = await Process(["relay", str(self.out / "pairs.json"), "--seed", str(self.seed), "--record",
+                                    str(self.out / "relay.jsonl"), "--ready"], self.out / "relay.log").start()
+        if self.day.members:            # each reaches the others by the relay from the first datagram on
+            self.member_ports = {m: free_udp_port() for m in range(self.day.site.managers)}
+            for m in range(self.day.site.managers):
+                self.reached(f"m{m}", ("127.0.0.1", 0), ("127.0.0.1", self.member_ports[m]))
+                (self.out / f"via-{m}.json").write_text(json.dumps({
+                    f"127.0.0.1:{port}": self.way(f"m{m}", f"m{o}")
+                    for o, port in self.member_ports.items() if o != m}))
+
+    def way(self, a, b):
+        """The address by which one party reaches another."""
+        return "127.0.0.1:%d" % self.relay.ready["ways"][f"{a}>{b}"]
+
+    def reached(self, name, address, udp=None):
+        """Tells the relay where a party is now."""
+        if self.relay:
+            self.relay.say(target=name, address="%s:%d" % address, udp="%s:%d" % udp if udp else None)
+
+    def list_of(self, name):
+        return self.way(name, "list") if self.relay else self.list_address
+
+    def catalogue_of(self, name):
+        if not self.catalogue:
+            return []
+        return ["--catalogue", self.way(name, "catalogue") if self.relay else "%s:%d" % self.catalogue.address]
+
+    async def strike(self, n, row):
+        """A fault of ways, for its time."""
+        ways, dice = ways_of(self.day, n), Dice(self.seed, f"heal-{n}")
+        self.relay.say(fault=n, kind=row.kind, value=row.value, jitter=row.jitter, ways=ways)
+        self.lab.put("fault", n=n, kind=row.kind, ways=[f"{a}>{b}" for a, b in ways])
+        await asyncio.sleep(row.for_s)
+        before = 0.0
+        for after, some in in_pieces(ways, row.heal_s, dice):
+            await asyncio.sleep(after - before)
+            before = after
+            self.relay.say(heal=n, ways=some)
+            self.lab.put("heal", n=n, ways=[f"{a}>{b}" for a, b in some])
+
     async def announce(self):
         """Puts the day's peaks in service; their seconds are the day's, on the machine's wall clock there."""
         if not self.day.peaks:
@@ -115,29 +170,37 @@
                 self.lab.put("announced", name=p.name, version=reply.version)
 
     def with_members(self, m):
-        return talk_args(self.fronts, m) if self.day.members else []
+        if not self.day.members:
+            return []
+        if not self.relay:
+            return talk_args(self.fronts, m)
+        seeds = [f"127.0.0.1:{port}" for o, port in self.member_ports.items() if o != m and o in self.fronts]
+        return ["--member-port", str(self.member_ports[m]), "--via", str(self.out / f"via-{m}.json"),
+                *(arg for seed in seeds for arg in ("--member", seed))]
 
-    def with_catalogue(self):
-        return ["--catalogue", "%s:%d" % self.catalogue.address] if self.catalogue else []
+    def with_clock(self, m):
+        clock = self.day.clocks.get(f"m{m}")
+        return ["--clock", f"{clock.step_s}:{clock.rate}"] if clock else []
 
     async def start_box(self, n, warm, port=0):
         row, starts = self.day.boxes[n], self.starts
         starts[n] = starts.get(n, 0) + 1
         up = self.day.site.rules.warm_within_ms * 2 if warm else 0
         self.boxes[n] = await Process(
-            ["box", str(self.out / "site.json"), *self.with_catalogue(),
+            ["box", str(self.out / "site.json"), *self.catalogue_of(f"b{n + 1}"),
              "--id", str(n + 1), "--cell", str(row.cell), "--kind", row.kind,
              "--zone", row.zone, "--weight", str(row.weight), "--link-kb", str(link_of(self.day, row)),
-             "--list", self.list_address,
+             "--list", self.list_of(f"b{n + 1}"),
              "--up-ms", str(up), "--seed", str(self.seed), "--port", str(port),
              "--work-ms", str(self.day.work_ms),
              "--record", str(self.out / f"box-{n + 1}-{starts[n]}.jsonl"), "--ready"],
             self.out / f"box-{n + 1}.log").start()
+        self.reached(f"b{n + 1}", self.boxes[n].address)
 
     async def start_front(self, m, port=0):
         self.fronts[m] = await Process(
-            ["front", str(self.out / "site.json"), *self.with_catalogue(),
-             "--me", str(m), "--list", self.list_address, "--seed",
+            ["front", str(self.out / "site.json"), *self.catalogue_of(f"m{m}"), *self.with_clock(m),
+             "--me", str(m), "--list", self.list_of(f"m{m}"), "--disk-fault", str(self.out / f"disk-{m}"), "--seed",
              str(self.seed * 1000 + m + len(self.starts) * 7), "--state", str(self.out / "state"),
              "--port", str(port), *self.with_members(m), "--ready"], self.out / f"front-{m}.log").start()
         self.up.add(m)
@@ -202,7 +265,8 @@
         await asyncio.sleep(row.at_s)
         boxes = self.struck(n, row, range(len(self.day.boxes)), row.boxes)
         managers = self.struck(n, row, range(self.day.site.managers), row.managers)
-        hit = managers if row.what.startswith("manager") or row.what == "settings" else boxes
+        hit = managers if row.what.startswith("manager") or row.what in ("settings", "disk") else boxes
+        hit = [] if row.what == "way" else hit
         self.lab.put("trouble", name=row.what, value=row.value, hit=list(hit), for_s=row.for_s)
         self.log.info("trouble", what=row.what, hit=list(hit), for_s=row.for_s)
         if row.what == "crash":
@@ -217,10 +281,21 @@
             for m in managers:
                 self.lab.put("kill", manager=f"m{m}")
             await asyncio.gather(*(self.fronts[m].kill() for m in managers))
+            for kept in (self.out / "state").glob("*") if not row.disk else ():
+                if kept.stem.rpartition("-")[2] in {f"m{m}" for m in managers}:
+                    shutil.rmtree(kept) if kept.is_dir() else kept.unlink()
             await asyncio.sleep(row.for_s)
             await asyncio.gather(*(self.start_front(m, ports[m]) for m in managers))
             for m in managers:
                 self.lab.put("back", manager=f"m{m}")
+        elif row.what == "way":
+            await self.strike(n, row)
+        elif row.what == "disk":
+            for m in managers:
+                (self.out / f"disk-{m}").write_text("full" if row.kind == "full" else f"slow:{row.value}")
+            await asyncio.sleep(row.for_s)
+            for m in managers:
+                (self.out / f"disk-{m}").unlink()
         elif row.what == "manager_restart":         # planned, one after another: each leaves, and comes back
             for m in managers:
                 port = self.fronts[m].address[1]
@@ -302,7 +377,7 @@
         await self.player.pool.close()
         await asyncio.gather(*(p.stop() for p in self.fronts.values()))
         await asyncio.gather(*(p.stop() for p in self.boxes.values()))
-        for process in (self.catalogue, self.list):
+        for process in (self.catalogue, self.list, self.relay):
             if process is not None:
                 await process.stop()
         self.lab.close()
--- a/flaxscale/lab/processes.py
+++ b/flaxscale/lab/processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 
 
@@ -48,6 +49,13 @@
                 await self.kill()
 
 
+def free_udp_port():
+    """A port for datagrams that was free just now, for a process that must have it before it starts."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
 def talk_args(fronts, m):
     """How manager m finds those that were started before it; one that comes back keeps its port. {number: Process}."""
     own = fronts[m].ready["members"].rpartition(":")[2] if m in fronts else "0"
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -7,6 +7,7 @@
 from ..site.shapes import Site, Struct
 from ..site.terms import checked
 from ..standins.box import Trouble
+from .ways import CHANCES, KINDS, WayError, named, parties, struck
 
 
 class BoxRow(Struct, forbid_unknown_fields=True):
@@ -41,6 +42,18 @@
     managers: list[int] | None = None
     titles: list[str] | None = None
     rack: int | None = None
+    between: list[list[str]] | None = None  # way: groups between which the fault strikes: names of parties or of groups
+    kind: str = "cut"                   # way: of the fault (lab/ways.py); disk: full or slow
+    one_way: bool = False               # way: only from the first group to the second
+    jitter: float = 0                   # way, delay: up to so many ms more
+    heal_s: float = 0                   # way: its pairs heal one by one in this time, not all at once
+    disk: bool = True                   # manager_crash: it comes back with what its disk kept
+
+
+class ClockRow(Struct, forbid_unknown_fields=True):
+    """A manager's clock that is wrong."""
+    step_s: float = 0
+    rate: float = 1.0                   # its seconds in one of ours
 
 
 class ChangesRow(Struct, forbid_unknown_fields=True):
@@ -64,6 +77,9 @@
     members: bool = False               # managers talk to each other and take over from those that die
     settle_s: float = 2.0               # before the day begins
     list_late_ms: float = 300
+    ways: bool = False                  # all processes reach each other by a relay; so they do where a trouble is a way
+    groups: dict[str, list[str]] = {}   # names for several parties: m0, b1, list, catalogue, managers, boxes
+    clocks: dict[str, ClockRow] = {}    # by manager, m0 ...
     lease_ms: float | None = None       # the site's fleet.lease_ms if left out
     work_ms: float = 15
 
@@ -81,10 +97,25 @@
 
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
-         "crowd", "uplink", "settings"}
+         "crowd", "uplink", "settings", "way", "disk"}
+SOCKETS_ONLY = {"way", "disk"}
 MOST_PROCESSES = 400
 
 
+def parties_of(day):
+    return parties(day.site.managers, len(day.boxes), day.catalogue is not None)
+
+
+def by_relay(day):
+    return day.ways or any(row.what == "way" for row in day.troubles)
+
+
+def ways_of(day, n):
+    """The ways that trouble n strikes; WayError where it names nobody."""
+    row = day.troubles[n]
+    return struck(row.between or [], row.one_way, parties_of(day), day.groups, f"troubles.{n}.between")
+
+
 def faults(day, sockets):
     out = []
 
@@ -122,6 +153,14 @@
     want(not sockets or not day.peaks or day.catalogue, "peaks", "a catalogue too: its service is told of them")
     for name, detail in peak_faults(day.peaks, site.titles, len(site.ladder.kb), tuple(site.packages)):
         want(False, f"peaks.{name}", f"another figure ({detail})")
+    for name, members in day.groups.items():
+        try:
+            named(members, parties_of(day), {}, f"groups.{name}")
+        except WayError as bad:
+            want(False, bad.key, bad.expected)
+    for name, clock in day.clocks.items():
+        want(name in parties_of(day)["managers"], f"clocks.{name}", f"a manager, m0 to m{site.managers - 1}")
+        want(0.5 <= clock.rate <= 2, f"clocks.{name}.rate", "0.5 to 2")
     for n, row in enumerate(day.troubles):
         at = f"troubles.{n}"
         want(row.what != "settings" or day.after is not None, "after", "the settings that the trouble loads")
@@ -130,13 +169,28 @@
         want(row.share is None or 0 < row.share <= 1, f"{at}.share", "over 0, at most 1")
         want(row.boxes is None or all(0 <= b < len(day.boxes) for b in row.boxes), f"{at}.boxes",
              f"numbers of boxes, 0 to {len(day.boxes) - 1}")
+        want(sockets is not False or row.what not in SOCKETS_ONLY, f"{at}.what",
+             f"a trouble that the model plays ({row.what!r} needs processes)")
+        if row.what == "way":
+            want(row.kind in KINDS, f"{at}.kind", f"one of {', '.join(sorted(KINDS))}")
+            want(row.kind not in CHANCES or 0 < row.value <= 1, f"{at}.value", "a share, over 0, at most 1")
+            want(row.kind != "throttle" or row.value > 0, f"{at}.value", "kB a second, over 0")
+            want(row.jitter >= 0 and row.heal_s >= 0, f"{at}.heal_s", "0 or more, as jitter")
+            try:
+                ways_of(day, n)
+            except WayError as bad:
+                want(False, bad.key, bad.expected)
+        want(row.what != "disk" or row.kind in ("full", "slow"), f"{at}.kind", "full or slow")
         want(row.managers is None or all(0 <= m < site.managers for m in row.managers), f"{at}.managers",
              f"numbers of managers, 0 to {site.managers - 1}")
     return out
 
 
 def read_day(file, sockets=True, **given):
-    """The Day of a file, or SiteError with file, key and what was expected. sockets: it will start processes."""
+    """The Day of a file, or SiteError with file, key and what was expected.
+
+    sockets: True: it will start processes; False: the model will play it; None: it is only looked at.
+    """
     day = shape(file, evaluate(file, **given), Day)
     if day.lease_ms is not None:
         day.site.fleet.lease_ms = day.lease_ms
--- a/flaxscale/members/shell.py
+++ b/flaxscale/members/shell.py
@@ -11,8 +11,12 @@
 
 
 class MemberShell(asyncio.DatagramProtocol):
-    def __init__(self, name, serves, boot, seed, keys, log, changed, word):
-        """keys: [bytes], the first signs. changed([News]); word(sender, box, kB a second): as they are heard."""
+    def __init__(self, name, serves, boot, seed, keys, log, changed, word, via=None):
+        """keys: [bytes], the first signs. changed([News]); word(sender, box, kB a second): as they are heard.
+
+        via: {address: the address by which we reach it}, where that is another one.
+        """
+        self.via = via or {}
         self.name, self.serves, self.boot, self.seed, self.keys = name, serves, boot, seed, keys
         self.log, self.changed, self.word = log, changed, word
         self.swim, self.transport, self.timer, self.words, self.wording = None, None, None, {}, None
@@ -52,7 +56,7 @@
             self.put(address, wire.encode(message, self.keys[0]))
 
     def put(self, address, data):
-        host, _, port = address.rpartition(":")
+        host, _, port = self.via.get(address, address).rpartition(":")
         if not self.muted and self.transport is not None and port.isdigit():
             self.transport.sendto(data, (host, int(port)))
 
--- a/flaxscale/platform/belief.py
+++ b/flaxscale/platform/belief.py
@@ -12,7 +12,7 @@
         self.begin()
 
     def begin(self):
-        self.notes, self.off, self.bias, self.worst = 0, 0.0, 0.0, 0.0
+        self.notes, self.off, self.bias, self.worst, self.told = 0, 0.0, 0.0, 0.0, 0.0
 
     def noted(self, server, kind, told):
         """Before the module hears a figure of a link: how far its own account was off."""
@@ -21,6 +21,7 @@
             return
         gap = srv.link.use() - told
         self.notes += 1
+        self.told += told
         self.off += abs(gap)
         self.bias += gap
         self.worst = max(self.worst, abs(gap))
@@ -36,7 +37,10 @@
         sent = sum(line.call is not None for reach in reaches.values() for line in reach.lines) + sum(
             len(reach.waiting) for reach in reaches.values())
         n = max(1, self.notes)
-        found = {"figures": self.notes, "use_off": round(self.off / n, 3), "use_bias": round(self.bias / n, 3),
+        rungs = [vw.rung for vw in manager.viewings.values() if vw.playing]
+        found = {"figures": self.notes, "use_told": round(self.told / n, 3),
+                 "rung": round(sum(rungs) / max(1, len(rungs)), 2),
+                 "use_off": round(self.off / n, 3), "use_bias": round(self.bias / n, 3),
                  "use_worst": round(self.worst, 2), "viewings_apart": apart, "out_believed": out, "out_sent": sent,
                  "shut": sum(manager.now < srv.shut_until for srv in manager.servers.values()),
                  "rests": sum(manager.now < srv.rests_until for srv in manager.servers.values()),
--- a/flaxscale/platform/servers.py
+++ b/flaxscale/platform/servers.py
@@ -13,8 +13,11 @@
 
 OWED = 100_000              # a release is owed so long at most: by then the server has ended it itself, or is gone
 ENDING = 20_000             # a set-up that was given up may be answered so long on its connection, which is then closed
-LOST = 30_000               # a server that no connection reaches so long, and that says nothing, is taken for gone
+LOST = 65_000               # a server that says nothing so long is gone: its viewers must hear within 8 s (PROTOCOL)
+PROOFS = 2                  # connections that must have come to nothing since then; one may be lost
 QUIET = 20_000              # where something plays and nothing was heard so long, a new connection must prove the way
+NOTED = 1.25                # ... or so many times the span in which notes come: all managers pay for connections
+AGAIN, TURN = 2_000, 1_000  # pause after a connection that came to nothing; one round of upkeep
 BACKLOG = 64 * 1024
 HELD = 4                    # idle connections kept to one server
 PARTING = 10_000            # a connection that we closed is read so long for what was on its way
@@ -101,8 +104,7 @@
         self.owed, self.rungs = {}, {}      # call: (cause, owed since, the line it was said on); call: rung
         self.playing = set()        # ids of what stands there
         self.heard_at = host.now()
-        self.failing_since = None   # since when no connection could be made
-        self.refusals = self.again_at = 0
+        self.fails = self.refusals = self.again_at = 0      # connections that came to nothing, since one came up
         self.gone = False           # another server has its address
         self.listed, self.started_at = State.READY, started_at
 
@@ -116,6 +118,7 @@
             self.send(line, vw)
         elif self.host.room_for_line():
             self.waiting[vw.call] = vw
+            self.host.counts["dialled for a set-up"] += 1
             self.dial(vw)
         else:
             self.host.counts["no descriptor"] += 1
@@ -168,6 +171,7 @@
             line = self.idle_line() or next((line for line in self.lines if not line.closed), None)
         if line is None:
             if not self.dialing and not self.gone:
+                self.host.counts["dialled to say something"] += 1
                 self.dial(None)
             return
         for call, (cause, since, said) in self.owed.items():
@@ -194,7 +198,7 @@
             self.undialed(vw, bad)
             return
         self.dialing -= 1
-        self.failing_since, self.refusals = None, 0
+        self.fails = self.refusals = 0
         if line.closed or host.over:
             line.abort()
             if vw is not None and self.waiting.pop(vw.call, None):
@@ -215,10 +219,9 @@
             return
         refused = isinstance(bad, ConnectionRefusedError)
         host.counts["dials refused" if refused else "dials that came to nothing"] += 1
-        if self.failing_since is None:
-            self.failing_since = now
+        self.fails += 1
         self.refusals += refused
-        self.again_at = now + 2_000
+        self.again_at = now + AGAIN
         if vw is not None and self.waiting.pop(vw.call, None):
             host.ended(vw, How.UNREACHED)
 
@@ -255,13 +258,24 @@
             self.lost()
         elif self.refusals >= 2 and not any(not line.closed for line in self.lines):
             self.lost()         # its process is gone, and what stood there with it
-        elif self.failing_since is not None and now - max(self.failing_since, self.heard_at) > LOST:
+        elif self.fails >= PROOFS and now - self.heard_at > LOST:
             self.lost()
         elif not self.dialing and now >= self.again_at and (
-                not any(not line.closed for line in self.lines) or now - self.heard_at > QUIET):
+                not any(not line.closed for line in self.lines) or now - self.heard_at > self.quiet()):
             if self.host.room_for_line():
+                self.host.counts["dialled to prove the way"] += 1
                 self.dial(None)
 
+    def quiet(self):
+        """How long a server where something plays may say nothing: until its next note is overdue, where it sends any.
+
+        What is left till LOST must do for the proofs, each with its time-out and its pause.
+        """
+        terms = self.host.config.terms
+        most = LOST - PROOFS * (terms.allowed.dial_timeout + AGAIN + TURN)
+        every = terms.fleet.note_every
+        return max(QUIET, min(most, round(NOTED * every))) if every else max(QUIET, most)
+
     def told(self, row):
         """What the list says of it now. Whatever stood there before a later start went with the process."""
         self.listed = row.state
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -228,7 +228,7 @@
                 m["freed"] = min(m["freed"], row["at"])
             elif what == "rung":
                 m["rungs"].append((row["at"], row["rung"]))
-            elif what == "adopted" and row["epoch"] not in [epoch for _, _, epoch in m["claims"][-1:]]:
+            elif what == "adopted" and (row["manager"], row["epoch"]) not in [claim[1:] for claim in m["claims"][-1:]]:
                 m["claims"].append((row["at"], row["manager"], row["epoch"]))
     out = [TuneIn(key, m["row"]["trace"] or key, m["row"]["manager"], m["row"]["title"], m["row"]["package"], box,
                   m["row"]["at"], m["status"], m["ran"], m["out"], max(m["freed"], m["row"]["at"]),
--- a/flaxscale/serve/clock.py
+++ b/flaxscale/serve/clock.py
@@ -1,9 +1,20 @@
 """The one clock of a process: monotonic, in whole tenths of a millisecond, the same for all on one machine."""
 import time
 
+wrong = None                # lab only: what the clock says for the machine's nanoseconds
+
 
 def now():
-    return time.monotonic_ns() // 100_000
+    return time.monotonic_ns() // 100_000 if wrong is None else wrong(time.monotonic_ns())
+
+
+def set_wrong(step_s, rate):
+    """For the lab: this process's clock is so many seconds ahead and runs so many times as fast, from now on."""
+    global wrong
+    began, ahead = time.monotonic_ns(), round(step_s * 1e9)
+
+    def wrong(at):
+        return round(began + ahead + (at - began) * rate) // 100_000
 
 
 def http_date():
--- a/flaxscale/site/settings.py
+++ b/flaxscale/site/settings.py
@@ -52,5 +52,5 @@
                              span(caps["maxRetryAfterMs"]), caps["peers"], caps["mayProbe"],
                              tenths(caps["dialTimeoutMs"])),
         prices=face.Prices(prices["crossZone"], prices["moves"], prices["lateFail"], prices["peer"],
-                           prices["probe"]),
+                           prices["probe"], prices.get("handshake", 0)),
         goal=face.Goal(goal["whole"], goal["worstWindow"], goal["worstClass"]))
--- a/flaxscale/standins/box.py
+++ b/flaxscale/standins/box.py
@@ -81,6 +81,7 @@
         self.neighbour = 0.0        # another program takes this part of the link
         self.report_late = 0        # notes come so much later
         self.lie = 1.0              # the figures told are so many times the true ones
+        self.unfenced = 0.0         # it forgets what was claimed and grants it again: planted, for the checker to find
 
     def set(self, name, value):
         if not hasattr(self, name):
@@ -233,7 +234,7 @@
     def adopt(self, key, epoch, manager, life=""):
         """A manager's claim to a session; (granted, the manager that it was taken from)."""
         session = self.sessions.get(key)
-        if session is None or not self.fence.claim(key, epoch, manager):
+        if session is None or not (self.trouble.unfenced or self.fence.claim(key, epoch, manager)):
             return False, None
         before, session.manager, session.life = session.manager, manager, life
         return True, before
--- a/flaxscale/standins/boxlist.py
+++ b/flaxscale/standins/boxlist.py
@@ -20,6 +20,7 @@
         self.uplinks, self.record, self.late = uplinks, record or Recorder(), late
         self.rows, self.heard, self.asks, self.version = {}, {}, {}, 0
         self.history, self.streams, self.timer, self.loop, self.frozen = [], {}, None, None, False
+        self.by_asker = {}              # manager: {box: address}, where each reaches boxes by its own way
         self.server = Server(self.handle)
         self.address, self.udp = None, None
 
@@ -73,15 +74,17 @@
         for manager in list(self.streams):
             self.loop.call_later(self.late / 10_000, self.tell, manager, since, self.version, rows, now())
 
-    def wire_row(self, row, seen):
+    def wire_row(self, manager, row, seen):
         keys = ("id", "address", "kind", "cell", "zone", "weight", "boot", "state")
-        return {**{k: row[k] for k in keys}, "up_ms": row["up_ms"] + (now() - row.get("seen", seen)) / 10}
+        address = self.by_asker.get(manager, {}).get(str(row["id"]), row["address"])
+        return {**{k: row[k] for k in keys}, "address": address,
+                "up_ms": row["up_ms"] + (now() - row.get("seen", seen)) / 10}
 
     def tell(self, manager, since, version, rows, seen):
         stream = self.streams.get(manager)
         if stream is None or self.frozen:
             return
-        boxes = [self.wire_row(row, seen) for row in rows]
+        boxes = [self.wire_row(manager, row, seen) for row in rows]
         self.record.put("told", manager=manager, kind="delta", version=version,
                         boxes=[[b["id"], b["state"], b["boot"]] for b in boxes])
         stream.send(sse.encode("delta", json.dumps({"version": version, "since": since, "boxes": boxes}),
@@ -104,13 +107,18 @@
             for h in kept:
                 self.tell(name, *h)
             return
-        rows = [self.wire_row(row, now()) for row in self.rows.values()]
+        rows = [self.wire_row(name, row, now()) for row in self.rows.values()]
         self.record.put("told", manager=name, kind="full", version=self.version,
                         boxes=[[b["id"], b["state"], b["boot"]] for b in rows])
         exchange.send(sse.encode("full", json.dumps({"version": self.version, "boxes": rows}), str(self.version)))
 
     def command(self, row):
-        """{"late_ms": n} from now on; {"frozen": true} tells nothing until it is false again (then all is told)."""
+        """{"late_ms": n} from now on; {"frozen": true} tells nothing until it is false again (then all is told).
+
+        {"ways": {manager: {box: address}}}: each asker's own addresses.
+        """
+        if "ways" in row:
+            self.by_asker = row["ways"]
         if "late_ms" in row:
             self.late = round(row["late_ms"] * 10)
         if "frozen" in row:
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -364,10 +364,14 @@
     def sessions(self, exchange, name):
         _, args = endpoint.split(exchange.request.target)
         if not self.box.trouble.hang:
+            held = {s.key: (s.manager, self.box.fence.epoch(s.key)) for s in self.box.sessions.values()}
+            if self.box.trouble.unfenced:       # as one that lost what it knew beside the sessions themselves
+                held = {key: (key.partition(".")[0], 0) for key in held}
             self.say(exchange, {"boot": self.box.boot, "sessions": [
-                {"key": s.key, "owner": s.manager, "epoch": self.box.fence.epoch(s.key), "rung": s.rung,
+                {"key": s.key, "owner": held[s.key][0], "epoch": held[s.key][1], "rung": s.rung,
                  "location": f"/session/{s.name}", "media": s.media, "age_ms": (now() - s.began) / 10,
-                 "cookie": s.cookie} for s in self.box.sessions.values() if s.manager == args.get("of") and s.name]})
+                 "cookie": s.cookie} for s in self.box.sessions.values()
+                if held[s.key][0] == args.get("of") and s.name]})
 
     def claims(self, exchange, name):
         claims = self.body_of(exchange, Claims, "claims").claims
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from flaxscale.admission.gate import CLIENTS, HOLD, Counts, Gate
+from flaxscale.admission.still import AFTER, LEAST, Still
 
 S = 10_000
 
@@ -130,3 +131,19 @@
     def test_a_seed_gives_the_same_course(self):
         runs = [Server(Gate(3), 500).load(2000, 3 * S, ["a", "b"]).fates for _ in range(2)]
         self.assertEqual(runs[0], runs[1])
+
+
+class StoodStill(unittest.TestCase):
+    def test_what_is_read_after_a_standstill_may_be_as_old_as_that(self):
+        still = Still(100 * S, 250)
+        for n in range(1, 5):
+            still.rings(100 * S + 250 * n)
+        self.assertEqual(0, still.older(100 * S + 1_300))               # the timer rings when it is due
+        self.assertEqual(0, still.older(100 * S + 1_250 + LEAST))       # load is no standstill
+        stood = 6 * S
+        self.assertEqual(stood, still.older(100 * S + 1_000 + stood))   # read before the timer had its turn
+        still.rings(100 * S + 1_000 + stood)
+        self.assertEqual(stood + 100, still.older(100 * S + 1_100 + stood))     # accepted now, sent then
+        for later in range(250, AFTER + 1, 250):
+            still.rings(100 * S + 1_000 + stood + later)
+        self.assertEqual(0, still.older(100 * S + 1_000 + stood + AFTER))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,6 +6,7 @@
 from flaxscale.interface import How
 from flaxscale.lab.players import headers_of, offer_of
 from flaxscale.serve import server
+from flaxscale.serve.clock import now
 from flaxscale.signalling import sdp
 from tests.rig import Rig, patient
 
@@ -382,6 +383,18 @@
         gate.rate = gate.tokens = None
         self.assertEqual("plays", (await self.ask(viewer="c")).fate)
 
+    async def test_what_may_have_waited_through_a_standstill_is_refused_at_once(self):
+        # It looked new: worked on as such, it was answered after its viewer had gone (a stopped manager, on a day).
+        front = self.fronts[0]
+        front.still.rang_at -= 30_000               # as when nothing ran for three seconds, of a patience of two
+        seen = await self.ask()
+        self.assertEqual(("blocked", "late"), (seen.fate, json.loads(seen.body)["why"]))
+        self.assertLess(seen.after, 2_000)
+        self.assertEqual([], [row for box in self.boxes for row in self.setups(box)])
+        front.still.rings(now())
+        front.still.span = 0, 0
+        self.assertEqual("plays", (await self.ask(viewer="c")).fate)
+
     async def test_a_push_is_judged_by_its_own_packages_patience(self):
         gate = self.fronts[0].gate
         self.fronts[0].lag_timer.cancel()   # or it judges anew between the two
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -344,6 +344,34 @@
         self.assertEqual(41, found["why"])
         self.assertEqual({}, self.host.viewings)
 
+    async def test_a_way_is_proved_where_a_note_is_overdue_and_a_silent_server_is_gone_in_time(self):
+        # Proved each 2 s, while notes come each 3 s, half of a fleet's new connections served nothing else.
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        call = self.ask(conn)
+        await self.seen("accept", who="viewer", call=call)
+        reach, terms = self.host.reaches[1], self.host.config.terms
+        for every, quiet in ((10_000, 20_000), (30_000, 37_500), (45_000, 54_000), (0, 54_000)):
+            self.host.config = self.host.config._replace(terms=terms._replace(
+                fleet=terms.fleet._replace(note_every=every)))
+            self.assertEqual(quiet, reach.quiet())
+        opened = len(self.all("open", who=1))
+        reach.tend(reach.heard_at + 54_000)
+        self.assertFalse(reach.dialing)
+        reach.tend(reach.heard_at + 54_001)
+        self.assertEqual(1, reach.dialing)
+        await self.seen("open", opened + 1, who=1)
+        # Two proofs that came to nothing, and 6.5 s without a word; its viewer has 8 s in all.
+        reach.fails = 1
+        reach.tend(reach.heard_at + 70_000)
+        self.assertEqual([], self.all("end", who="viewer"))
+        reach.fails = 2
+        reach.tend(reach.heard_at + 65_000)
+        self.assertEqual([], self.all("end", who="viewer"))
+        reach.tend(reach.heard_at + 65_001)
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
+
     async def test_a_new_server_at_the_address_of_one_that_has_gone(self):
         await self.server(1)
         await self.start(1)
