Stamps on what managers do, their own account of it, and a judge that joins it with the boxes'

Each set-up, claim and order carries the number of its manager's stamp (build, settings, list, catalogue, peaks, view of the members; audit/stamp.py, pure), whole until its box has answered one.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -160,7 +160,7 @@
                 elif row["what"] == "answer" and row["status"] == 201:
                     set_up[row["key"]] = row["at"]
                 elif row["what"] in ("ordered", "over", "answer"):
-                    for key in row.get("keys") or [row.get("key")]:
+                    for key in row["ends"] if row["what"] == "ordered" else [row.get("key")]:
                         if key in keys:
                             at = left[keys.pop(key)]
                             # Its 201 was on its way as the client went: only the media's own time ends such a one.
--- a/flaxscale/cli/days.py
+++ b/flaxscale/cli/days.py
@@ -4,6 +4,7 @@
 
 import click
 
+from ..lab import timeline
 from ..lab.day import DayRun
 from ..lab.shapes import read_day
 from ..rules.check import RULES, check
@@ -18,7 +19,8 @@
 @click.argument("file", type=click.Path())
 @click.option("--seed", default=1, show_default=True)
 @click.option("--out", required=True, type=click.Path(), help="Folder for the records; must be empty or new.")
-def day(file, seed, out):
+@click.option("--timeline/--no-timeline", "shown", default=None, help="Print what came when; usual where a rule broke.")
+def day(file, seed, out, shown):
     """Play a day of FILE (Jsonnet) on loopback and write what passed on the sockets."""
     found = site_errors(lambda: read_day(file))
     folder = pathlib.Path(out)
@@ -27,22 +29,27 @@
         sys.exit(BAD)
     run = DayRun(found, seed, out, logger("info", None))
     service.run(run.run())
-    sys.exit(judge(out))
+    sys.exit(judge(out, shown))
 
 
 @click.command("check")
 @click.argument("folder", type=click.Path())
-def check_command(folder):
+@click.option("--timeline/--no-timeline", "shown", default=False, help="Print what came when beside what broke.")
+def check_command(folder, shown):
     """Judge the six rules from the records in FOLDER."""
-    sys.exit(judge(folder))
+    sys.exit(judge(folder, shown))
 
 
-def judge(folder):
+def judge(folder, shown):
+    """shown: the time line too; None: where a rule broke."""
     try:
         verdict = check(folder)
     except RecordError as bad:
         click.echo(f"flaxscale: {bad}", err=True)
         return BAD
+    if shown or shown is None and verdict.breaks:
+        for at, text in timeline.lines(folder, verdict.breaks):
+            click.echo(f"{at:8.2f} s  {text}")
     click.echo("players saw: " + ", ".join(f"{name} {n}" for name, n in sorted(verdict.counts.items())))
     for b in verdict.breaks[:50]:
         click.echo(f"rule {b.rule} ({RULES[b.rule - 1]}) broken: {b.detail}")
--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -9,6 +9,7 @@
     "check": ("days", "check_command"), "config": ("days", "config"), "catalogue": ("catalogue", "catalogue"),
     "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
     "managers": ("journal", "managers"), "platform": ("platform", "platform"), "relay": ("relay", "relay"),
+    "audit": ("audit", "audit"), "fleet": ("audit", "fleet"),
 }
 
 
--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -118,15 +118,17 @@
         if place is None:
             return None
         self.keep_stream(box)
-        began = now()
+        began, field = now(), self.owner.audit.field(box, place.boot)
 
         def came(result):
             took = now() - began
+            if isinstance(result, wire.Answer):
+                self.owner.audit.stamps.heard(box, place.boot, field[1])
             if isinstance(result, wire.Failed):
                 done(How.RESET if result.sent else How.UNREACHED, took, None, ())
                 return
             done(self.how_of(result), took, result, self.notes_of(result.headers))
-        return self.pool.send(place.host, place.port, "POST", target, [*headers, *self.who], body, came)
+        return self.pool.send(place.host, place.port, "POST", target, [*headers, field, *self.who], body, came)
 
     def how_of(self, answer):
         """An answer as an outcome. What is not said to have never run may have run."""
@@ -199,8 +201,15 @@
             self.send_orders(box, place, *self.owed.take(box, time))
 
     def send_orders(self, box, place, ends, rungs):
+        audit, field = self.owner.audit, self.owner.audit.field(box, place.boot)
+        for kind, keys in (("end", ends), ("rung", rungs)):
+            for key in keys:
+                audit.did(kind, key, box)
+
         def came(result):
             self.orders_out.pop(box, None)
+            if isinstance(result, wire.Answer):
+                audit.stamps.heard(box, place.boot, field[1])
             good = isinstance(result, wire.Answer) and result.status == 200
             self.owed.sent(box, good, now())
             if good:
@@ -212,7 +221,7 @@
             self.push(box)
         self.orders_out[box] = self.pool.send(
             place.host, place.port, "POST", "/manager/orders",
-            [("Content-Type", "application/json"), *self.who],
+            [("Content-Type", "application/json"), field, *self.who],
             msgspec.json.encode({"end": ends, "rungs": rungs, "epochs": {
                 key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs}}), came, ORDERS_S)
 
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -30,6 +30,7 @@
 from ..site.load import SiteError, refuse
 from ..site.terms import Sense
 from ..store.files import Files
+from .audit import FrontAudit
 from .boxes import Boxes
 from .journal import FrontJournal
 from .listing import ListFollower
@@ -93,6 +94,7 @@
         self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None,
                                     via)
         self.journal = FrontJournal(self, files(f"{state}/keys-{self.name}") if state else None)
+        self.audit = FrontAudit(self, files(f"{state}/account-{self.name}", lasting=False) if state else None)
         self.gate = Gate(sense.seed, self.site.front.gate)
         self.still = Still(now(), round(LAG_S * 10_000))
         row = self.site.front
@@ -135,6 +137,7 @@
         self.peaks.rule(site)
         self.runner.changed(sense.terms)
         self.load_counts["loaded"] += 1
+        self.audit.renew()
         self.lines.info("settings loaded", site=site.name, mark=self.mark, viewings=len(self.viewings))
 
     def refusals(self, site):
@@ -152,6 +155,7 @@
 
     async def start(self, host, port, member_port=0):
         self.loop = asyncio.get_running_loop()
+        self.audit.start()
         if self.follower:
             self.follower.start()
         if self.watch:
@@ -207,6 +211,7 @@
         await self.peaks.stop()
         await self.members.stop()
         self.journal.stop()
+        self.audit.stop()
         for timer in (self.housekeeping, self.timer, self.lag_timer):
             if timer is not None:
                 timer.cancel()
@@ -423,6 +428,7 @@
         vw = self.viewings[id]
         vw.key, vw.box, vw.tries, vw.began = f"{self.name}.{self.boot}.{id:x}.{nth}", server, nth + 1, now()
         self.by_key[vw.key] = id
+        self.audit.did("setup", vw.key, server)
         if nth == 0:
             vw.slot_wait = max(0, self.runner.due - vw.taken_at)
         offer = vw.offer
@@ -480,6 +486,7 @@
     def answer(self, id, answer):
         vw = self.viewings[id]
         self.counts[answer.fate.value] += 1
+        self.audit.did("answer" if answer.fate is Fate.PLAYS else "refusal", vw.name)
         if answer.fate is Fate.PLAYS:
             vw.plays = True
             reply = self.played(vw)
@@ -617,6 +624,7 @@
 
     def listed(self, kind, entries):
         before = set(self.boxes.places)
+        self.audit.renew()
         self.boxes.placed(self.book.places)
         self.members.listed(set(self.book.places) - before)
         self.lines.info("listed", kind=kind.value, boxes=len(entries), version=self.book.version)
@@ -626,6 +634,7 @@
 
     def title_news(self, titles, version):
         """A version was taken: the module hears at once of the titles that it knows."""
+        self.audit.renew()
         if titles is not None:
             self.runner.catalogued(self.view.changed(titles))
 
@@ -684,4 +693,5 @@
                            "owed": self.boxes.owed.count(), "faults": self.runner.faults,
                            "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
                            "peaks": self.peaks.state(), "members": self.members.state(), "gate": self.gate.state(),
+                           "audit": self.audit.state(),
                            "boxes": boxes}).encode()
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -124,6 +124,8 @@
         return self.serves(keeper_of(str(viewer), others)) if others else None
 
     def changed(self, changes):
+        if self.shell.swim is not None:
+            self.front.audit.renew()
         for news in changes:
             if news.state in (State.DEAD, State.LEFT):
                 self.take_over(news.name)
@@ -170,11 +172,11 @@
                 self.front.lines.info("sessions not heard", box=box, of=manager, detail=str(bad)[:200], tries=n + 1)
             await asyncio.sleep(PAUSE_S)
 
-    async def call(self, place, method, target, body, kind):
+    async def call(self, place, method, target, body, kind, more=()):
         came = asyncio.get_running_loop().create_future()
         call = self.front.boxes.pool.send(
             place.host, place.port, method, target,
-            [("Content-Type", "application/json"), *self.front.boxes.who],
+            [("Content-Type", "application/json"), *more, *self.front.boxes.who],
             msgspec.json.encode(body) if body is not None else b"",
             lambda result: came.done() or came.set_result(result))
         try:
@@ -238,10 +240,15 @@
 
         Where the box stays silent they are given up: it is told to end what it may have granted.
         """
+        audit = self.front.audit
         try:
             for n in range(TRIES):
                 try:
-                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted)
+                    for key in claims:
+                        audit.did("claim", key, box)
+                    field = audit.field(box, place.boot)
+                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted, [field])
+                    audit.stamps.heard(box, place.boot, field[1])
                     return [key for key in said.granted if key in claims]
                 except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
                     self.front.lines.info("claims not answered", box=box, count=len(claims), tries=n + 1,
--- a/flaxscale/front/peaks.py
+++ b/flaxscale/front/peaks.py
@@ -48,6 +48,7 @@
     def changed(self, peaks):
         known = {p.name for p in peaks}
         self.keeper.replace([*(p for p in self.stated if p.name not in known), *peaks])
+        self.front.audit.renew()
 
     # What the keeper asks
 
--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -17,6 +17,7 @@
 from ..catalogued.client import Client
 from ..peaks import wire
 from ..serve.clock import now
+from .accounts import write_account
 from .chance import Dice
 from .changes import Changes
 from .players import Player, Wish, trace_of
@@ -312,6 +313,13 @@
             for m in managers:
                 self.fronts[m].signal(signal.SIGCONT)
                 self.lab.put("go_on", manager=f"m{m}")
+        elif row.what in ("box_stall", "catalogue_stall"):
+            stalled = [self.catalogue] if row.what == "catalogue_stall" else [self.boxes[b] for b in boxes]
+            for process in stalled:
+                process.signal(signal.SIGSTOP)
+            await asyncio.sleep(row.for_s)
+            for process in stalled:
+                process.signal(signal.SIGCONT)
         elif row.what == "catalogue_crash" and self.catalogue:
             port = self.catalogue.address[1]
             await self.catalogue.kill()
@@ -380,5 +388,7 @@
         for process in (self.catalogue, self.list, self.relay):
             if process is not None:
                 await process.stop()
+        for folder in sorted((self.out / "state").glob("account-m*")):
+            write_account(folder, self.out / f"{folder.name}.jsonl")
         self.lab.close()
         self.record.close()
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -97,8 +97,8 @@
 
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
-         "crowd", "uplink", "settings", "way", "disk"}
-SOCKETS_ONLY = {"way", "disk"}
+         "crowd", "uplink", "settings", "way", "disk", "box_stall", "catalogue_stall"}
+SOCKETS_ONLY = {"way", "disk", "box_stall", "catalogue_stall"}
 MOST_PROCESSES = 400
 
 
@@ -180,6 +180,7 @@
                 ways_of(day, n)
             except WayError as bad:
                 want(False, bad.key, bad.expected)
+        want(row.what != "catalogue_stall" or day.catalogue, f"{at}.what", "a catalogue too")
         want(row.what != "disk" or row.kind in ("full", "slow"), f"{at}.kind", "full or slow")
         want(row.managers is None or all(0 <= m < site.managers for m in row.managers), f"{at}.managers",
              f"numbers of managers, 0 to {site.managers - 1}")
--- a/flaxscale/platform/servers.py
+++ b/flaxscale/platform/servers.py
@@ -18,6 +18,7 @@
 QUIET = 20_000              # where something plays and nothing was heard so long, a new connection must prove the way
 NOTED = 1.25                # ... or so many times the span in which notes come: all managers pay for connections
 AGAIN, TURN = 2_000, 1_000  # pause after a connection that came to nothing; one round of upkeep
+AGAIN_LONG = 10_000         # and once the proofs are there: what is heard again is heard on what stands
 BACKLOG = 64 * 1024
 HELD = 4                    # idle connections kept to one server
 PARTING = 10_000            # a connection that we closed is read so long for what was on its way
@@ -221,7 +222,7 @@
         host.counts["dials refused" if refused else "dials that came to nothing"] += 1
         self.fails += 1
         self.refusals += refused
-        self.again_at = now + AGAIN
+        self.again_at = now + (AGAIN if self.fails < PROOFS else AGAIN_LONG)
         if vw is not None and self.waiting.pop(vw.call, None):
             host.ended(vw, How.UNREACHED)
 
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -213,7 +213,7 @@
             made[row["key"]] = {"row": row, "rungs": [(row["at"], row["rung"])], "status": None, "ran": True,
                                 "out": dead, "freed": dead, "claims": []}
             continue
-        for key in row["keys"] if what == "ordered" else [row.get("key")]:
+        for key in row.get("ends", row["keys"]) if what == "ordered" else [row.get("key")]:
             m = made.get(key)
             if m is None:
                 continue
--- a/flaxscale/standins/boxserver.py
+++ b/flaxscale/standins/boxserver.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..audit import stamp
 from ..http1 import sse
 from ..http1.server import Limits
 from ..lab.records import Recorder
@@ -116,7 +117,7 @@
         rung = int(rung) if rung.isascii() and rung.isdigit() else -1
         time = now()
         self.record.put("setup", key=key, trace=offer.trace, manager=manager, title=offer.title,
-                        package=self.package(offer), rung=rung, sends=offer.sends)
+                        package=self.package(offer), rung=rung, sends=offer.sends, **self.under(exchange, manager))
         exchange.gone = lambda: self.record.put("closed", key=key)
         if trouble.hang:
             return                      # taken, and never answered
@@ -334,12 +335,12 @@
         exchange.respond(200, [("Content-Type", "application/json")], json.dumps(row).encode())
 
     def orders(self, exchange, name):
-        orders = self.body_of(exchange, Orders, "orders")
+        orders, under = self.body_of(exchange, Orders, "orders"), self.under(exchange, name)
         fenced = [key for key in (*orders.end, *orders.rungs)
                   if not self.box.fence.obeys(key, orders.epochs.get(key, 0), name)]
         ends = [key for key in orders.end if key not in fenced]
-        if ends:
-            self.record.put("ordered", keys=ends)
+        if ends or orders.rungs:
+            self.record.put("ordered", keys=[*orders.end, *orders.rungs], ends=ends, manager=name, **under)
         if fenced:
             self.record.put("fenced", manager=name, keys=fenced)
         if self.box.trouble.hang:
@@ -376,18 +377,30 @@
     def claims(self, exchange, name):
         claims = self.body_of(exchange, Claims, "claims").claims
         if not self.box.trouble.hang:
-            life = self.life_of(exchange)
+            life, under = self.life_of(exchange), self.under(exchange, name)
             self.say(exchange, {"granted": [key for key, epoch in claims.items()
-                                            if self.adopt(key, epoch, name, life)]})
+                                            if self.adopt(key, epoch, name, life, under)]})
 
     def life_of(self, exchange):
         return exchange.request.headers.get("flaxscale-life", "")
 
-    def adopt(self, key, epoch, name, life=""):
+    def under(self, exchange, manager):
+        """The life and the stamp under which a manager acts, for the records; a whole stamp gets a row of its own."""
+        life, field = self.life_of(exchange), exchange.request.headers.get("flaxscale-stamp")
+        try:
+            number, whole = stamp.read(field) if field is not None else (None, None)
+        except ValueError as bad:
+            self.record.put("bad stamp", manager=manager, life=life, detail=str(bad))
+            return {"life": life, "stamp": None}
+        if whole is not None:
+            self.record.put("stamp", manager=manager, life=life, number=number, stamp=msgspec.structs.asdict(whole))
+        return {"life": life, "stamp": number}
+
+    def adopt(self, key, epoch, name, life="", under=None):
         """One claim. Who held the session before hears that it is another's now, if it still listens."""
         good, before = self.box.adopt(key, epoch, name, life)
         if good:
-            self.record.put("adopted", key=key, manager=name, epoch=epoch)
+            self.record.put("adopted", key=key, manager=name, epoch=epoch, **(under or {}))
             self.attend(name, life)
             if before != name and before in self.streams:
                 self.streams[before].send(sse.encode("over", json.dumps({"key": key, "how": "moved"})))
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -13,6 +13,7 @@
 from flaxscale.lab.relay import Relay
 from flaxscale.lab.shapes import faults, read_day
 from flaxscale.lab.ways import CLEAR, Fault, WayError, Ways, all_ways, in_pieces, named, parties, struck
+from flaxscale.rules.audit import judge
 from flaxscale.site.load import SiteError
 from tests.rig import LIMIT, Rows
 from tests.test_day import ROOT, Played, flaxscale
@@ -243,6 +244,14 @@
         self.assertEqual({"cut", "delay", "lose", "reset", "half_open"}, {r["kind"] for r in struck if "kind" in r})
         self.assertTrue(any("m0>b1" in r["unreached"] for r in struck))
         self.assertEqual([], struck[-1]["unreached"])               # all healed, and so it is said
+        shown = flaxscale("check", "--timeline", str(out)).stdout
+        self.assertRegex(shown, r"0\.\d\d s  way cut m0>b1, b1>m0, m0>b2, b2>m0 and 2 more \(fault 0\)")
+        self.assertRegex(shown, r" s  healed: b\d>m0, m0>b\d|healed: m0>b\d, b\d>m0")     # in pieces: pair by pair
+        self.assertRegex(shown, r" s  kill m2\n")
+        # Both accounts of what was done agree on every action, through all of it.
+        audited = judge(out)
+        self.assertEqual(([], audited.actions), (audited.findings, audited.agreed))
+        self.assertGreater(audited.actions, 50)
         passed = relay[-1]["ways"]
         # Everything went by the relay: set-ups, the list, datagrams between managers.
         for way in ("m0>b1", "b1>m0", "list>m1", "b3>list", "m1>m2"):
@@ -259,4 +268,4 @@
                     "{ at_s: 1.5, what: 'manager_crash', for_s: 11.4, managers: [2] }"))))
             played = flaxscale("day", str(day), "--seed", "2", "--out", str(out))
             self.assertEqual(3, played.returncode, played.stdout)
-            self.assertRegex(played.stdout, "rule 2 .* taken over twice under one epoch")
+            self.assertRegex(played.stdout, r"s  BROKEN rule 2: .* taken over twice under one epoch")
