--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -14,6 +14,7 @@
 
 from .. import interface as face
 from ..admission.gate import Gate
+from ..admission.still import Still
 from ..catalogue.view import FileView, LiveView, title_id
 from ..http1 import fields
 from ..http1.server import Limits
@@ -29,6 +30,7 @@
 from ..site.load import SiteError, refuse
 from ..site.terms import Sense
 from ..store.files import Files
+from .audit import FrontAudit
 from .boxes import Boxes
 from .journal import FrontJournal
 from .listing import ListFollower
@@ -62,9 +64,11 @@
 
 class Front:
     def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
-                 reread=None, leave=None):
+                 reread=None, leave=None, via=None, files=Files):
         """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
 
+        via: as FrontMembers has it. files: makes the disk's side of a folder.
+
         reread: gives the settings' file as it is now, checked (SiteError where it is not good).
         leave: begins this program's planned end, once.
         """
@@ -80,16 +84,19 @@
         self.watch, self.view = None, FileView(self.site)
         if catalogue_address:
             from ..catalogued.watch import CatalogueWatch  # gRPC is slow to load and most tests need none
-            files = Files(f"{state}/catalogue-{self.name}", lasting=False) if state else None
-            self.watch = CatalogueWatch(catalogue_address, self.name, "manager", self.title_news, log, files,
+            kept = files(f"{state}/catalogue-{self.name}", lasting=False) if state else None
+            self.watch = CatalogueWatch(catalogue_address, self.name, "manager", self.title_news, log, kept,
                                         self.check_titles, self.seats_in_use)
             self.view = LiveView(sense, self.watch.follower)
         self.peaks = FrontPeaks(self, catalogue_address,
-                                Files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
+                                files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
                                 else None)
-        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None)
-        self.journal = FrontJournal(self, Files(f"{state}/keys-{self.name}") if state else None)
+        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None,
+                                    via)
+        self.journal = FrontJournal(self, files(f"{state}/keys-{self.name}") if state else None)
+        self.audit = FrontAudit(self, files(f"{state}/account-{self.name}", lasting=False) if state else None)
         self.gate = Gate(sense.seed, self.site.front.gate)
+        self.still = Still(now(), round(LAG_S * 10_000))
         row = self.site.front
         self.keys = KeyBook(round(row.keep_answers_ms * 10))
         self.server = Server(self.handle, Limits(row.head_bytes, 64, 2048, row.body_bytes),
@@ -130,6 +137,7 @@
         self.peaks.rule(site)
         self.runner.changed(sense.terms)
         self.load_counts["loaded"] += 1
+        self.audit.renew()
         self.lines.info("settings loaded", site=site.name, mark=self.mark, viewings=len(self.viewings))
 
     def refusals(self, site):
@@ -147,6 +155,7 @@
 
     async def start(self, host, port, member_port=0):
         self.loop = asyncio.get_running_loop()
+        self.audit.start()
         if self.follower:
             self.follower.start()
         if self.watch:
@@ -202,6 +211,7 @@
         await self.peaks.stop()
         await self.members.stop()
         self.journal.stop()
+        self.audit.stop()
         for timer in (self.housekeeping, self.timer, self.lag_timer):
             if timer is not None:
                 timer.cancel()
@@ -278,7 +288,7 @@
         stated = args.get("viewer") or headers.get("flaxscale-viewer")
         time, client = now(), stated or self.address_of(exchange)
         left = self.sense.patience(self.sense.packages[package], fields.wait_of(headers.get("prefer"))) - (
-            time - exchange.arrived)
+            time - exchange.arrived) - self.still.older(exchange.arrived)
         again = time - self.seen.get((self.viewer_id(stated, exchange), title), -AGAIN) < AGAIN
         if no := self.gate.ask(time, client, left, again):
             self.counts["turned_away"] += 1
@@ -292,6 +302,7 @@
 
     def watch_lag(self, due):
         """A timer of our own, only to see how late it rings."""
+        self.still.rings(now())
         self.gate.lagged(now(), max(0, now() - due))
         self.lag_timer = self.loop.call_later(LAG_S, self.watch_lag, now() + round(LAG_S * 10_000))
 
@@ -321,7 +332,8 @@
         self.seen[viewer, offer.title] = time
         self.counts["taken"] += 1
         vw.asked_at = exchange.arrived
-        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived)
+        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived) - self.still.older(
+            exchange.arrived)
         rungs = len(self.site.ladder.kb) - 1
         vw.cookie = cookie_out(vw.name, offer, viewer, rungs if offer.top is None else min(offer.top, rungs))
         if news := self.view.news(offer.title):
@@ -416,6 +428,7 @@
         vw = self.viewings[id]
         vw.key, vw.box, vw.tries, vw.began = f"{self.name}.{self.boot}.{id:x}.{nth}", server, nth + 1, now()
         self.by_key[vw.key] = id
+        self.audit.did("setup", vw.key, server)
         if nth == 0:
             vw.slot_wait = max(0, self.runner.due - vw.taken_at)
         offer = vw.offer
@@ -473,6 +486,7 @@
     def answer(self, id, answer):
         vw = self.viewings[id]
         self.counts[answer.fate.value] += 1
+        self.audit.did("answer" if answer.fate is Fate.PLAYS else "refusal", vw.name)
         if answer.fate is Fate.PLAYS:
             vw.plays = True
             reply = self.played(vw)
@@ -610,6 +624,7 @@
 
     def listed(self, kind, entries):
         before = set(self.boxes.places)
+        self.audit.renew()
         self.boxes.placed(self.book.places)
         self.members.listed(set(self.book.places) - before)
         self.lines.info("listed", kind=kind.value, boxes=len(entries), version=self.book.version)
@@ -619,6 +634,7 @@
 
     def title_news(self, titles, version):
         """A version was taken: the module hears at once of the titles that it knows."""
+        self.audit.renew()
         if titles is not None:
             self.runner.catalogued(self.view.changed(titles))
 
@@ -677,4 +693,5 @@
                            "owed": self.boxes.owed.count(), "faults": self.runner.faults,
                            "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
                            "peaks": self.peaks.state(), "members": self.members.state(), "gate": self.gate.state(),
+                           "audit": self.audit.state(),
                            "boxes": boxes}).encode()
