--- a/flaxscale/lab/processes.py
+++ b/flaxscale/lab/processes.py
@@ -1,5 +1,6 @@
 """Processes of a day: started, spoken to by lines, stopped by their own id. Whoever starts one waits for it."""
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -49,15 +50,27 @@
                 await self.kill()
 
 
+STEADY = 20_000, 32_000         # ports that no system here gives to sockets that ask for any
+asked = itertools.count(os.getpid() * 97)
+
+
 def free_udp_port():
-    """A port for datagrams that was free just now, for a process that must have it before it starts."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+    """A port for datagrams that was free just now, and that stays so while its process is away.
+
+    One that the system gives out may be another socket's by the time a killed manager comes back to it.
+    """
+    for n in asked:
+        port = STEADY[0] + n % (STEADY[1] - STEADY[0])
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
+            try:
+                one.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def talk_args(fronts, m):
     """How manager m finds those that were started before it; one that comes back keeps its port. {number: Process}."""
-    own = fronts[m].ready["members"].rpartition(":")[2] if m in fronts else "0"
+    own = fronts[m].ready["members"].rpartition(":")[2] if m in fronts else str(free_udp_port())
     seeds = [p.ready["members"] for n, p in sorted(fronts.items()) if n != m]
     return ["--member-port", own, *(arg for seed in seeds for arg in ("--member", seed))]
--- a/flaxscale/rules/check.py
+++ b/flaxscale/rules/check.py
@@ -158,12 +158,12 @@
     return records.catalogue.known(manager, at - SLACK, at + SLACK)
 
 
-def seats_then(records, t):
-    """The most seats that its manager may have gone by for a set-up; None where that can't be known."""
+def seats_then(records, manager, t, at):
+    """The most seats of a set-up's title that a manager may have gone by at a time; None where that can't be known."""
     usual = records.site["packages"][t.package]["seats"]
     if records.catalogue is None:
         return usual
-    known = known_versions(records, t.manager, t.at)
+    known = known_versions(records, manager, at)
     if known is None:
         return None
     return max((title or {"seats": {}})["seats"].get(t.package, usual)
@@ -208,7 +208,7 @@
         count = 0
         for at, change, t in sorted(changes, key=lambda row: row[:2]):
             count += change
-            if change > 0 and (seats := seats_then(records, t)) is not None and count > seats:
+            if change > 0 and (seats := seats_then(records, manager, t, at)) is not None and count > seats:
                 breaks.append(Break(5, at, f"{manager} holds {count} of {title!r} in {package}, seats {seats}"))
                 break
     if records.catalogue is not None:
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -67,6 +67,25 @@
             self.add("box-1-1.jsonl", lease)(folder)
         self.assertEqual([], self.changed("rule-5-over-the-seats", ended).breaks)
 
+    def test_a_claim_is_judged_by_the_seats_of_its_time_not_of_the_set_up(self):
+        # One seat when both were set up under two managers, two when one of them took the other's over.
+        def change(folder):
+            box = (folder / "box-1-1.jsonl").read_text() + (folder / "box-2-1.jsonl").read_text()
+            last = [json.loads(row) for row in box.splitlines() if '"m0.51.0"' in row][0]
+            for file in folder.glob("box-*.jsonl"):
+                file.write_text(file.read_text().replace(
+                    json.dumps(last), json.dumps({**last, "manager": "m1"})))
+            told = [{"at": 1_093_000, "what": "version", "version": 3, "titles": {"cam": {
+                "holders": {"1": "holding", "2": "holding"}, "seats": {"cam": seats}, "low": 0, "top": 4}}}]
+            told += [{"at": 1_093_100 + n, "what": what, "watcher": m, "version": 3} for m in ("m0", "m1")
+                     for n, what in enumerate(("told", "ack"))]
+            told += [{"at": 1_070_000, "what": what, "watcher": "m1", "version": 2} for what in ("told", "ack")]
+            self.add("catalogue.jsonl", *sorted(told, key=lambda row: row["at"]))(folder)
+            file = next(f.name for f in folder.glob("box-*.jsonl") if '"m0.51.0"' in f.read_text())
+            self.add(file, {"at": 1_098_000, "what": "adopted", "key": "m0.51.0", "manager": "m0", "epoch": 1})(folder)
+        for seats, broken in ((2, []), (1, [5])):
+            self.assertEqual(broken, [b.rule for b in self.changed("rule-5-over-the-titles-own-seats", change).breaks])
+
     def test_further_tune_ins_are_counted_from_a_managers_start(self):
         kills = [{"at": at, "what": "kill", "manager": "m0"} for at in (1_092_000, 1_095_500)]
         self.assertEqual([6], [b.rule for b in self.changed("rule-6-over-the-budget", self.add("lab.jsonl",
