The checker knows what a fault between both sides hides from a box's records

A stopped box, or one behind a cut way, reads late what was sent early: rule 3 was called broken (m1 to box 1, 2,006 ms after it was told; the box had been stopped for 3 s) and rule 2 would have been. What arrives at the end of such a span is judged by the span's beginning.

--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -317,9 +317,13 @@
             stalled = [self.catalogue] if row.what == "catalogue_stall" else [self.boxes[b] for b in boxes]
             for process in stalled:
                 process.signal(signal.SIGSTOP)
+            for b in boxes if row.what == "box_stall" else ():
+                self.lab.put("box_stall", box=b + 1)
             await asyncio.sleep(row.for_s)
             for process in stalled:
                 process.signal(signal.SIGCONT)
+            for b in boxes if row.what == "box_stall" else ():
+                self.lab.put("box_go_on", box=b + 1)
         elif row.what == "catalogue_crash" and self.catalogue:
             port = self.catalogue.address[1]
             await self.catalogue.kill()
--- a/flaxscale/lab/timeline.py
+++ b/flaxscale/lab/timeline.py
@@ -2,8 +2,8 @@
 import json
 import pathlib
 
-SHOWN = {"trouble", "kill", "back", "stall", "go_on", "restart", "restarted", "fault", "heal", "settings", "announced",
-         "end"}
+SHOWN = {"trouble", "kill", "back", "stall", "go_on", "box_stall", "box_go_on", "restart", "restarted", "fault", "heal",
+         "settings", "announced", "end"}
 NAMES = 4                   # ways and parties named in one line; the rest is counted
 
 
--- a/flaxscale/rules/check.py
+++ b/flaxscale/rules/check.py
@@ -45,6 +45,18 @@
     return any(a <= at <= b for a, b in spans)
 
 
+def sent_at(records, t):
+    """The earliest that a set-up may have been sent: its box saw it then, or at the end of what hid it."""
+    return min([t.at, *(since for since, until in records.hidden.get((t.manager, t.box), ())
+                        if since <= t.at <= until + SLACK)])
+
+
+def surely_out(records, t):
+    """Until when its manager surely had it out: a fault between both may hide an answer, or that it was given up."""
+    return min([t.out_until, *(max(t.at, since) for since, until in records.hidden.get((t.manager, t.box), ())
+                               if since <= t.out_until and t.at <= until + SLACK)])
+
+
 def rule_1(records):
     """One answer within the viewer patience, from a manager that ran all that time."""
     breaks, requests, answered = [], 0, 0
@@ -81,7 +93,7 @@
         by_trace[t.trace].append(t)
     for trace, made in by_trace.items():
         for one, two in zip(made, made[1:]):
-            if two.at + SLACK < one.out_until:
+            if two.at + SLACK < surely_out(records, one):
                 breaks.append(Break(2, two.at, f"{trace}: two tune-ins out, {one.key} and {two.key}"))
             # `ran` is False only where the answer said that it never ran.
             if effects.get(two.package) == "unsafe" and one.ran:
@@ -101,7 +113,8 @@
     breaks = []
     events = sorted([(at, 0, ("told", m, kind, boxes)) for at, m, kind, boxes in records.told]
                     + [(killed, 0, ("kill", m, None, None)) for m, s in records.kills.items() for killed, _ in s]
-                    + [(t.at, 1, ("tune-in", t, None, None)) for t in records.tune_ins], key=lambda e: e[:2])
+                    + [(sent_at(records, t), 1, ("tune-in", t, None, None)) for t in records.tune_ins],
+                    key=lambda e: e[:2])
     for at, _, (what, who, kind, boxes) in events:
         if what == "kill":              # whoever comes back was told nothing yet
             bad_since.pop(who, None)
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -65,6 +65,7 @@
     stalls: dict                # manager: [(stopped, went on)]
     end: int
     catalogue: object           # a Versions, or None where the day had none
+    hidden: dict                # (manager, box): [(since, until)] in which one's doings reach the other late or never
 
 
 class Versions:
@@ -148,7 +149,8 @@
                    starts, [(r["at"], r["manager"], r["kind"], [tuple(b) for b in r["boxes"]])
                             for r in told if r["what"] == "told"],
                    spans(lab, "kill", "back"), spans(lab, "stall", "go_on"), end,
-                   Versions(rows_of(folder / "catalogue.jsonl")) if (folder / "catalogue.jsonl").exists() else None)
+                   Versions(rows_of(folder / "catalogue.jsonl")) if (folder / "catalogue.jsonl").exists() else None,
+                   hidden_spans(lab, [f"m{n}" for n in range(day["site"].get("managers", 1))]))
 
 
 def laxer(site, after):
@@ -181,6 +183,40 @@
     return out
 
 
+def hidden_spans(lab, managers):
+    """Spans of faults on the way between a manager and a box, in either direction, and of a box that stood still.
+
+    What was sent in one is seen by the box at its end: the sockets' records can't tell when it was sent, or given up.
+    """
+    out, open_faults = {}, {}
+
+    def pair(way):
+        a, b = way.split(">")
+        manager, box = (a, b) if a[0] == "m" else (b, a)
+        return (manager, int(box[1:])) if box[1:].isdigit() and box[0] == "b" and manager[0] == "m" else None
+    for row in lab:
+        if row["what"] == "fault":
+            for way in row["ways"]:
+                if pair(way):
+                    spans = out.setdefault(pair(way), [])
+                    open_faults[row["n"], way] = len(spans)
+                    spans.append((row["at"], FAR))
+        elif row["what"] == "heal":
+            for way in row["ways"]:
+                if pair(way) and (n := open_faults.pop((row["n"], way), None)) is not None:
+                    out[pair(way)][n] = (out[pair(way)][n][0], row["at"])
+        elif row["what"] in ("box_stall", "box_go_on"):
+            for manager in managers:
+                spans = out.setdefault((manager, row["box"]), [])
+                if row["what"] == "box_stall":
+                    spans.append((row["at"], FAR))
+                    open_faults["stall", manager, row["box"]] = len(spans) - 1
+                else:
+                    n = open_faults.pop(("stall", manager, row["box"]))
+                    spans[n] = spans[n][0], row["at"]
+    return out
+
+
 def read_clients(file, rows):
     seen, out = {}, []
     for row in rows:
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -67,6 +67,19 @@
             self.add("box-1-1.jsonl", lease)(folder)
         self.assertEqual([], self.changed("rule-5-over-the-seats", ended).breaks)
 
+    def test_what_a_fault_between_both_hides_is_not_judged_by_when_the_box_saw_it(self):
+        # Sent before the manager was told, read when the way was healed; unhidden it is a break.
+        late = [{"at": 1_080_000, "what": "fault", "n": 0, "kind": "cut", "ways": ["m0>b1", "m0>b2"]},
+                {"at": 1_099_000, "what": "heal", "n": 0, "ways": ["m0>b1", "m0>b2"]}]
+        for rule in ("rule-3-drain", "rule-2-two-out"):
+            self.assertTrue(check(RECORDS / rule).breaks)
+            self.assertEqual([], self.changed(rule, self.add("lab.jsonl", *late)).breaks, rule)
+        early = [{**row, "at": row["at"] - 60_000} for row in late]
+        self.assertEqual([3], [b.rule for b in self.changed("rule-3-drain", self.add("lab.jsonl", *early)).breaks])
+        stalled = [{"at": 1_080_000 + n, "what": what, "box": box} for box in (1, 2)
+                   for n, what in ((0, "box_stall"), (19_000, "box_go_on"))]
+        self.assertEqual([], self.changed("rule-3-drain", self.add("lab.jsonl", *stalled)).breaks)
+
     def test_a_claim_is_judged_by_the_seats_of_its_time_not_of_the_set_up(self):
         # One seat when both were set up under two managers, two when one of them took the other's over.
         def change(folder):
