--- a/flaxscale/audit/account.py
+++ b/flaxscale/audit/account.py
@@ -3,7 +3,7 @@
 Rows are gathered and written with one write for all of a moment; an answer never waits for them, so that a machine that
 loses its power may lose the last of them: they are `unknown` to who judges, not made up. Past MOST that wait, rows are
 dropped and their count is put down in their place. Of what is written the last KEEP rows are kept, in two halves. An
-account that can't be read is not used: a new one begins beside it. A failing disk ends it, which is said.
+account that can't be read is not used and left as it is; a failing disk ends it for this life. Both are said.
 """
 import msgspec
 
--- a/flaxscale/audit/stamp.py
+++ b/flaxscale/audit/stamp.py
@@ -45,9 +45,6 @@
         if whole:
             self.known[box] = boot, int(number)
 
-    def forget(self, box):
-        self.known.pop(box, None)
-
 
 def read(field):
     """(number, Stamp or None) of a field's value; ValueError where it is none."""
