--- a/flaxscale/admission/still.py
+++ b/flaxscale/admission/still.py
@@ -6,6 +6,7 @@
 have waited in the kernel's queue of connections, may be as old as that. Times are tenths of a millisecond.
 """
 LEAST = 1_000               # later than this by a timer is a standstill, shorter is load, which the gate's lag tells
+LATELY = 100_000            # a standstill is remembered so long by whoever shares work out
 AFTER = 2_000               # connections that came meanwhile are accepted, then read, a turn of the loop later
 
 
@@ -20,6 +21,11 @@
             self.span = self.rang_at, now
         self.rang_at = now
 
+    def slow(self, now):
+        """Whether this process stood still lately: it should be given less of what others could do as well."""
+        began, ended = self.span
+        return began < ended and now - ended < LATELY
+
     def older(self, now):
         """A request that is read now may have come so much earlier."""
         if now - self.rang_at - self.period > LEAST:        # before the timer had its turn
--- a/flaxscale/audit/account.py
+++ b/flaxscale/audit/account.py
@@ -89,15 +89,23 @@
         return True
 
 
+def rows_of_account(account, since=0):
+    """Rows of one that is in use, from those at a time on; the lives and stamps before it that they need too."""
+    rows = [*account.rows, *account.waiting]
+    first = next((n for n, row in enumerate(rows) if row.at >= since), len(rows))
+    return [*heads(rows[:first]), *rows[first:]]
+
+
 def heads(rows):
-    """Of rows that go: the last life and the last stamp, under which what stays was done."""
-    last = {}
+    """Of rows that go: the last life and the last stamp, under which what stays was done, and how many are gone."""
+    last, gone = {}, 0
     for row in rows:
         if isinstance(row, Began):
             last = {Began: row}
         elif isinstance(row, Stamped):
             last[Stamped] = row
-    return list(last.values())
+        gone += row.count if isinstance(row, Dropped) else isinstance(row, Did)
+    return [*last.values(), *([Dropped(gone, rows[-1].at)] if gone else ())]
 
 
 def rows_of(found):
@@ -109,3 +117,14 @@
         except msgspec.MsgspecError as bad:
             raise ValueError(f"record {seq} of the account can't be read: {bad}") from None
     return rows
+
+
+WHAT = {Began: "life", Stamped: "stamp", Did: "did", Dropped: "dropped"}
+
+
+def plain(row):
+    """A row as plain values, for a judge that shares no code with it."""
+    made = msgspec.structs.asdict(row)
+    if isinstance(row, Stamped):
+        made["stamp"] = msgspec.structs.asdict(row.stamp)
+    return {"what": WHAT[type(row)], **made}
--- a/flaxscale/audit/stamp.py
+++ b/flaxscale/audit/stamp.py
@@ -20,6 +20,7 @@
     catalogue: tuple[str, int] | None       # epoch, version
     peaks: int | None
     members: str                # mark of who lives, as this manager sees it
+    floor: int = 0              # the lowest version that may be acted on, of the catalogue's epoch; 0: none stands
 
 
 class Stamps:
@@ -39,6 +40,10 @@
             return str(self.number)
         return f"{self.number};{base64.urlsafe_b64encode(msgspec.msgpack.encode(self.current)).decode()}"
 
+    def unknown(self, box):
+        """That box does not know the stamp whose number it was told."""
+        self.known.pop(box, None)
+
     def heard(self, box, boot, field):
         """That box answered a request which carried this field."""
         number, _, whole = field.partition(";")
--- a/flaxscale/catalogue/spread.py
+++ b/flaxscale/catalogue/spread.py
@@ -7,6 +7,8 @@
 """
 from typing import NamedTuple
 
+from . import digest
+
 PART = 2_000                    # titles in one part of a whole
 AHEAD = 64                      # messages that a watcher may be behind with its acknowledgements
 
@@ -16,6 +18,7 @@
     titles: tuple
     first: bool
     last: bool
+    floor: int = 0
 
 
 class Watcher:
@@ -38,7 +41,8 @@
             self.refused, self.why = None, ""
             titles = list(keeper.now.titles.values()) if keeper.staged == 0 else list(
                 keeper.titles_at(keeper.settled).values())
-            self.parts = keeper.settled, [titles[n:n + PART] for n in range(0, len(titles), PART)] or [[]], 0
+            parts = [titles[n:n + PART] for n in range(0, len(titles), PART)] or [[]]
+            self.parts = keeper.settled, parts, 0, keeper.floor
             return self.part()
         if not deltas:
             return None
@@ -47,13 +51,13 @@
         return deltas[0]
 
     def part(self):
-        version, parts, n = self.parts
+        version, parts, n, floor = self.parts
         last = n + 1 == len(parts)
-        self.parts = None if last else (version, parts, n + 1)
+        self.parts = None if last else (version, parts, n + 1, floor)
         if last:
             self.sent = version
             self.unacked += 1
-        return Whole(version, tuple(parts[n]), n == 0, last)
+        return Whole(version, tuple(parts[n]), n == 0, last, floor)
 
     def ack(self, version):
         self.unacked = max(0, self.unacked - 1)
@@ -74,9 +78,11 @@
 
     def __init__(self, check=lambda titles: None):
         self.check, self.epoch, self.version, self.titles, self.parts = check, None, None, {}, None
+        self.floor, self.sum = 0, 0     # the lowest version that may be acted on; of all titles, to compare by
 
-    def load(self, epoch, version, titles):
-        self.epoch, self.version, self.titles = epoch, version, titles
+    def load(self, epoch, version, titles, floor=0):
+        self.epoch, self.version, self.titles, self.floor = epoch, version, titles, floor
+        self.sum = digest.of(titles.values())
 
     def delta(self, epoch, delta):
         if epoch != self.epoch or self.version is None or delta.version > self.version + 1:
@@ -84,6 +90,7 @@
         if delta.version <= self.version:
             return None                     # told again
         self.check(delta.titles)
+        self.sum, self.floor = digest.moved(self.sum, self.titles, delta.titles), max(self.floor, delta.floor)
         for name, title in delta.titles.items():
             if title is None:
                 self.titles.pop(name, None)
@@ -95,19 +102,21 @@
     def whole(self, epoch, message):
         """A part of a whole; it counts when the last part is there."""
         if message.first:
-            self.parts = epoch, message.version, {}
+            self.parts = epoch, message.version, {}, [0]
         if self.parts is None or self.parts[:2] != (epoch, message.version):
             self.parts = None
             raise Gap(f"a part of version {message.version} without its beginning")
         self.parts[2].update((t.name, t) for t in message.titles)
+        self.parts[3][0] += digest.of(message.titles)       # by part, so that a large one holds up nothing
         if not message.last:
             return None
-        (_, version, titles), self.parts = self.parts, None
+        (_, version, titles, (total,)), self.parts = self.parts, None
         if epoch == self.epoch and self.version is not None and version < self.version:
             return None                     # an old stream's; we are ahead of it
         self.check(titles)
         old, self.titles = self.titles, titles
-        self.epoch, self.version = epoch, version
+        self.floor = max(self.floor, message.floor) if epoch == self.epoch else message.floor
+        self.epoch, self.version, self.sum = epoch, version, total % digest.SPACE
         changed = {name: None for name in old.keys() - titles.keys()}
         changed.update((name, t) for name, t in titles.items() if old.get(name) != t)
         return changed
--- a/flaxscale/catalogue/state.py
+++ b/flaxscale/catalogue/state.py
@@ -108,13 +108,14 @@
     """What one version changed: titles as they are now; None: dropped."""
     version: int
     titles: dict
+    floor: int = 0              # the lowest version that may be acted on, where this version raises it
 
 
 class Catalogue:
     """A version and its titles. apply() gives the delta and moves on; a refused change leaves all as it was."""
 
-    def __init__(self, frame, version=0, titles=None):
-        self.frame, self.version, self.titles = frame, version, dict(titles or {})
+    def __init__(self, frame, version=0, titles=None, floor=0):
+        self.frame, self.version, self.titles, self.floor = frame, version, dict(titles or {}), floor
 
     def apply(self, ops, expect=None, in_use=None, force=False):
         """The Delta of a change set. Raises Behind or Refused.
@@ -151,7 +152,7 @@
 
     def take(self, delta):
         """Moves on by a delta that was checked before."""
-        self.version = delta.version
+        self.version, self.floor = delta.version, max(self.floor, delta.floor)
         for name, title in delta.titles.items():
             if title is None:
                 self.titles.pop(name, None)
@@ -263,32 +264,36 @@
     why: str
     titles: list[Title]
     dropped: list[str]
+    floor: int = 0
+    id: str = ""                # by which its client asked for it
 
 
 class KeptWhole(msgspec.Struct, array_like=True):
     shape: int
     version: int
     titles: list[Title]
+    floor: int = 0
+    done: list[tuple[str, int, int]] = []       # of clients' changes: id, the version that each made, titles changed
 
 
-def encode_delta(delta, who="", why=""):
+def encode_delta(delta, who="", why="", id=""):
     return msgspec.msgpack.encode(KeptDelta(SHAPE, delta.version, who, why,
                                             [t for t in delta.titles.values() if t is not None],
-                                            [n for n, t in delta.titles.items() if t is None]))
+                                            [n for n, t in delta.titles.items() if t is None], delta.floor, id))
 
 
 def decode_delta(data):
-    """(Delta, who, why). ValueError where it is none of a shape that this program knows."""
+    """(Delta, who, why, id). ValueError where it is none of a shape that this program knows."""
     kept = decoded(data, KeptDelta, SHAPE, "change of titles")
     titles = {t.name: t for t in kept.titles}
     titles.update(dict.fromkeys(kept.dropped))
-    return Delta(kept.version, titles), kept.who, kept.why
+    return Delta(kept.version, titles, kept.floor), kept.who, kept.why, kept.id
 
 
-def encode_whole(version, titles):
-    return msgspec.msgpack.encode(KeptWhole(SHAPE, version, list(titles.values())))
+def encode_whole(version, titles, floor=0, done=()):
+    return msgspec.msgpack.encode(KeptWhole(SHAPE, version, list(titles.values()), floor, list(done)))
 
 
 def decode_whole(data):
     kept = decoded(data, KeptWhole, SHAPE, "titles")
-    return kept.version, {t.name: t for t in kept.titles}
+    return kept.version, {t.name: t for t in kept.titles}, kept.floor, kept.done
--- a/flaxscale/catalogue/wire.py
+++ b/flaxscale/catalogue/wire.py
@@ -27,13 +27,13 @@
     if isinstance(message, Delta):
         return pb.WatchReply(epoch=epoch, delta=pb.Delta(
             version=message.version, titles=[title_out(t) for t in message.titles.values() if t is not None],
-            dropped=[n for n, t in message.titles.items() if t is None]))
+            dropped=[n for n, t in message.titles.items() if t is None], floor=message.floor))
     return pb.WatchReply(epoch=epoch, part=part_out(message))
 
 
 def part_out(message):
     return pb.WholePart(version=message.version, titles=[title_out(t) for t in message.titles], first=message.first,
-                        last=message.last)
+                        last=message.last, floor=message.floor)
 
 
 def reply_in(reply):
@@ -41,6 +41,6 @@
     if reply.WhichOneof("what") == "delta":
         titles = {t.name: title_in(t) for t in reply.delta.titles}
         titles.update(dict.fromkeys(reply.delta.dropped))
-        return Delta(reply.delta.version, titles)
+        return Delta(reply.delta.version, titles, reply.delta.floor)
     part = reply.part
-    return Whole(part.version, tuple(title_in(t) for t in part.titles), part.first, part.last)
+    return Whole(part.version, tuple(title_in(t) for t in part.titles), part.first, part.last, part.floor)
--- a/flaxscale/catalogued/client.py
+++ b/flaxscale/catalogued/client.py
@@ -1,4 +1,7 @@
 """The operators' side of the catalogue service: one call, one answer, errors in plain words."""
+import asyncio
+import secrets
+
 import grpc
 import msgspec
 
@@ -6,8 +9,16 @@
 from ..proto import catalogue_pb2 as pb
 from ..proto import catalogue_pb2_grpc as pb_grpc
 from ..proto import peaks_pb2_grpc
+from ..serve.clock import now
 from .streams import channel_to
 
+PAUSE_S = 0.1
+
+
+def new_id():
+    """One for a change that no other has."""
+    return secrets.token_hex(8)
+
 
 class ServiceError(Exception):
     """The service did not answer, or not as asked."""
@@ -25,17 +36,26 @@
     async def __aexit__(self, *_):
         await self.channel.close()
 
-    async def call(self, method, request, timeout=30.0, stub=None):
-        """One call, of the catalogue or, with stub=self.peaks, of announced peaks. ServiceError with the reason."""
-        try:
-            return await getattr(stub or self.stub, method)(request, timeout=timeout)
-        except grpc.aio.AioRpcError as bad:
-            raise ServiceError(f"{self.address}: {bad.code().name}: {bad.details()}") from None
+    async def call(self, method, request, timeout=30.0, stub=None, again_s=0.0):
+        """One call, of the catalogue or, with stub=self.peaks, of announced peaks. ServiceError with the reason.
+
+        again_s: where no answer came for as long, it is asked again; only what has an id, or changes nothing, may be.
+        """
+        until = now() + round(again_s * 10_000)
+        while True:
+            try:
+                return await getattr(stub or self.stub, method)(request, timeout=timeout)
+            except grpc.aio.AioRpcError as bad:
+                if bad.code() is grpc.StatusCode.UNAVAILABLE and now() < until:
+                    await asyncio.sleep(PAUSE_S)
+                    continue
+                raise ServiceError(f"{self.address}: {bad.code().name}: {bad.details()}") from None
 
-    async def change(self, ops, expect=None, force=False, dry=False, who="", why=""):
-        """The ChangeReply. ops: operations of catalogue.state."""
-        return await self.call("Change", pb.ChangeRequest(ops=msgspec.json.encode(ops), expect=expect, force=force,
-                                                          dry=dry, who=who, why=why))
+    async def change(self, ops, expect=None, force=False, dry=False, who="", why="", id=None, again_s=0.0):
+        """The ChangeReply. ops: operations of catalogue.state. id: the change's own; drawn where it is left out."""
+        return await self.call("Change", pb.ChangeRequest(
+            ops=msgspec.json.encode(ops), expect=expect, force=force, dry=dry, who=who, why=why,
+            id="" if dry else id or new_id()), again_s=again_s)
 
     async def get(self, version=None, titles=()):
         """(version, {name: Title})."""
--- a/flaxscale/catalogued/peaks.py
+++ b/flaxscale/catalogued/peaks.py
@@ -11,11 +11,13 @@
 from ..proto import peaks_pb2 as pb
 from ..proto import peaks_pb2_grpc as pb_grpc
 from ..serve.clock import now
+from ..serve.limit import within
 from ..store.latest import Latest
 from .streams import first_of, hear_all
 
 BEAT_S = 2.0                # the service's clock is told this often where nothing else is
 SNAPSHOT_EVERY = 200
+ID_LIMIT = 100
 
 
 class Manager:
@@ -47,7 +49,11 @@
     async def Change(self, request, context):
         if self.broken is not None:
             await context.abort(grpc.StatusCode.UNAVAILABLE, f"the store takes nothing more: {self.broken}")
-        book = PeakBook(self.book.version, self.book.peaks.values(), self.book.history)
+        if len(request.id) > ID_LIMIT:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, f"an id of {ID_LIMIT} characters at most")
+        if request.id in self.book.done:
+            return pb.ChangeReply(version=self.book.done[request.id])
+        book = PeakBook(self.book.version, self.book.peaks.values(), self.book.history, self.book.done)
         expect = request.expect if request.HasField("expect") else None
         rest = self.frame(), self.wall(), expect, request.who[:100], request.why[:500]
         try:
@@ -66,6 +72,7 @@
             return pb.ChangeReply(version=self.book.version, faults=no.reasons[:100])
         except msgspec.MsgspecError as bad:
             return pb.ChangeReply(version=self.book.version, faults=[f"the fields can't be read: {bad}"])
+        book.did(request.id)
         try:
             # Durable before anyone hears of it: a change that was told outlives the service.
             self.store.put(encode(self.epoch, book))
@@ -98,7 +105,7 @@
                     epoch=self.epoch, version=sent, now_s=self.wall(), beat=not whole,
                     peaks=[wire.peak_out(p) for p in self.book.peaks.values()] if whole else []))
                 try:
-                    await asyncio.wait_for(m.wake.wait(), BEAT_S)
+                    await within(BEAT_S, m.wake.wait())
                 except asyncio.TimeoutError:
                     pass
         finally:
--- a/flaxscale/catalogued/streams.py
+++ b/flaxscale/catalogued/streams.py
@@ -1,9 +1,11 @@
 """What all gRPC streams here have in common: a first message that names, a channel, an end, and coming back."""
 import asyncio
+import contextlib
 
 import grpc
 
 from ..serve.clock import now
+from ..serve.limit import within
 
 RETRY_S, RETRY_MOST_S = 0.2, 3.0
 LASTED = 50_000             # a stream that was up so long is asked for again at once
@@ -37,12 +39,12 @@
         wake.set()
 
 
-async def come_back(one_stream, closed):
+async def come_back(one_stream, closed, sooner=None):
     """Streams one after another, with a pause that grows. one_stream() may return why; closed(why) after each.
 
-    why is None where the task was cancelled: there is nothing to say of that.
+    why is None where the task was cancelled: there is nothing to say of that. sooner: an Event that ends a pause.
     """
-    pause = RETRY_S
+    pause, sooner = RETRY_S, sooner or asyncio.Event()
     while True:
         began, why = now(), None
         try:
@@ -52,7 +54,9 @@
         finally:
             closed(why)
         pause = RETRY_S if now() - began > LASTED else min(RETRY_MOST_S, pause * 1.7)
-        await asyncio.sleep(pause)
+        with contextlib.suppress(asyncio.TimeoutError):
+            await within(pause, sooner.wait())
+        sooner.clear()
 
 
 async def ended(task):
--- a/flaxscale/catalogued/watch.py
+++ b/flaxscale/catalogued/watch.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import time
+from collections import deque
 
 import grpc
 import msgspec
@@ -20,6 +21,7 @@
 
 SLICE = 1_000               # titles encoded between two turns of the loop
 KEEP_EVERY = 5_000          # deltas in the log before the whole is written again
+RECENT = 500                # deltas and digests that are known, to hand over and to compare
 
 
 class KeptStart(msgspec.Struct, array_like=True):
@@ -29,20 +31,28 @@
     version: int
     wall: float                 # when it was kept, by the wall clock: to say how old it is after a start
     titles: list[Title]
+    floor: int = 0
 
 
 class CatalogueWatch:
     def __init__(self, address, name, role, changed, log, files=None, check=lambda titles: None, in_use=dict):
-        """changed(titles or None, version): None once at the start, for what was kept. in_use() gives seats."""
+        """changed(titles or None, version): None once at the start, for what was kept. in_use() gives seats.
+
+        duties, set afterwards: hears of leases by this stream (source(up), heard(reply)); nothing is said of them else.
+        """
+        self.duties, self.call, self.writing = None, None, asyncio.Lock()
         self.address, self.name, self.role, self.changed, self.log = address, name, role, changed, log
         self.follower, self.in_use, self.files = Follower(check), in_use, files
         self.heard_at, self.kept_wall, self.task, self.channel, self.store = None, None, None, None, None
         self.up, self.saving, self.since = False, None, 0
+        self.inner, self.sooner = None, asyncio.Event()
+        self.recent, self.sums, self.refused = deque(maxlen=RECENT), {}, 0
 
     def start(self):
         if self.files is not None:
             self.load()
-        self.task = asyncio.get_running_loop().create_task(come_back(self.one_stream, self.closed))
+        self.task = asyncio.get_running_loop().create_task(
+            come_back(self.one_stream, self.closed, self.sooner))
 
     # On disk
 
@@ -53,9 +63,9 @@
             if found.snapshot is None:
                 return
             kept = msgspec.msgpack.decode(found.snapshot, type=KeptStart)
-            self.follower.load(kept.epoch, kept.version, {t.name: t for t in kept.titles})
+            self.follower.load(kept.epoch, kept.version, {t.name: t for t in kept.titles}, kept.floor)
             for _, content in found.records:
-                delta, _, _ = decode_delta(content)
+                delta, *_ = decode_delta(content)
                 self.follower.delta(kept.epoch, delta)
             self.since, self.kept_wall = len(found.records), kept.wall
         except (StoreError, OSError, ValueError, Gap, msgspec.MsgspecError) as bad:
@@ -90,14 +100,15 @@
 
     async def save_slices(self):
         f = self.follower
-        epoch, version, titles = f.epoch, f.version, list(f.titles.values())
+        epoch, version, titles, floor = f.epoch, f.version, list(f.titles.values()), f.floor
         parts = []
         for n in range(0, len(titles), SLICE):
             parts.append(b"".join(msgspec.msgpack.encode(t) for t in titles[n:n + SLICE]))
             await asyncio.sleep(0)
         head = msgspec.msgpack.encode([1, epoch, version, time.time()])
-        # An array of five whose last is an array of so many titles, put together from its slices.
-        data = b"\x95" + head[1:] + b"\xdd" + len(titles).to_bytes(4, "big") + b"".join(parts)
+        # An array of six with an array of so many titles in it, put together from its slices.
+        data = (b"\x96" + head[1:] + b"\xdd" + len(titles).to_bytes(4, "big") + b"".join(parts)
+                + msgspec.msgpack.encode(floor))
         self.saving = None
         try:
             self.store.append(b"whole")         # so that this snapshot has a number of its own
@@ -113,16 +124,32 @@
     # The stream
 
     def closed(self, why):
-        self.up = False
+        self.up, self.call = False, None
+        if self.duties is not None:
+            self.duties.source(False)
         if why is not None:
             self.log.info("catalogue not followed", detail=why[:300])
 
+    def nudge(self):
+        """Asks the source anew at once, whatever the stream that stands seems to do."""
+        self.sooner.set()
+        if self.inner is not None:
+            self.inner.cancel()
+
     async def one_stream(self):
+        self.sooner.clear()
+        self.inner = asyncio.ensure_future(self.listen())
         try:
-            await self.listen()
+            await asyncio.wait({self.inner})
+            if self.inner.cancelled():
+                self.sooner.set()
+                return "asked anew"
+            self.inner.result()
         except Gap as gap:
             self.follower.epoch = None          # ask for the whole
             return str(gap)
+        finally:
+            await ended(self.inner)
 
     async def listen(self):
         f = self.follower
@@ -130,10 +157,29 @@
             call = pb_grpc.CatalogueStub(channel).Watch()
             await call.write(pb.WatchRequest(name=self.name, role=self.role, epoch=f.epoch or "",
                                              version=f.version or 0, in_use=self.seats()))
+            await call.initial_metadata()       # it is there, though it may have nothing to tell
+            self.up, self.heard_at, self.call = True, now(), call
+            if self.duties is not None:
+                self.duties.source(True)
             while (reply := await call.read()) is not grpc.aio.EOF:
                 self.up, self.heard_at = True, now()
-                if (said := self.take(reply)) is not None:
-                    await call.write(said)
+                if reply.WhichOneof("what") in ("lease", "act"):
+                    if self.duties is not None:
+                        self.duties.heard(reply)
+                elif (said := self.take(reply)) is not None:
+                    async with self.writing:
+                        await call.write(said)
+
+    async def say(self, **fields):
+        """Something of leases on the stream that stands; False where none does, and nothing was said."""
+        if (call := self.call) is None:
+            return False
+        try:
+            async with self.writing:
+                await call.write(pb.WatchRequest(name=self.name, **fields))
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            return False                # it ended meanwhile; what may have been said is fenced
+        return True
 
     def take(self, reply):
         """One message; what to say to it, or None."""
@@ -144,15 +190,37 @@
         except ValueError as bad:
             version = reply.part.version or reply.delta.version
             self.log.error("catalogue refused", version=version, why=str(bad)[:300])
+            self.refused = version
             return pb.WatchRequest(name=self.name, refusal=pb.Refusal(version=version, why=str(bad)[:500]))
         if isinstance(message, Whole) and not message.last:
             return None
-        if changed is not None:
-            self.log.info("catalogue", version=f.version, titles=len(changed))
-            self.changed(changed, f.version)
-            self.keep(Delta(f.version, changed), isinstance(message, Whole))
+        self.took(message, changed)
         return pb.WatchRequest(name=self.name, ack=f.version, in_use=self.seats())
 
+    def took(self, message, changed):
+        """A version is in force. changed: its titles; None: we were there before."""
+        f = self.follower
+        if changed is None:
+            return
+        self.refused = 0
+        if isinstance(message, Whole):
+            self.recent.clear()
+            self.sums.clear()
+        else:
+            self.recent.append(message)
+        self.sums[f.version] = f.sum
+        if len(self.sums) > RECENT:
+            del self.sums[next(iter(self.sums))]
+        self.log.info("catalogue", version=f.version, titles=len(changed))
+        self.changed(changed, f.version)
+        self.keep(Delta(f.version, changed, f.floor), isinstance(message, Whole))
+
+    def handed(self, epoch, messages):
+        """Takes what another manager handed over, checked against its digest before. ValueError: it does not fit us."""
+        for message in messages:
+            f = self.follower
+            self.took(message, (f.whole if isinstance(message, Whole) else f.delta)(epoch, message))
+
     def seats(self):
         return [pb.SeatsInUse(title=t, package=p, count=n) for (t, p), n in self.in_use().items()]
 
--- a/flaxscale/cli/catalogue.py
+++ b/flaxscale/cli/catalogue.py
@@ -32,13 +32,15 @@
     from ..catalogued.service import Service
     from ..lab.changes import frame_of
     from ..lab.records import Recorder
+    from ..leases.duties import tasks_of
     from ..store.files import Files
     from ..store.log import StoreError
     found = site_errors(lambda: read_site(site))
     try:
         log = logger(log_level, None, program="catalogue")
         made = Service(Files(store), frame_of(found), log, Recorder(record) if record else None,
-                       Files(f"{store}/peaks"))
+                       Files(f"{store}/peaks"), found.fleet, Files(f"{store}/leases") if found.duties else None,
+                       tasks_of(found.duties, found.fleet.drift))
     except (StoreError, ValueError, OSError) as bad:
         click.echo(f"flaxscale: {store}: {bad}", err=True)
         sys.exit(BAD)
@@ -90,8 +92,13 @@
     return 0
 
 
+AGAIN_S = 3.0               # without an answer a change is asked for again, under its id
+
+
 def change_options(command):
-    for option in (click.option("--why", default="", help="Kept with the change."),
+    for option in (click.option("--id", "id", default=None,
+                                help="The change's own: asked for again under it, it is made once. Drawn if left out."),
+                   click.option("--why", default="", help="Kept with the change."),
                    click.option("--dry", is_flag=True, help="Check only."),
                    click.option("--force", is_flag=True, help="Let seats go under those in use."),
                    click.option("--expect", default=None, type=int, help="Only if the catalogue is at this version.")):
@@ -111,7 +118,7 @@
 @click.option("--keep", is_flag=True, help="Leave titles that FILE does not name; they are dropped otherwise.")
 @change_options
 @talks
-async def put(client, file, keep, expect, force, dry, why):
+async def put(client, file, keep, expect, force, dry, why, id):
     """Make the catalogue what FILE says (Jsonnet or Parquet), in one change set."""
     from ..catalogue.files import ops_to, read_catalogue
     puts = read_catalogue(file)
@@ -120,17 +127,18 @@
     if not ops:
         click.echo(f"nothing differs from version {version}")
         return 0
-    return said(await client.change(ops, version if expect is None else expect, force, dry, who(), why), dry)
+    return said(await client.change(ops, version if expect is None else expect, force, dry, who(), why, id, AGAIN_S),
+                dry)
 
 
 @catalogue.command()
 @click.argument("file", type=click.Path())
 @change_options
 @talks
-async def edit(client, file, expect, force, dry, why):
+async def edit(client, file, expect, force, dry, why, id):
     """Make the change set in FILE: a Jsonnet list of operations."""
     from ..catalogue.files import read_ops
-    return said(await client.change(read_ops(file), expect, force, dry, who(), why), dry)
+    return said(await client.change(read_ops(file), expect, force, dry, who(), why, id, AGAIN_S), dry)
 
 
 @catalogue.command()
@@ -171,8 +179,10 @@
 @talks
 async def rollback(client, version, expect):
     """Make the catalogue what it was at VERSION, as a new version."""
+    from ..catalogued.client import new_id
     from ..proto import catalogue_pb2 as pb
-    return said(await client.call("Rollback", pb.RollbackRequest(to=version, expect=expect, who=who())))
+    return said(await client.call("Rollback", pb.RollbackRequest(to=version, expect=expect, who=who(), id=new_id()),
+                                  again_s=AGAIN_S))
 
 
 @catalogue.command()
--- a/flaxscale/cli/days.py
+++ b/flaxscale/cli/days.py
@@ -8,12 +8,17 @@
 from ..lab.day import DayRun
 from ..lab.shapes import read_day
 from ..rules.check import RULES, check
+from ..rules.duties import NAMES as DUTIES
+from ..rules.duties import duties
+from ..rules.promises import NAMES, promises
 from ..rules.records import RecordError
 from ..site.load import evaluate
 from ..site.terms import read_site
 from . import BAD, BROKEN, service, site_errors
 from .logs import logger
 
+PROMISED = NAMES | DUTIES
+
 
 @click.command()
 @click.argument("file", type=click.Path())
@@ -36,27 +41,29 @@
 @click.argument("folder", type=click.Path())
 @click.option("--timeline/--no-timeline", "shown", default=False, help="Print what came when beside what broke.")
 def check_command(folder, shown):
-    """Judge the six rules from the records in FOLDER."""
+    """Judge the six rules, what is promised of work in hand, and what was done under leases, by FOLDER's records."""
     sys.exit(judge(folder, shown))
 
 
 def judge(folder, shown):
     """shown: the time line too; None: where a rule broke."""
     try:
-        verdict = check(folder)
+        verdict, unkept = check(folder), [*promises(folder), *duties(folder)]
     except RecordError as bad:
         click.echo(f"flaxscale: {bad}", err=True)
         return BAD
-    if shown or shown is None and verdict.breaks:
-        for at, text in timeline.lines(folder, verdict.breaks):
+    if shown or shown is None and (verdict.breaks or unkept):
+        for at, text in timeline.lines(folder, [*verdict.breaks, *unkept]):
             click.echo(f"{at:8.2f} s  {text}")
     click.echo("players saw: " + ", ".join(f"{name} {n}" for name, n in sorted(verdict.counts.items())))
     for b in verdict.breaks[:50]:
         click.echo(f"rule {b.rule} ({RULES[b.rule - 1]}) broken: {b.detail}")
     if len(verdict.breaks) > 50:
         click.echo(f"... and {len(verdict.breaks) - 50} more")
+    for b in unkept[:50]:
+        click.echo(f"promise ({PROMISED[b.rule]}) not kept: {b.detail}")
     click.echo(verdict.line())
-    return BROKEN if verdict.breaks else 0
+    return BROKEN if verdict.breaks or unkept else 0
 
 
 @click.group()
--- a/flaxscale/cli/front.py
+++ b/flaxscale/cli/front.py
@@ -10,6 +10,7 @@
 import click
 
 from ..front.front import Front
+from ..front.steps import Steps
 from ..serve.clock import set_wrong
 from ..site.load import SiteError
 from ..site.terms import Sense, read_site
@@ -36,10 +37,13 @@
 @click.option("--log-file", default=None, type=click.Path())
 @click.option("--via", default=None, type=click.Path(), hidden=True, help="The lab's: addresses of members by ours.")
 @click.option("--clock", default=None, hidden=True, metavar="STEP_S:RATE", help="The lab's: a clock that is wrong.")
+@click.option("--older", is_flag=True, hidden=True, help="The lab's: as a build that says nothing of its versions.")
+@click.option("--lies", is_flag=True, hidden=True, help="The lab's: the copies that it hands over are damaged.")
+@click.option("--step", default=None, hidden=True, metavar="STEP:ACT", help="The lab's: killed or stopped there.")
 @click.option("--disk-fault", default=None, type=click.Path(), hidden=True, help="The lab's: full or slow:MS.")
 @click.option("--ready", "say_ready", is_flag=True, help="Print one JSON line with the address once it listens.")
 def front(site, me, zone, host, port, list_address, catalogue_address, member_port, members, state, seed, log_level,
-          log_file, via, clock, disk_fault, say_ready):
+          log_file, via, clock, older, lies, step, disk_fault, say_ready):
     """Serve WHIP and WHEP as one session manager of SITE (a Jsonnet file)."""
     def read():
         found = read_site(site)
@@ -56,19 +60,24 @@
         return found
     found = site_errors(read)
     if clock:
-        step, _, rate = clock.partition(":")
-        set_wrong(float(step), float(rate or 1))
+        off, _, rate = clock.partition(":")
+        set_wrong(float(off), float(rate or 1))
     paths = json.loads(pathlib.Path(via).read_text()) if via else None
     files = functools.partial(TroubledFiles, pathlib.Path(disk_fault)) if disk_fault else Files
     made = Sense(found, me, found.zones.index(zone) if zone else 0,
                  seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
     log = logger(log_level, log_file, manager=f"m{me}")
+    try:
+        steps = Steps(step)
+    except ValueError as bad:
+        raise click.UsageError(f"--step: {bad}") from None
 
     async def main():
         over = asyncio.Event()
         app = Front(made, log, list_address, state, None, catalogue_address,
                     list(members) if member_port is not None else None, read, over.set,
-                    paths, files)
+                    paths, files, older, steps)
+        app.fleet.lies = lies
 
         def reload():
             with contextlib.suppress(SiteError):    # said in the log, by name; the settings in service stay
--- a/flaxscale/cli/journal.py
+++ b/flaxscale/cli/journal.py
@@ -4,11 +4,14 @@
 import pathlib
 import sys
 import time
+from urllib.parse import quote
 
 import click
 
 from . import BAD, service
 
+AGAIN_S, PAUSE_S, ANSWER_S = 3.0, 0.1, 5.0      # an order without an answer is said again
+
 
 @click.group()
 def journal():
@@ -72,37 +75,64 @@
 TOKEN = click.option("--token", default=None, help="A bearer token of the site.")
 
 
-def asked(at, token, method="GET", path="/state"):
-    """The object that a manager answers with; anything else ends the program with one line and status 2."""
-    from ..serve.pool import Answer, Pool
+class NoAnswer(OSError):
+    """Nobody is there, or nobody answers in time; an answer that refuses is another error."""
+
+
+async def one_answer(pool, at, token, method, path):
+    """The object that a manager answers with. OSError: a refusal, in its own words; NoAnswer: none came."""
+    host, _, port = at.rpartition(":")
+    if not port.isdigit():
+        raise OSError("HOST:PORT expected")
+    try:
+        result = await pool.ask(host, int(port), method, path,
+                                [("Authorization", f"Bearer {token}")] if token else [], b"", ANSWER_S)
+    except OSError as bad:
+        raise NoAnswer(str(bad)) from None
+    if result.status == 307:
+        host, _, rest = result.headers["location"].removeprefix("http://").partition("/")
+        return await one_answer(pool, host, token, method, "/" + rest)
+    if result.status not in (200, 202):
+        try:
+            said = json.loads(result.body)["detail"]
+        except (ValueError, KeyError, TypeError):
+            said = "no more was said"
+        raise OSError(f"status {result.status}: {said}")
+    return json.loads(result.body)
+
+
+def asked_any(addresses, token, method="GET", path="/state", again_s=AGAIN_S):
+    """The first answer of any of them, asked in turn for again_s; none ends the program with one line and status 2."""
+    from ..serve.clock import now
+    from ..serve.pool import Pool
 
     async def ask():
-        pool, came = Pool(2.0), asyncio.get_running_loop().create_future()
-        host, _, port = at.rpartition(":")
-        if not port.isdigit():
-            raise OSError("HOST:PORT expected")
-        pool.send(host, int(port), method, path, [("Authorization", f"Bearer {token}")] if token else [], b"",
-                  lambda result: came.done() or came.set_result(result))
+        pool, until = Pool(2.0), now() + round(again_s * 10_000)
         try:
-            result = await asyncio.wait_for(came, 5.0)
+            while True:
+                for at in addresses:
+                    try:
+                        return await one_answer(pool, at, token, method, path)
+                    except NoAnswer as bad:
+                        why = f"{at}: {bad}"
+                    except OSError as bad:
+                        raise OSError(f"{at}: {bad}") from None
+                if now() >= until:
+                    raise OSError(why)
+                await asyncio.sleep(PAUSE_S)
         finally:
             await pool.close()
-        if not isinstance(result, Answer):
-            raise OSError(result.detail)
-        if result.status not in (200, 202):
-            try:
-                said = json.loads(result.body)["detail"]
-            except (ValueError, KeyError, TypeError):
-                said = "no more was said"
-            raise OSError(f"status {result.status}: {said}")
-        return json.loads(result.body)
     try:
         return service.run(ask())
-    except (OSError, asyncio.TimeoutError) as bad:
-        click.echo(f"flaxscale: {at}: {bad or 'no answer within 5 s'}", err=True)
+    except OSError as bad:
+        click.echo(f"flaxscale: {bad}", err=True)
         sys.exit(BAD)
 
 
+def asked(at, token, method="GET", path="/state"):
+    return asked_any([at], token, method, path, 0)
+
+
 @managers.command()
 @AT
 @click.option("--token", required=True, help="The site's fleet_token.")
@@ -114,11 +144,24 @@
 
 
 @managers.command()
-@AT
+@click.option("--at", "addresses", multiple=True, default=("127.0.0.1:8080",), show_default=True, metavar="HOST:PORT",
+              help="A manager; more of them where the first may be gone.")
+@click.option("--manager", default=None, metavar="NAME", help="Whom to drain; the first that answers if left out.")
+@click.option("--life", default=None, help="In which life; the one that its fellows know of if left out.")
 @click.option("--token", required=True, help="The site's fleet_token.")
-def drain(at, token):
-    """Let a manager leave service as at SIGTERM: what plays goes to the others, or ends where there are none."""
-    told = asked(at, token, "POST", "/drain")
+def drain(addresses, manager, life, token):
+    """Let a manager leave service as at SIGTERM: what plays goes to the others, or ends where there are none.
+
+    An order without an answer is said again for 3 s, to each address in turn; it is carried out once.
+    """
+    if life is None:
+        known = asked_any(addresses, token, path="/drain")
+        manager = manager or known["manager"]
+        life = known["lives"].get(manager, "")
+    told = asked_any(addresses, token, "POST", f"/drain?manager={quote(manager or '')}&life={quote(life)}")
+    if "over" in told:
+        click.echo(f"{told['manager']}: nothing left to do: {told['over']}")
+        return
     click.echo(f"{told['manager']} leaves: {told['viewings']} viewings, {told['others']} other managers alive to it")
 
 
--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -9,7 +9,8 @@
     "check": ("days", "check_command"), "config": ("days", "config"), "catalogue": ("catalogue", "catalogue"),
     "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
     "managers": ("journal", "managers"), "platform": ("platform", "platform"), "relay": ("relay", "relay"),
-    "audit": ("audit", "audit"), "fleet": ("audit", "fleet"),
+    "audit": ("audit", "audit"), "fleet": ("fleet", "fleet"), "leases": ("leases", "leases"),
+    "solve": ("solve", "solve"),
 }
 
 
--- a/flaxscale/cli/peaks.py
+++ b/flaxscale/cli/peaks.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from . import site_errors
-from .catalogue import REFUSED, talks, who
+from .catalogue import AGAIN_S, REFUSED, talks, who
 
 
 @click.group()
@@ -51,13 +51,17 @@
         work.draw(Play(day, 1, bound_every=work.BOUND_EVERY if bound else 0).run(), plot)
 
 
-async def call(client, method, request):
-    return await client.call(method, request, stub=client.peaks)
+async def listed(client):
+    from ..proto import peaks_pb2 as pb
+    return await client.call("List", pb.ListRequest(), stub=client.peaks)
 
 
-async def listed(client):
+async def ordered(client, **what):
+    """A change under an id of its own; without an answer it is asked for again, and made once."""
+    from ..catalogued.client import new_id
     from ..proto import peaks_pb2 as pb
-    return await call(client, "List", pb.ListRequest())
+    return await client.call("Change", pb.ChangeRequest(who=who(), id=new_id(), **what), stub=client.peaks,
+                             again_s=AGAIN_S)
 
 
 def said(reply, what):
@@ -123,10 +127,8 @@
     """Announce a peak under NAME."""
     from ..peaks import wire
     from ..peaks.announce import Announcement
-    from ..proto import peaks_pb2 as pb
     made = Announcement(name, **fields_of(time.time(), **given))
-    reply = await call(client, "Change", pb.ChangeRequest(announce=wire.peak_out(made), expect=expect, who=who(),
-                                                          why=why))
+    reply = await ordered(client, announce=wire.peak_out(made), expect=expect, why=why)
     return said(reply, f"announced {name}")
 
 
@@ -138,8 +140,7 @@
     """Change what is announced under NAME; what is not given stays. A planned schedule goes."""
     from ..proto import peaks_pb2 as pb
     fields = fields_of(time.time(), **given)
-    reply = await call(client, "Change", pb.ChangeRequest(
-        change=pb.Fields(name=name, json=msgspec.json.encode(fields)), expect=expect, who=who(), why=why))
+    reply = await ordered(client, change=pb.Fields(name=name, json=msgspec.json.encode(fields)), expect=expect, why=why)
     return said(reply, f"changed {name}")
 
 
@@ -150,9 +151,7 @@
 @talks
 async def cancel(client, name, expect, why):
     """Cancel NAME: its room is handed back at once."""
-    from ..proto import peaks_pb2 as pb
-    return said(await call(client, "Change", pb.ChangeRequest(cancel=name, expect=expect, who=who(), why=why)),
-                f"cancelled {name}")
+    return said(await ordered(client, cancel=name, expect=expect, why=why), f"cancelled {name}")
 
 
 def stands(p, now_s):
@@ -250,8 +249,8 @@
     if put:
         for name, schedule in made.schedules.items():
             fields = {"schedule": msgspec.to_builtins(schedule), "lead_s": made.leads[name]}
-            status = said(await call(client, "Change", pb.ChangeRequest(
-                change=pb.Fields(name=name, json=msgspec.json.encode(fields)), who=who(), why="planned")),
+            status = said(await ordered(
+                client, change=pb.Fields(name=name, json=msgspec.json.encode(fields)), why="planned"),
                 f"schedule of {name} is in service")
             if status:
                 return status
--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -16,6 +16,7 @@
 
 GATHER_S = 0.05                 # orders to one box wait so long for others
 ORDERS_S = 2.0                  # orders left unanswered so long are sent again
+FLOOR = "flaxscale-floor"       # in a refusal: epoch;floor under which nothing may be done there
 RAN = "flaxscale-ran"           # "no" in an answer: the set-up never ran and never will
 
 
@@ -30,6 +31,7 @@
 class OverEvent(msgspec.Struct):
     key: str
     how: str                    # left, lost, moved: another manager has it now
+    to: str = ""                # which
 
 
 class OrdersAnswer(msgspec.Struct):
@@ -123,19 +125,31 @@
         def came(result):
             took = now() - began
             if isinstance(result, wire.Answer):
-                self.owner.audit.stamps.heard(box, place.boot, field[1])
+                self.answered_under(box, place.boot, field[1], result)
             if isinstance(result, wire.Failed):
                 done(How.RESET if result.sent else How.UNREACHED, took, None, ())
                 return
             done(self.how_of(result), took, result, self.notes_of(result.headers))
         return self.pool.send(place.host, place.port, "POST", target, [*headers, field, *self.who], body, came)
 
+    def answered_under(self, box, boot, field, answer):
+        """A box answered what carried this stamp; it may have refused it for what it was done under."""
+        self.owner.audit.stamps.heard(box, boot, field)
+        if FLOOR in answer.headers:
+            self.owner.fleet.refused(box, answer.headers)
+
+    def tell_stamp(self, box):
+        """Lets a box know under which versions we act, with nothing to do."""
+        place = self.places.get(box)
+        if place is not None:
+            self.send_orders(box, place, [], []) if box not in self.orders_out else self.push(box)
+
     def how_of(self, answer):
         """An answer as an outcome. What is not said to have never run may have run."""
         if answer.status == 201 and "location" in answer.headers:
             return None
         if answer.headers.get(RAN) == "no":
-            return {503: How.FULL, 404: How.LACKING}.get(answer.status, How.MOOT)
+            return {503: How.FULL, 404: How.LACKING, 421: How.LACKING}.get(answer.status, How.MOOT)
         return How.ERROR
 
     def notes_of(self, headers):
@@ -145,6 +159,11 @@
     def plays(self, box, key, id, boot, epoch=0):
         self.playing.setdefault(box, {})[key] = id
         self.boots[key] = boot
+        watch = self.watch(box)
+        if boot is not None and watch.state is Stream.UP and watch.boot != boot:
+            # One of both is older than the box's present start, and its stream alone can tell which.
+            self.close_stream(box)
+            self.keep_stream(box)
         if epoch:
             self.epochs[key] = epoch
 
@@ -173,7 +192,7 @@
     # Orders
 
     def end(self, box, key):
-        self.owed.end(box, key)
+        self.owed.end(box, key, now())
         self.over(box, key)
         self.push(box)
 
@@ -209,7 +228,7 @@
         def came(result):
             self.orders_out.pop(box, None)
             if isinstance(result, wire.Answer):
-                audit.stamps.heard(box, place.boot, field[1])
+                self.answered_under(box, place.boot, field[1], result)
             good = isinstance(result, wire.Answer) and result.status == 200
             self.owed.sent(box, good, now())
             if good:
@@ -292,9 +311,11 @@
         if event.name == "over":
             id = self.keys(box).get(over.key)
             self.settled(box, over.key)
-            if id is not None:
+            if id is None:
+                self.owner.over_early(over.key)
+            else:
                 self.over(box, over.key)
-                self.owner.session_over(id, How.RESET if over.how == "lost" else How.OK)
+                self.owner.session_over(id, How.RESET if over.how == "lost" else How.OK, over.to)
             return
         id = self.keys(box).get(note.key)
         if id is None:
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -7,7 +7,7 @@
 import json
 import secrets
 from collections import Counter
-from urllib.parse import quote
+from urllib.parse import parse_qsl, quote
 
 import msgspec
 import xxhash
@@ -19,6 +19,7 @@
 from ..http1 import fields
 from ..http1.server import Limits
 from ..interface import How
+from ..members import orders
 from ..recovery.boxes import BoxBook
 from ..recovery.keys import Clash, Joined, Kept, KeyBook
 from ..run import Fate, Runner
@@ -32,25 +33,32 @@
 from ..store.files import Files
 from .audit import FrontAudit
 from .boxes import Boxes
+from .duties import FrontDuties
+from .fleet import FrontFleet
 from .journal import FrontJournal
+from .lent import FrontLent
 from .listing import ListFollower
 from .members import FrontMembers, ask_of, cookie_out
 from .peaks import FrontPeaks
+from .steps import Steps
+from .tries import FrontTries
 
 AGAIN = 300_000             # a viewer of the same title within half a minute comes again
 LAG_S = 0.025               # a timer rings so often, to see how late it is
 LINGER_S = 1.0              # a manager that leaves still sends requests on for so long: balancers hear of it late
+FRESH_S = 0.2               # a connection that was just let in has so long for its first request
 PATCH_S = 5.0               # a PATCH that the box leaves unanswered so long is given up
 
 
 class Viewing:
     """A viewing as the sockets have it."""
     __slots__ = ("id", "offer", "askers", "name", "key", "call", "came", "box", "path", "place", "tries",
-                 "plays", "done", "asked_at", "taken_at", "began", "slot_wait", "cookie")
+                 "plays", "done", "asked_at", "taken_at", "began", "slot_wait", "cookie", "mark")
 
     def __init__(self, id, offer, exchange, manager):
         self.id, self.offer, self.askers = id, offer, [exchange] if exchange is not None else []
         self.name, self.cookie = f"{manager}.{id:x}-{secrets.token_urlsafe(12)}", ""
+        self.mark = ""          # of its client's key, where it gave one
         self.key = self.call = self.came = self.box = self.path = self.place = None
         self.tries, self.plays, self.done, self.began = 0, False, False, None
         self.asked_at = self.taken_at = now()
@@ -64,10 +72,11 @@
 
 class Front:
     def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
-                 reread=None, leave=None, via=None, files=Files):
+                 reread=None, leave=None, via=None, files=Files, older=False, steps=None):
         """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
 
-        via: as FrontMembers has it. files: makes the disk's side of a folder.
+        via: as FrontMembers has it. files: makes the disk's side of a folder. older: nothing is said of versions.
+        steps: the lab's Steps; none in service.
 
         reread: gives the settings' file as it is now, checked (SiteError where it is not good).
         leave: begins this program's planned end, once.
@@ -91,6 +100,8 @@
         self.peaks = FrontPeaks(self, catalogue_address,
                                 files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
                                 else None)
+        self.fleet, self.older, self.steps = FrontFleet(self), older, steps or Steps()
+        self.tries, self.lent, self.duties = FrontTries(self), FrontLent(self), FrontDuties(self)
         self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None,
                                     via)
         self.journal = FrontJournal(self, files(f"{state}/keys-{self.name}") if state else None)
@@ -103,6 +114,8 @@
                              Times(round(row.head_ms * 10), round(row.body_ms * 10), round(row.idle_ms * 10)),
                              row.connections)
         self.viewings, self.names, self.by_key, self.seen = {}, {}, {}, {}
+        self.early = set()          # set-ups that are out, and over by their box's stream
+        self.ones = {}              # (viewer, title): the viewing's id, where one each is the site's rule
         self.ids, self.timer, self.lag_timer = 0, None, None
         self.loop = self.address = None
         self.counts = dict.fromkeys(("taken", "plays", "blocked", "aborted", "left", "refused", "joined",
@@ -163,6 +176,9 @@
         self.peaks.start()
         self.address = await self.server.listen(host, port)
         await self.members.start(host, member_port, self.address)
+        self.fleet.start()
+        self.lent.start()
+        self.duties.start()
         self.members.recover()
         self.watch_lag(now())
         self.keep_house()
@@ -173,6 +189,7 @@
         old = now() - AGAIN
         for seen in [seen for seen, at in self.seen.items() if at < old]:
             del self.seen[seen]
+        self.ones = {one: id for one, id in self.ones.items() if id in self.viewings}
         self.keys.clear(now())
         if self.watch:
             held = {vw.ask.title for vw in self.runner.held.values()}
@@ -185,6 +202,10 @@
         Where other managers live, whoever asks meanwhile is sent on to one of them, and what plays stays as it is:
         they claim it as soon as they hear that this manager has left.
         """
+        await self.duties.stop()
+        self.fleet.stop()
+        self.tries.stop()
+        self.lent.stop()
         hand_over = len(self.members.alive()) > 1
         if not hand_over:
             self.server.stop_listening()
@@ -199,6 +220,10 @@
                     vw.plays for vw in self.viewings.values())):
                 await asyncio.sleep(0.01)       # each goes as its box says that it is another's
             self.server.stop_listening()
+            # Who was let in at the last moment has its first request on the way, and is sent on too.
+            fresh = self.loop.time() + FRESH_S
+            while any(line.fresh for line in self.server.lines) and self.loop.time() < fresh:
+                await asyncio.sleep(0.01)
             self.lines.info("handed over", left=len(self.viewings))
         for id in list(self.viewings):
             self.runner.left(id)
@@ -239,8 +264,7 @@
                 self.patch(exchange, want)
         except Refusal as no:
             self.counts["refused"] += 1
-            exchange.respond(no.status, [("Content-Type", "application/problem+json"), *no.headers,
-                                         *endpoint.CORS], no.body())
+            exchange.respond(*no.answer())
         except Exception as fault:      # one request's fault is that request's alone
             self.lines.error("fault", error=f"{type(fault).__name__}: {fault}", target=exchange.request.target[:100])
             exchange.refuse(500, "An error of ours")
@@ -250,14 +274,11 @@
             endpoint.check_token(exchange.request.headers, self.site.front.tokens)
             exchange.respond(200, [("Content-Type", "application/json")], self.state())
             return
-        if segments == ["drain"] and exchange.request.method == "POST":
-            self.check_operator(exchange, "only SIGTERM drains it")
-            if self.leave is None:
-                raise Refusal(409, "this manager's program does not end by a call")
-            told = {"manager": self.name, "viewings": len(self.viewings), "others": len(self.members.alive()) - 1}
-            exchange.respond(202, [("Content-Type", "application/json")], json.dumps(told).encode())
-            self.lines.info("drain asked for", viewings=len(self.viewings))
-            self.leave()
+        if segments == ["drain"] and exchange.request.method in ("GET", "POST"):
+            self.drain(exchange)
+            return
+        if segments[0] == "fleet" and len(segments) == 2 and exchange.request.method == "GET":
+            self.fleet.handle(exchange, segments[1])
             return
         if segments == ["settings", "reload"] and exchange.request.method == "POST":
             self.check_operator(exchange, "only SIGHUP loads them")
@@ -269,6 +290,36 @@
             return
         raise Refusal(404, "the path is /whep/TITLE, /whip/TITLE or /session/NAME")
 
+    def drain(self, exchange):
+        """An operators' order to leave service, for us or for another: members.orders has what comes of it."""
+        self.check_operator(exchange, "only SIGTERM drains it")
+        if exchange.request.method == "GET":        # whom an order may name
+            lives = {name: self.members.member(name).boot for name in self.members.alive() if name != self.name}
+            exchange.respond(200, [("Content-Type", "application/json")], json.dumps(
+                {"manager": self.name, "lives": {self.name: self.boot, **lives}}).encode())
+            return
+        args = dict(parse_qsl(exchange.request.target.partition("?")[2]))
+        named = args.get("manager", "")
+        to_do = orders.drain(named, args.get("life", ""), self.name, self.boot, self.server.stopping,
+                             self.members.member(named))
+        told = {"manager": named or self.name, "viewings": len(self.viewings), "others": len(self.members.alive()) - 1}
+        match to_do:
+            case orders.Leave(again):
+                if self.leave is None:
+                    raise Refusal(409, "this manager's program does not end by a call")
+                exchange.respond(202, [("Content-Type", "application/json")], json.dumps(told).encode())
+                if not again:
+                    self.lines.info("drain asked for", viewings=len(self.viewings))
+                    self.leave()
+            case orders.SendOn(serves):
+                raise Refusal(307, f"{named} is asked itself", [("Location",
+                                                                 f"http://{serves}{exchange.request.target}")])
+            case orders.Over(why):
+                exchange.respond(200, [("Content-Type", "application/json")],
+                                 json.dumps({"manager": named, "over": why}).encode())
+            case orders.Unknown():
+                raise Refusal(404, f"no manager {named[:60]!r} is known here")
+
     def check_operator(self, exchange, else_only):
         if self.site.front.fleet_token is None:
             raise Refusal(403, f"without a fleet_token in the settings {else_only}")
@@ -315,6 +366,7 @@
                 raise Refusal(307, "this manager is leaving service", [
                     ("Location", f"http://{at}{exchange.request.target}")])
             raise Refusal(503, "this manager is leaving service", [("Retry-After", "1")])
+        self.fleet.turn_away(exchange, offer.viewer or offer.ufrag)
         if len(self.viewings) >= self.site.front.held_most:
             raise Refusal(503, "this manager holds as many viewings as it may", [("Retry-After", "1")])
         viewer = self.viewer_id(offer.viewer, exchange)
@@ -339,10 +391,46 @@
         if news := self.view.news(offer.title):
             self.runner.catalogued([news])
         self.peaks.asked(offer.title, package)
-        self.runner.asked(face.Asked(
-            vw.id, number, row.title, viewer, max(0, patience),
-            rungs if offer.top is None else min(offer.top, rungs), row.first_cell, row.cells,
-            round(offer.length * 10_000) if offer.length else 0, False, again))
+        due = time + patience
+        self.steps.at("taken")
+
+        def ask(age):
+            """age: of its first try at another manager, whose patience goes on; one that is over begins anew."""
+            left = due - now()
+            left = left - age if age < left else left
+            self.runner.asked(face.Asked(
+                vw.id, number, row.title, viewer, max(0, left),
+                rungs if offer.top is None else min(offer.top, rungs), row.first_cell, row.cells,
+                round(offer.length * 10_000) if offer.length else 0, False, again))
+        one = offer.key is None and self.one_each(offer)
+        if one and not self.in_place(vw, (viewer, offer.title)):
+            return
+        if offer.key is None and not one or self.members.shell is None:
+            ask(0)
+        else:
+            self.tries.first(vw, viewer, due, ask)
+
+    def one_each(self, offer):
+        """Whether this viewer may have one viewing of the title: the site says so, and the viewer who it is."""
+        return self.site.front.one_per_viewer and offer.viewer is not None
+
+    def in_place(self, vw, one):
+        """An earlier one of the same viewer and title here makes room. False: it stays, and the new one is answered."""
+        old = self.viewings.get(self.ones.get(one))
+        self.ones[one] = vw.id
+        if old is None:
+            return True
+        if self.tries.unsafe(old) and (old.plays or old.call is not None):
+            self.ones[one] = old.id
+            self.answer_early(vw, Refusal(409, "this viewer pushes this title already", [("Retry-After", "1")]))
+            return False
+        self.lines.info("in place of its first try", viewing=vw.id, of=old.key, age=now() - old.taken_at)
+        askers, old.askers = old.askers, []
+        if not self.tries.left(old):
+            self.runner.left(old.id)
+        for exchange in askers:
+            exchange.respond(*Refusal(409, "the same viewer has asked anew").answer())
+        return True
 
     def viewer_id(self, stated, exchange):
         """A viewer id that stays: the stated one, else one of the address and the player's own name."""
@@ -369,17 +457,43 @@
     def asker_gone(self, vw, exchange):
         if exchange in vw.askers:
             vw.askers.remove(exchange)
-        if not vw.askers and not vw.plays:
+        if not vw.askers and not vw.plays and not self.tries.left(vw):
             self.runner.left(vw.id)
 
+    def answer_early(self, vw, no):
+        """Answers a viewing that the module was not asked for."""
+        self.counts["refused"] += 1
+        askers, vw.askers = vw.askers, []
+        self.dismiss(vw)
+        for exchange in askers:
+            exchange.respond(*no.answer())
+
+    def joined(self, vw, held, stood):
+        """A viewing taken over from its first try answers who asks for it again."""
+        at = self.keys.by_id.get(vw.id)
+        askers, held.offer, held.mark = vw.askers, vw.offer, vw.mark
+        vw.askers = []
+        self.dismiss(vw)
+        reply = 201, [("Content-Type", endpoint.SDP), ("Location", f"/session/{held.name}"), ("Etag", stood.etag),
+                      ("Accept-Patch", endpoint.FRAGMENT), *endpoint.CORS], stood.body.encode()
+        if at is not None:
+            self.keys.begin(at, xxhash.xxh3_64_intdigest(held.offer.body), held.id)
+            self.keys.answered(held.id, reply, now())
+        self.counts["joined"] += 1
+        self.lines.info("joined its first try", viewing=held.id, box=held.box, key=held.key, trace=held.offer.trace)
+        for exchange in askers:
+            exchange.respond(*reply)
+
     def session(self, exchange, want):
-        """The viewing of this name that plays here; whoever else has it is named."""
+        """The viewing of this name that plays here; whoever else may have it is named."""
         vw = self.names.get(want.name)
         if vw is not None and vw.plays:
             return vw
-        if at := self.members.present(want.name):
+        path, _, query = exchange.request.target.partition("?")
+        asked = query.removeprefix("asked=").split(".") if query.startswith("asked=") else []
+        if at := self.members.present(want.name, asked):
             raise Refusal(307, "another manager has this session", [
-                ("Location", f"http://{at}{exchange.request.target}")])
+                ("Location", f"http://{at}{path}?asked={'.'.join([*asked, self.name])}")])
         if self.members.jobs:
             raise Refusal(503, "sessions are just being taken over", [("Retry-After", "1")])
         raise Refusal(404, "no such session plays here")
@@ -431,19 +545,25 @@
         self.audit.did("setup", vw.key, server)
         if nth == 0:
             vw.slot_wait = max(0, self.runner.due - vw.taken_at)
-        offer = vw.offer
-        headers = [("Content-Type", endpoint.SDP), ("Idempotency-Key", f'"{vw.key}"'),
-                   ("Flaxscale-Rung", str(rung)),
-                   ("Flaxscale-Patience", str(left // 10)), ("Flaxscale-Cookie", vw.cookie)]
+        offer, key, place = vw.offer, vw.key, self.boxes.places.get(server)
+        if not self.tries.may_go(vw, place):
+            self.never_sent(id, nth, key, How.LACKING)
+            return
+        headers = [("Content-Type", endpoint.SDP), ("Idempotency-Key", f'"{key}"'),
+                   ("Flaxscale-Rung", str(rung)), ("Flaxscale-Patience", str(left // 10)),
+                   ("Flaxscale-Cookie", vw.cookie), *self.tries.fields(vw, place)]
         if offer.trace:
             headers.append(("traceparent", offer.trace))
         title = offer.title if offer.title.isalnum() else quote(offer.title, safe="")
-        key, place = vw.key, self.boxes.places.get(server)
         vw.call = self.boxes.set_up(server, f"/{'whip' if offer.sends else 'whep'}/{title}", key, headers,
                                     offer.body, lambda *what: self.came(vw, nth, server, place, key, *what))
         if vw.call is None:         # the list has just dropped it
-            self.by_key.pop(key, None)
-            self.loop.call_soon(self.runner.ended, id, nth, How.UNREACHED, 0)
+            self.never_sent(id, nth, key, How.UNREACHED)
+        self.steps.at("sent")
+
+    def never_sent(self, id, nth, key, how):
+        self.not_out(key)
+        self.loop.call_soon(self.runner.ended, id, nth, how, 0)
 
     def came(self, vw, nth, server, place, key, how, took, answer, notes):
         """The outcome of a set-up."""
@@ -451,12 +571,19 @@
         if how is not None:
             if how in (How.RESET, How.ERROR):
                 self.boxes.end(server, key)         # it may have run: whatever stands there is ended
-            self.by_key.pop(key, None)
+            self.not_out(key)
             self.lines.info("tune-in failed", viewing=vw.id, nth=nth, box=server, how=how.value, took=took)
             if vw.done:
                 self.dismiss(vw)
             self.runner.ended(vw.id, nth, how, took)
             return
+        self.steps.at("begun")
+        if key in self.early:       # over, or another's, before its own answer was read
+            self.not_out(key)
+            if vw.done:
+                self.dismiss(vw)
+            self.runner.ended(vw.id, nth, How.RESET, took)
+            return
         vw.came, vw.path, vw.place = answer, answer.headers["location"], place[:2]
         self.boxes.plays(server, key, vw.id, answer.headers.get("flaxscale-boot"))
         if not self.runner.begun(vw.id, nth, took, notes):
@@ -469,7 +596,7 @@
         sent = call.cancel() if call is not None else False
         if sent:
             self.boxes.end(server, vw.key)
-        self.by_key.pop(vw.key, None)
+        self.not_out(vw.key)
         if vw.done:
             self.dismiss(vw)
         self.lines.info("tune-in given up", viewing=id, nth=nth, box=server, sent=sent)
@@ -508,6 +635,7 @@
             for exchange in askers:
                 if reply is not None:
                     exchange.respond(*reply)
+            self.steps.at("answered")
         if not (vw.plays and self.journal.put_down(vw, reply, say)):
             say()
 
@@ -529,7 +657,7 @@
             no = Refusal(504, "no video server answered in time", fate="aborted")
         else:
             no = Refusal(502, f"the video server failed: {answer.how.value}", fate="aborted")
-        return no.status, [("Content-Type", "application/problem+json"), *no.headers, *endpoint.CORS], no.body()
+        return no.answer()
 
     def dismiss(self, vw):
         """Nothing of this viewing is left to hear of."""
@@ -537,7 +665,7 @@
         self.names.pop(vw.name, None)
         self.journal.over(vw.name)
         self.keys.forget(vw.id)
-        self.by_key.pop(vw.key, None)
+        self.not_out(vw.key)
 
     def probe(self, server):
         self.boxes.probe(server, lambda how, took, figures: self.runner.probed(server, how, took, figures))
@@ -574,6 +702,11 @@
             self.runner.catalogued([news])
         return row.title, self.sense.packages[package]
 
+    def value_of(self, cookie):
+        """What a second of a viewing is worth; 0 where its title is not known."""
+        package = self.entry(cookie.title, cookie.sends)[1]
+        return self.site.packages[package].value if package is not None else 0
+
     def has_seat(self, seat, own):
         """Whether a claim may take one more: seats bound a manager in what it takes over too.
 
@@ -613,10 +746,22 @@
     def noted(self, id, kind, amount):
         self.runner.note(id, kind, amount)
 
-    def session_over(self, id, how):
+    def not_out(self, key):
+        self.by_key.pop(key, None)
+        self.early.discard(key)
+
+    def over_early(self, key):
+        """A box says that what is still out is over, or another's: its answer is on another way, and may come later."""
+        if key in self.by_key:
+            self.early.add(key)
+
+    def session_over(self, id, how, to=""):
+        """to: the manager that has it now, where its box said so."""
         vw, held = self.viewings.get(id), self.runner.held.get(id)
         if vw is None:
             return
+        if to:
+            self.members.moved(vw.name, to)
         self.dismiss(vw)
         self.lines.info("over", viewing=id, how=how.value)
         if held is not None:
@@ -634,6 +779,7 @@
 
     def title_news(self, titles, version):
         """A version was taken: the module hears at once of the titles that it knows."""
+        self.fleet.versions(self.watch.follower)
         self.audit.renew()
         if titles is not None:
             self.runner.catalogued(self.view.changed(titles))
@@ -693,5 +839,6 @@
                            "owed": self.boxes.owed.count(), "faults": self.runner.faults,
                            "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
                            "peaks": self.peaks.state(), "members": self.members.state(), "gate": self.gate.state(),
-                           "audit": self.audit.state(),
+                           "audit": self.audit.state(), "fleet": self.fleet.state(),
+                           "first_tries": self.tries.counts, "lent": self.lent.counts, "duties": self.duties.state(),
                            "boxes": boxes}).encode()
--- a/flaxscale/front/journal.py
+++ b/flaxscale/front/journal.py
@@ -65,6 +65,7 @@
         self.timer, unsaid, self.unsaid = None, self.unsaid, []
         if self.kept is not None:
             self.write(lambda: self.kept.commit(time.time()))
+            self.front.steps.at("kept")
         for say in unsaid:
             say()
 
--- a/flaxscale/front/listing.py
+++ b/flaxscale/front/listing.py
@@ -43,7 +43,11 @@
             self.stream.end(False, "a full list is needed")
             return
         if told is not None:
-            self.told(*told)
+            try:
+                self.told(*told)
+            except Exception:       # taken in part: nothing but a full one tells where we are
+                self.book.version = None
+                raise
             if self.file and self.saving is None:
                 self.saving = asyncio.get_running_loop().call_later(0.2, self.save)
 
@@ -62,6 +66,11 @@
         except OSError as bad:
             self.log.warning("list not kept", file=str(self.file), detail=str(bad))
 
+    def nudge(self):
+        """Asks the list anew at once, whatever the stream that stands seems to do."""
+        if self.stream is not None:
+            self.stream.end(False, "asked anew")
+
     def stop(self):
         self.stopped = True
         for timer in (self.retry, self.saving):
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -1,19 +1,23 @@
 """Take-over on sockets: sessions of a manager that died, left or was restarted are asked for at boxes and claimed."""
 import asyncio
 import base64
+from collections import OrderedDict
 
 import msgspec
 
 from .. import interface as face
-from ..members.adopt import Session, keeper_of, plan
+from ..members.adopt import PAUSE, TRIES, Course, Session, keeper_of, plan, whom
+from ..members.ration import Ration
 from ..members.seats import SeatBook
 from ..members.shell import MemberShell
 from ..members.swim import State
-from ..serve import pool as wire
 from ..serve.clock import now
 from ..store.shapes import decoded
+from .boxes import FLOOR
 
-ASK_S, PAUSE_S, TRIES = 1.0, 0.25, 16
+ASK_S, PAUSE_S = 1.0, PAUSE / 10_000
+ASKED_MOST = 32                 # boxes that are asked at a time
+GONE_MOST = 10_000
 YOUNG_MS = 3000                 # a session without media is no orphan before this
 SHAPE = 1
 
@@ -53,6 +57,25 @@
     cookie: str
 
 
+class UnderFloor(OSError):
+    """A box refused it for the version under which it was done."""
+
+    def __init__(self, headers):
+        super().__init__("under the floor of versions")
+        self.headers = headers
+
+
+OUTDATED = "flaxscale-outdated"  # in a refusal: the token that is known where something was done under a lease
+
+
+class Outdated(Exception):
+    """What was acted on knows a later token, or this one of another owner."""
+
+    def __init__(self, token):
+        super().__init__(f"token {token} is known there")
+        self.token = token
+
+
 class Sessions(msgspec.Struct):
     boot: str
     sessions: list[SessionRow]
@@ -73,13 +96,15 @@
         self.shell, self.jobs, self.on = None, {}, members
         self.taken = self.refused = 0
         self.book = SeatBook(now(), round(front.site.fleet.lease_ms * 10))
+        self.ration, self.asking = Ration(now()), asyncio.Semaphore(ASKED_MOST)
         self.told, self.timer = None, None
+        self.gone_to = OrderedDict()        # viewings that another manager took from us
 
     async def start(self, host, port, serves):
         front = self.front
         if self.on:
             self.shell = MemberShell(front.name, "%s:%d" % serves, front.boot, front.sense.seed, self.keys,
-                                     front.lines, self.changed, self.word, self.via)
+                                     front.lines, self.changed, self.word, self.via, front.fleet)
             self.address = await self.shell.start(host, port, self.seeds)
             return self.address
         return None
@@ -104,23 +129,38 @@
     # Members
 
     def alive(self):
-        return self.shell.swim.alive() if self.shell else [self.front.name]
+        return self.shell.swim.alive() if self.shell and self.shell.swim else [self.front.name]
+
+    def member(self, name):
+        """What we hold of another manager, or None."""
+        return self.shell.swim.members.get(name) if self.shell else None
 
     def serves(self, name):
-        member = self.shell.swim.members.get(name) if self.shell else None
+        member = self.member(name)
         return member.serves if member is not None else None
 
-    def present(self, name):
-        """Where a viewing's present manager serves, or None: nobody but us can know."""
+    def moved(self, name, to):
+        """Another manager has this viewing now: whoever asks us for it is sent there."""
+        self.gone_to[name] = to
+        while len(self.gone_to) > GONE_MOST:
+            self.gone_to.popitem(last=False)
+
+    def present(self, name, asked):
+        """Where to ask for a viewing that is not ours, or None: nobody but us can know."""
         if self.shell is None:
             return None
-        alive, born = self.alive(), name.partition(".")[0]
-        manager = born if born in alive and born != self.front.name else keeper_of(name, alive)
-        return self.serves(manager) if manager != self.front.name else None
+        manager = whom(name, self.front.name, self.alive(), self.gone_to.get(name), asked)
+        return manager and self.serves(manager)
+
+    def takers(self):
+        """Members that may take something over: those that live and do not say that they are full; all, if all do."""
+        alive, full = self.alive(), self.front.fleet.full()
+        return [name for name in alive if name not in full] or alive
 
     def another(self, viewer):
         """Where another manager serves, for a viewer who can't be taken here."""
         others = [n for n in self.alive() if n != self.front.name]
+        others = [n for n in others if n in self.takers()] or others
         return self.serves(keeper_of(str(viewer), others)) if others else None
 
     def changed(self, changes):
@@ -137,6 +177,8 @@
 
     def take_over(self, manager, boxes=None):
         """Asks boxes, all that are listed where none are named, for that manager's sessions; one job each at a time."""
+        if self.front.fleet.shut is not None:
+            return                  # what is under the floor takes nothing over
         for box in list(self.front.boxes.places) if boxes is None else boxes:
             if (box, manager) not in self.jobs:
                 job = asyncio.get_running_loop().create_task(self.from_box(box, manager))
@@ -158,38 +200,46 @@
         return manager == self.front.name or manager not in self.alive()
 
     async def from_box(self, box, manager):
-        for n in range(TRIES):
-            if not self.still_away(manager):
-                return              # it is back, and takes its own up again
-            place = self.front.boxes.places.get(box)
-            if place is None:
-                return
+        course, lent = Course(), self.front.lent
+        while self.may_take(manager) and (place := self.front.boxes.places.get(box)) is not None:
             try:
-                found = await self.call(place, "GET", f"/manager/sessions?of={manager}", None, Sessions)
-                if await self.claim(box, place, manager, found):
-                    return
+                async with self.asking:
+                    if manager != self.front.name:
+                        self.front.steps.at("asking")
+                    found, owed = await asyncio.gather(
+                        self.call(place, "GET", f"/manager/sessions?of={manager}", None, Sessions),
+                        lent.of(manager, box))
+                    pause = course.came(await self.claim(box, place, manager, found, course.rank, owed))
             except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
-                self.front.lines.info("sessions not heard", box=box, of=manager, detail=str(bad)[:200], tries=n + 1)
-            await asyncio.sleep(PAUSE_S)
+                pause = course.failed()
+                self.front.lines.info("sessions not heard", box=box, of=manager, detail=str(bad)[:200],
+                                      tries=course.failures)
+            if pause is None:
+                return
+            await asyncio.sleep(pause / 10_000)
+
+    def may_take(self, manager):
+        """It is not back, when it takes its own up again, and we are in service."""
+        return self.still_away(manager) and self.front.fleet.shut is None
 
-    async def call(self, place, method, target, body, kind, more=()):
-        came = asyncio.get_running_loop().create_future()
-        call = self.front.boxes.pool.send(
+    async def call(self, place, method, target, body, kind, more=(), within=ASK_S):
+        result = await self.front.boxes.pool.ask(
             place.host, place.port, method, target,
             [("Content-Type", "application/json"), *more, *self.front.boxes.who],
-            msgspec.json.encode(body) if body is not None else b"",
-            lambda result: came.done() or came.set_result(result))
-        try:
-            result = await asyncio.wait_for(came, ASK_S)
-        except asyncio.TimeoutError:
-            call.cancel()
-            raise
-        if isinstance(result, wire.Failed) or result.status != 200:
-            raise OSError(getattr(result, "detail", None) or f"status {result.status}")
+            msgspec.json.encode(body) if body is not None else b"", within)
+        if FLOOR in result.headers:
+            raise UnderFloor(result.headers)
+        if OUTDATED in result.headers:
+            raise Outdated(int(result.headers[OUTDATED]))
+        if result.status != 200:
+            raise OSError(f"status {result.status}")
         return msgspec.json.decode(result.body, type=kind)
 
-    async def claim(self, box, place, manager, found):
-        """Claims what is ours to take of a box's answer; True where nothing is left to do."""
+    async def claim(self, box, place, manager, found, rank, owed, under=()):
+        """Claims what is ours to take of a box's answer. The rank at which to come again, None: nothing is left.
+
+        under: a field that names the lease, where it is done under one; Outdated where that is over.
+        """
         front, own = self.front, manager == self.front.name
         rows, cookies, whole = {}, {}, True
         for row in found.sessions:
@@ -205,9 +255,45 @@
             rows[row.key] = row
         sessions = [Session(r.key, r.owner, r.epoch, cookies[r.key].name, r.media or r.age_ms < YOUNG_MS)
                     for r in rows.values()]
-        made = plan(sessions, manager, front.name, [front.name] if own else self.alive())
-        claims, later = {}, False
-        for c in sorted(made.claims, key=lambda c: c.key in made.ends):     # who watches first, where seats are few
+        made = plan(sessions, manager, front.name, [front.name] if own else self.takers(), rank, owed)
+        wanted = sorted(made.claims, key=lambda c: (c.key in made.ends, -front.value_of(cookies[c.key])))
+        later = False
+        while wanted and self.may_take(manager):
+            room = len(wanted) if own else front.site.front.held_most - len(front.viewings)
+            may = self.ration.take(now(), len(wanted), room)
+            if not may:
+                if room <= 0:
+                    break           # the next in the order takes them
+                await asyncio.sleep(self.ration.wait() / 10_000)
+                continue
+            claims, unknown = self.to_claim(box, wanted[:may], own, rows, cookies)
+            wanted, later = wanted[may:], later or unknown
+            if not claims:
+                continue
+            front.steps.at("claiming")
+            granted = await self.granted(box, place, claims, under)
+            front.steps.at("granted")
+            for key in granted:
+                if key in owed:
+                    front.lent.counts["carried_out"] += 1
+                front.adopted(box, place, key, claims[key], rows[key], cookies[key], found.boot, key in made.ends)
+                front.steps.at("adopted")
+            for key in claims:
+                if key not in front.boxes.owed.keys(box):
+                    self.book.settled(key)
+            self.taken += len(granted)
+            self.refused += len(claims) - len(granted)
+            front.lines.info("taken over", box=box, of=manager, count=len(granted), rank=rank,
+                             refused=len(claims) - len(granted), left=len(wanted))
+        if own and whole and not later and not wanted:
+            self.said(box)
+        self.reserve()
+        return rank if later else made.next
+
+    def to_claim(self, box, wanted, own, rows, cookies):
+        """({key: epoch} to claim now, whether something of it may be claimed only later)."""
+        front, claims, later = self.front, {}, False
+        for c in wanted:            # who watches first, and what is worth most, where there is little room
             seat = front.seat_of(cookies[c.key])
             if seat is None:
                 later = True        # its title is not known yet, or not any more
@@ -220,22 +306,9 @@
                 front.let_end(box, c.key, rows[c.key].epoch, "no seat")
             else:                   # the lease ends it, unless we only don't know yet what we have ourselves
                 later = later or bool(self.book.reserved(now()).boxes)
-        if claims:
-            granted = await self.granted(box, place, claims)
-            for key in granted:
-                front.adopted(box, place, key, claims[key], rows[key], cookies[key], found.boot, key in made.ends)
-            for key in claims:
-                if key not in front.boxes.owed.keys(box):
-                    self.book.settled(key)
-            self.taken += len(granted)
-            self.refused += len(claims) - len(granted)
-            front.lines.info("taken over", box=box, of=manager, count=len(granted), refused=len(claims) - len(granted))
-        if own and whole and not later:
-            self.said(box)
-        self.reserve()
-        return not later
+        return claims, later
 
-    async def granted(self, box, place, claims):
+    async def granted(self, box, place, claims, under=()):
         """Keys that a box granted. An answer that is lost may have granted all: the same claims are asked for again.
 
         Where the box stays silent they are given up: it is told to end what it may have granted.
@@ -247,16 +320,21 @@
                     for key in claims:
                         audit.did("claim", key, box)
                     field = audit.field(box, place.boot)
-                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted, [field])
+                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted,
+                                           [field, *under])
                     audit.stamps.heard(box, place.boot, field[1])
                     return [key for key in said.granted if key in claims]
+                except UnderFloor as no:    # the box granted none of it
+                    self.front.boxes.answered_under(box, place.boot, field[1], no)
+                    if self.front.fleet.shut is not None:
+                        return []
                 except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
                     self.front.lines.info("claims not answered", box=box, count=len(claims), tries=n + 1,
                                           detail=str(bad)[:200])
                     if box not in self.front.boxes.places:
                         break
                 await asyncio.sleep(PAUSE_S)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, Outdated):
             for key in claims:
                 self.book.settled(key)
             raise
@@ -268,7 +346,7 @@
         if self.shell is None:
             return {"on": False, "taken_over": self.taken, "not_heard_yet": len(self.book.reserved(now()).boxes)}
         members = {m.name: {"state": m.state.name.lower(), "incarnation": m.incarnation, "address": m.address,
-                            "serves": m.serves} for m in self.shell.swim.members.values()}
+                            "serves": m.serves, "boot": m.boot} for m in self.shell.swim.members.values()}
         return {"on": True, "alive": self.alive(), "members": members, "taken_over": self.taken,
                 "claims_refused": self.refused, "not_heard_yet": len(self.book.reserved(now()).boxes),
                 "stood_still": self.shell.swim.stood, "messages_refused": self.shell.refused}
@@ -277,6 +355,12 @@
         if self.shell:
             self.shell.leave()
 
+    def back(self):
+        """In service again after leaving: others hear so, and what bears our name and nobody took is claimed."""
+        if self.shell:
+            self.shell.back()
+        self.take_over(self.front.name)
+
     async def stop(self):
         if self.timer is not None:
             self.timer.cancel()
--- a/flaxscale/lab/changes.py
+++ b/flaxscale/lab/changes.py
@@ -2,7 +2,7 @@
 import asyncio
 
 from ..catalogue.state import HOLDING, LEAVING, PREPARING, Catalogue, Frame, Hold, Put, Refused, Rungs, Seats
-from ..catalogued.client import Client, ServiceError
+from ..catalogued.client import Client, ServiceError, new_id
 from .chance import Dice
 from .shapes import holders_of
 
@@ -73,13 +73,13 @@
         async with Client(self.address) as client:
             while (due := made / row.rate) < row.for_s:
                 await asyncio.sleep(max(0.0, began + due - loop.time()))
-                made += 1
+                made, id = made + 1, new_id()       # asked again, it is made once
                 ops = self.next()
                 if not self.good(ops):
                     continue
                 while True:
                     try:
-                        reply = await client.change(ops, force=True)
+                        reply = await client.change(ops, force=True, id=id)
                         break
                     except ServiceError:
                         await asyncio.sleep(0.2)
--- a/flaxscale/lab/processes.py
+++ b/flaxscale/lab/processes.py
@@ -7,6 +7,8 @@
 import socket
 import sys
 
+from ..serve import limit
+
 
 class Process:
     """One program of ours, started with --ready: its first line on standard output is JSON and says its address."""
@@ -19,7 +21,7 @@
             self.child = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "flaxscale", *self.args, stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE, stderr=err, env={**os.environ, "PYTHONUNBUFFERED": "1"})
-        line = await asyncio.wait_for(self.child.stdout.readline(), within)
+        line = await limit.within(within, self.child.stdout.readline())
         if not line:
             await self.child.wait()
             raise RuntimeError(f"{' '.join(self.args[:2])} ended with {self.child.returncode}; see {self.log}")
@@ -45,7 +47,7 @@
         self.signal(signal.SIGTERM)
         if self.child is not None:
             try:
-                await asyncio.wait_for(self.child.wait(), within)
+                await limit.within(within, self.child.wait())
             except asyncio.TimeoutError:
                 await self.kill()
 
--- a/flaxscale/lab/timeline.py
+++ b/flaxscale/lab/timeline.py
@@ -3,7 +3,7 @@
 import pathlib
 
 SHOWN = {"trouble", "kill", "back", "stall", "go_on", "box_stall", "box_go_on", "restart", "restarted", "fault", "heal",
-         "settings", "announced", "end"}
+         "settings", "announced", "floor", "end"}
 NAMES = 4                   # ways and parties named in one line; the rest is counted
 
 
@@ -21,6 +21,9 @@
     if what in ("fault", "heal"):
         kind = f" {row['kind']}" if "kind" in row else ""
         return f"{'way' if what == 'fault' else 'healed:'}{kind} {some(row['ways'])} (fault {row['n']})"
+    if what == "floor":
+        return f"floor refused: {row['refused']}" if row["refused"] else (
+            f"floor raised to {row['floor']}, as version {row['version']}; under it: {some(row['under']) or 'nobody'}")
     who = row.get("manager") or (f"b{row['box']}" if "box" in row else row.get("name", ""))
     return f"{what.replace('_', ' ')} {who}".strip()
 
--- /dev/null
+++ b/flaxscale/leases/holder.py
@@ -0,0 +1,162 @@
+"""Who holds: one manager's side of its leases. No I/O; times are tenths of a millisecond of its own steady clock.
+
+A grant counts from before it was asked for, and ends early by the drift; a step begins only where it ends before that.
+A holder may still be stopped between that check and its act: so each act carries token and owner, and whoever is acted
+on refuses older ones (fence.Fence). Believing to hold is for economy, the fence is for safety: M. Kleppmann, "How to do
+distributed locking" (2016); M. Burrows, "The Chubby lock service for loosely-coupled distributed systems" (OSDI 2006,
+2.4) has sequencers for it.
+"""
+from typing import NamedTuple
+
+from ..chance import drawn
+from .terms import RENEWALS
+
+AGAIN = 5_000                   # an asking without an answer is given up
+PAUSE, PAUSE_MOST = 2_500, 50_000       # between two askings for what is refused or not answered
+RUSH = 100                      # members that may come at once after an outage; beyond that they spread
+
+
+class Lease(NamedTuple):
+    piece: str
+    token: int
+    until: int                  # no act after it
+
+
+class Wanted:
+    """One piece that is ours to hold by the shares."""
+    __slots__ = "task", "token", "until", "asked_at", "number", "next_at", "failed", "closing"
+
+    def __init__(self, task, next_at):
+        self.task, self.token, self.until, self.asked_at, self.number = task, 0, 0, None, 0
+        self.next_at, self.failed, self.closing = next_at, 0, False
+
+
+class Holder:
+    def __init__(self, owner, seed, now):
+        self.owner, self.seed, self.draws, self.number = owner, seed, 0, 0
+        self.wanted, self.up, self.refused = {}, False, {}      # refused: {piece: (owner, token, left)} as last told
+        self.seen = 0               # the highest token that anybody told us of
+
+    def chance(self):
+        self.draws += 1
+        return drawn(b"%d:lease:%d" % (self.seed, self.draws))
+
+    # What is ours to hold
+
+    def wants(self, tasks, now):
+        """tasks: {piece: Task} that the shares give us. What is no longer ours is given back after its step."""
+        for piece in self.wanted.keys() - tasks.keys():
+            self.wanted[piece].closing = True
+        for piece, task in tasks.items():
+            held = self.wanted.get(piece)
+            if held is None:
+                self.wanted[piece] = Wanted(task, now)
+            else:
+                held.task, held.closing = task, False
+
+    def source(self, up, members, now):
+        """The way to the granter stands, or is gone. Many that come back do so spread over a while."""
+        if up and not self.up:
+            spread = 10_000 * members / RUSH
+            for held in self.wanted.values():
+                held.asked_at, held.failed = None, 0
+                if not self.holds_one(held, now):
+                    held.next_at = now + round(spread * self.chance())
+        self.up = up
+
+    # Asking
+
+    def due(self, now):
+        """[(piece, token, number)] to ask for now, in one message; each is noted as asked for.
+
+        Where one must be renewed, what would be renewed soon goes along: many pieces cost one message a renewal.
+        """
+        if not self.up:
+            return []
+        ready, soon = [], []
+        for piece, held in sorted(self.wanted.items()):
+            if held.asked_at is not None:
+                if now - held.asked_at < AGAIN:
+                    continue
+                held.asked_at = None
+                self.put_off(held, now)
+            if not held.closing:
+                if now >= held.next_at:
+                    ready.append((piece, held))
+                elif self.holds_one(held, now) and held.next_at - now <= held.task.span // (2 * RENEWALS):
+                    soon.append((piece, held))
+        out = []
+        for piece, held in ready + soon if ready else ():
+            self.number += 1
+            held.asked_at, held.number = now, self.number
+            out.append((piece, held.token if self.holds_one(held, now) else 0, self.number))
+        return out
+
+    def put_off(self, held, now):
+        held.failed += 1
+        held.next_at = now + round(min(PAUSE_MOST, PAUSE * 2 ** min(held.failed, 6)) * (0.5 + 0.5 * self.chance()))
+
+    def granted(self, piece, number, token, now):
+        """An answer to the asking of this number; True where it makes us a holder who was none before."""
+        self.seen = max(self.seen, token)
+        held = self.wanted.get(piece)
+        if held is None or held.asked_at is None or held.number != number:
+            return False                # of an asking that was given up: when it was asked is not known any more
+        began, held.asked_at, held.failed = held.asked_at, None, 0
+        fresh = not self.holds_one(held, now) or token != held.token
+        held.token, held.until = token, began + held.task.usable()
+        held.next_at = began + round(held.task.span / RENEWALS * (0.9 + 0.1 * self.chance()))
+        self.refused.pop(piece, None)
+        return fresh
+
+    def busy(self, piece, number, owner, token, left, now):
+        self.seen = max(self.seen, token)
+        held = self.wanted.get(piece)
+        if held is None or held.asked_at is None or held.number != number:
+            return
+        held.asked_at = None
+        if not self.holds_one(held, now):
+            held.token = 0
+        self.refused[piece] = owner, token, left
+        self.put_off(held, now)
+        held.next_at = max(held.next_at, min(now + left + round(PAUSE * self.chance()), now + PAUSE_MOST))
+
+    def outdated(self, piece, token):
+        """A resource refused an act of ours: it knows a later token, or this one of another owner."""
+        self.seen = max(self.seen, token)
+        if (held := self.wanted.get(piece)) is not None:
+            held.token = held.until = 0
+
+    # Acting
+
+    @staticmethod
+    def holds_one(held, now):
+        return held.token > 0 and now < held.until
+
+    def holds(self, piece, now):
+        held = self.wanted.get(piece)
+        return held is not None and self.holds_one(held, now)
+
+    def may_begin(self, piece, now):
+        """The Lease under which one more step of this piece may begin, or None."""
+        held = self.wanted.get(piece)
+        if held is None or held.closing or not self.holds_one(held, now) or now + held.task.step >= held.until:
+            return None
+        return Lease(piece, held.token, held.until)
+
+    def give(self, now, busy=()):
+        """[(piece, token)] to give back: no longer ours, and none of its steps (busy: pieces) is under way."""
+        out = []
+        for piece, held in list(self.wanted.items()):
+            if held.closing and piece not in busy:
+                if self.holds_one(held, now):
+                    out.append((piece, held.token))
+                del self.wanted[piece]
+                self.refused.pop(piece, None)
+        return out
+
+    def leave(self, now, busy=()):
+        """A planned stop: all is given back that no step is under way of."""
+        for held in self.wanted.values():
+            held.closing = True
+        return self.give(now, busy)
--- a/flaxscale/members/shell.py
+++ b/flaxscale/members/shell.py
@@ -11,12 +11,13 @@
 
 
 class MemberShell(asyncio.DatagramProtocol):
-    def __init__(self, name, serves, boot, seed, keys, log, changed, word, via=None):
+    def __init__(self, name, serves, boot, seed, keys, log, changed, word, via=None, versions=None):
         """keys: [bytes], the first signs. changed([News]); word(sender, box, kB a second): as they are heard.
 
+        versions: gives rows that ride on each message, and hears those of others; None: none.
         via: {address: the address by which we reach it}, where that is another one.
         """
-        self.via = via or {}
+        self.via, self.versions = via or {}, versions
         self.name, self.serves, self.boot, self.seed, self.keys = name, serves, boot, seed, keys
         self.log, self.changed, self.word = log, changed, word
         self.swim, self.transport, self.timer, self.words, self.wording = None, None, None, {}, None
@@ -53,6 +54,8 @@
 
     def send(self, out):
         for address, message in out:
+            if self.versions is not None:
+                message = message._replace(held=self.versions.rides(self.swim.count()))
             self.put(address, wire.encode(message, self.keys[0]))
 
     def put(self, address, data):
@@ -74,6 +77,8 @@
             for box, kb in message[2]:
                 self.word(message[1], box, kb)
             return
+        if self.versions is not None and message.held:
+            self.versions.hear(message.held, message.sender)
         self.send(self.swim.heard(message, "%s:%d" % addr[:2], now()))
         self.hear_changes()
 
@@ -97,6 +102,10 @@
     def leave(self):
         self.send(self.swim.leave())
 
+    def back(self):
+        self.send(self.swim.back())
+        self.set_timer()
+
     def close(self):
         for timer in (self.timer, self.wording):
             if timer is not None:
--- a/flaxscale/members/swim.py
+++ b/flaxscale/members/swim.py
@@ -25,6 +25,7 @@
 WARNERS = 6                     # members that tell a suspect of it in one period
 NEWS = 14                       # pieces of news in one message
 LOSSY, LATEST = 6.0, 0.1        # a suspicion lasts longer by so many times our own lost probes; weight of the last one
+UNSURE = 8                      # unanswered probes of one member that are remembered until it is heard, or dead
 STOOD = 2 * PERIOD              # a tick later than this: it was us who stood still
 FORGET = 600 * PERIOD           # the dead are known so long, so that old news of them is told from new
 
@@ -54,6 +55,7 @@
     sender: str
     target: str
     news: tuple
+    held: tuple = ()            # rows of versions.board, which ride along
 
 
 class Member:
@@ -89,7 +91,8 @@
         self.told, self.changes = {}, []        # told: {name: times that its news were told}
         self.next_at, self.ticked_at, self.seeds = now, now, ()
         self.stood = 0                          # how often it stood still
-        self.lost = 0.0                         # share of our own first probes without an answer in time, lately
+        self.lost = 0.0                         # share of our first probes that got lost, lately
+        self.unsure = {}                        # {name: unanswered ones}: lost, if it lives
 
     def chance(self):
         self.draws += 1
@@ -122,6 +125,12 @@
     def probed_by_us(self, answered):
         self.lost += LATEST * ((0.0 if answered else 1.0) - self.lost)
 
+    def lives(self, name):
+        """We hear a member: what it did not answer was lost on the way. Of one that is dead that says nothing of our
+        ways, and seven dead of ten must not make each death take three times as long to be known."""
+        for _ in range(self.unsure.pop(name, 0)):
+            self.probed_by_us(False)
+
     # News
 
     def learn(self, news, now):
@@ -141,6 +150,8 @@
             return False
         before, address = member.state, member.address
         member.take(news, now)
+        if news.state in (State.DEAD, State.LEFT):
+            self.unsure.pop(news.name, None)
         if before is not news.state or other_start or address != news.address:
             self.note(news)
         else:
@@ -210,7 +221,7 @@
                 self.missed(probe, now)
             elif not probe.asked and now - probe.sent_at >= ACK_WAIT:
                 probe.asked = True
-                self.probed_by_us(False)
+                self.unsure[probe.target] = min(UNSURE, self.unsure.get(probe.target, 0) + 1)
                 others = [m for m in self.probed() if m.name != probe.target and m.state is State.ALIVE]
                 for other in self.some(others, ASKED):
                     out.append((other.address, self.message("ask", seq, probe.target)))
@@ -274,8 +285,15 @@
 
     # Messages
 
+    def back(self):
+        """Takes part again after it left: with a higher incarnation, so that this overrules its leaving."""
+        self.me = self.me._replace(state=State.ALIVE, incarnation=self.me.incarnation + 1)
+        self.told[self.name] = 0
+        return [(m.address, self.message("ping", self.number(), m.name)) for m in self.probed()]
+
     def heard(self, message, address, now):
         """address: where it came from."""
+        self.lives(message.sender)
         known = message.sender in self.members and self.members[message.sender].state is not State.DEAD
         for news in message.news:
             self.learn(news, now)
--- a/flaxscale/members/wire.py
+++ b/flaxscale/members/wire.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from ..versions.board import Row as BoardRow
 from .swim import Message, News, State
 
 MARK, TAG, MOST = b"FM1", 16, 1400
 STATES = tuple(State)
+SAME = "="
 
 
 class Row(msgspec.Struct, array_like=True):
@@ -22,6 +24,24 @@
     serves: str
 
 
+class Held(msgspec.Struct, array_like=True):
+    """A row of versions.board."""
+    name: str
+    boot: str
+    count: int
+    epoch: str
+    version: int
+    floor: int
+    digest: int
+    list_version: int
+    settings: str
+    up: bool
+    refused: int
+    behind: bool = False
+    full: bool = False
+    slow: bool = False
+
+
 class Sent(msgspec.Struct, array_like=True):
     kind: str
     seq: int
@@ -29,6 +49,7 @@
     target: str
     news: list[Row]
     words: list[tuple[int, float]] = []         # with kind "word": (box, change of asking in kB a second)
+    held: list[Held] = []                       # a build that does not know them passes over them
 
 
 class BadMessage(ValueError):
@@ -39,6 +60,15 @@
     return MARK + hmac.new(key, MARK + data, sha256).digest()[:TAG] + data
 
 
+def sign(text, key):
+    """A tag for a request between managers."""
+    return hmac.new(key, MARK + text.encode(), sha256).hexdigest()
+
+
+def signed(text, tag, keys):
+    return tag is not None and any(hmac.compare_digest(tag.encode(), sign(text, key).encode()) for key in keys)
+
+
 def opened(data, keys):
     if len(data) < len(MARK) + TAG or not data.startswith(MARK):
         raise BadMessage("no message of a member")
@@ -48,14 +78,37 @@
     return body
 
 
+def packed(rows):
+    """Rows for the wire, the sender's own first: of others what it is the same in stands as SAME, their digests not."""
+    own, out = None, []
+    for row in rows:
+        if own is not None:
+            row = row._replace(digest=0, epoch=SAME if row.epoch == own.epoch else row.epoch,
+                               settings=SAME if row.settings == own.settings else row.settings)
+        own = own or row
+        out.append(Held(*row))
+    return out
+
+
+def unpacked(held):
+    rows = [BoardRow(*msgspec.structs.astuple(h)) for h in held]
+    return tuple(row._replace(epoch=rows[0].epoch if row.epoch == SAME else row.epoch,
+                              settings=rows[0].settings if row.settings == SAME else row.settings) for row in rows)
+
+
 def encode(message, key):
     """The bytes of a Message; news that do not fit one datagram are left out, the first ones stay."""
     rows = [Row(n.name, n.address, n.state.value, n.incarnation, n.boot, n.serves) for n in message.news]
+    held = packed(message.held)
     while True:
-        data = seal(msgspec.msgpack.encode(Sent(message.kind, message.seq, message.sender, message.target, rows)), key)
-        if len(data) <= MOST or len(rows) <= 1:
+        data = seal(msgspec.msgpack.encode(Sent(message.kind, message.seq, message.sender, message.target, rows, [],
+                                                held)), key)
+        if len(data) <= MOST or len(rows) <= 1 and not held:
             return data
-        rows = rows[:max(1, len(rows) * MOST // len(data))]
+        if held:
+            held.pop()
+        else:
+            rows = rows[:max(1, len(rows) * MOST // len(data))]
 
 
 def encode_words(sender, words, key):
@@ -74,4 +127,5 @@
         return "word", sent.sender, sent.words
     if sent.kind not in ("ping", "ask", "ack"):
         raise BadMessage(f"the kind {sent.kind[:20]!r} is not known")
-    return Message(sent.kind, sent.seq, sent.sender, sent.target, news)
+    return Message(sent.kind, sent.seq, sent.sender, sent.target, news,
+                   unpacked(sent.held))
--- a/flaxscale/model/fleet.py
+++ b/flaxscale/model/fleet.py
@@ -80,9 +80,12 @@
             self.world.later(5_000, self.tell, row)
             return
         for manager in self.managers:
-            if manager.up:
-                manager.told[row.server] = row
-                manager.runner.listing(ListKind.DELTA, [row])
+            self.tell_one(manager, row)
+
+    def tell_one(self, manager, row):
+        if manager.up and not manager.stands(self.tell_one, manager, row):
+            manager.told[row.server] = row
+            manager.runner.listing(ListKind.DELTA, [row])
 
     def full(self):
         return [row for row in self.told.values() if row.state is not State.GONE]
--- a/flaxscale/peaks/book.py
+++ b/flaxscale/peaks/book.py
@@ -12,6 +12,7 @@
 from .announce import Announcement, faults
 
 LIMIT = 200
+DONE = 1_000                    # changes that are known by their clients' ids
 KEEP_ENDED_S = 86_400.0         # an announcement is shown for a day after its end, then it goes
 SHAPE = 1
 CHANGES = frozenset(Announcement.__struct_fields__) - {"name"}
@@ -43,8 +44,10 @@
 
 
 class PeakBook:
-    def __init__(self, version=0, peaks=(), history=()):
+    def __init__(self, version=0, peaks=(), history=(), done=()):
+        """done: {client's id of a change: the version that it made}."""
         self.version, self.peaks, self.history = version, {p.name: p for p in peaks}, list(history)
+        self.done = dict(done)
 
     def announce(self, peak, frame, now_s, expect=None, who="", why=""):
         if peak.name in self.peaks:
@@ -95,6 +98,14 @@
         return self.version
 
 
+    def did(self, id):
+        """The version that stands now was asked for under this id: asked for again, it is not made again."""
+        if id:
+            self.done[id] = self.version
+            if len(self.done) > DONE:
+                del self.done[next(iter(self.done))]
+
+
 class KeptBook(msgspec.Struct, array_like=True):
     """A version as it is kept: on the service's log, and at managers."""
     shape: int
@@ -102,17 +113,18 @@
     version: int
     peaks: list[Announcement]
     history: list[tuple[int, float, str, str, str, str]]
+    done: list[tuple[str, int]] = []
 
 
 def encode(epoch, book):
     return msgspec.msgpack.encode(KeptBook(SHAPE, epoch, book.version, list(book.peaks.values()),
-                                           [tuple(c) for c in book.history]))
+                                           [tuple(c) for c in book.history], list(book.done.items())))
 
 
 def decode(data):
     """(epoch, PeakBook). ValueError where it is none of a shape that this program knows."""
     kept = decoded(data, KeptBook, SHAPE, "announcements")
-    return kept.epoch, PeakBook(kept.version, kept.peaks, [Change(*c) for c in kept.history])
+    return kept.epoch, PeakBook(kept.version, kept.peaks, [Change(*c) for c in kept.history], kept.done)
 
 
 class Follower:
--- a/flaxscale/recovery/boxes.py
+++ b/flaxscale/recovery/boxes.py
@@ -39,6 +39,7 @@
     port: int
     boot: str
     state: State
+    since: int                  # when this start of it was first heard of, by our clock
 
 
 class BookError(ValueError):
@@ -104,7 +105,9 @@
         else:
             self.rows[row.id] = row
             host, _, port = row.address.rpartition(":")
-            self.places[row.id] = Place(host, int(port), row.boot, state)
+            held = self.places.get(row.id)
+            since = held.since if held is not None and held.boot == row.boot else now
+            self.places[row.id] = Place(host, int(port), row.boot, state, since)
         return face.Listed(row.id, self.kinds[row.kind], row.cell, self.zones[row.zone], row.weight,
                            self.started_at(row, now), state)
 
--- a/flaxscale/recovery/owed.py
+++ b/flaxscale/recovery/owed.py
@@ -17,7 +17,7 @@
     __slots__ = "ends", "rungs", "out", "fails", "wait_until"
 
     def __init__(self):
-        self.ends, self.rungs, self.out = {}, {}, None
+        self.ends, self.rungs, self.out = {}, {}, None      # ends: {key: since when}
         self.fails = self.wait_until = 0
 
 
@@ -25,10 +25,11 @@
     def __init__(self, seed):
         self.seed, self.draws, self.boxes, self.dropped = seed, 0, {}, 0
 
-    def end(self, box, key):
+    def end(self, box, key, now=0):
+        """Owed from now on."""
         debt = self.boxes.setdefault(box, Debt())
         debt.rungs.pop(key, None)
-        debt.ends[key] = True
+        debt.ends.setdefault(key, now)
         if len(debt.ends) > MOST:
             del debt.ends[next(iter(debt.ends))]
             self.dropped += 1
@@ -45,6 +46,10 @@
             debt.rungs.pop(key, None)
             debt.ends.pop(key, None)
 
+    def standing(self):
+        """{box: {key: since when}} of all ends that are owed."""
+        return {box: debt.ends for box, debt in self.boxes.items() if debt.ends}
+
     def keys(self, box):
         """Names of sessions whose end is owed there."""
         debt = self.boxes.get(box)
--- a/flaxscale/rules/check.py
+++ b/flaxscale/rules/check.py
@@ -91,6 +91,7 @@
         if any(two[2] <= one[2] for one, two in zip(t.claims, t.claims[1:])):
             breaks.append(Break(2, t.claims[-1][0], f"{t.key}: taken over twice under one epoch: {t.claims}"))
         by_trace[t.trace].append(t)
+    breaks += under_one_key(records, by_trace, effects)
     for trace, made in by_trace.items():
         for one, two in zip(made, made[1:]):
             if two.at + SLACK < surely_out(records, one):
@@ -105,6 +106,21 @@
     return breaks
 
 
+def under_one_key(records, by_trace, effects):
+    """An unsafe set-up that began while another of its client's key stood, whichever managers were asked."""
+    made, breaks = defaultdict(list), []
+    for a in records.asked:
+        if a.key is not None:
+            made[a.key] += [t for t in by_trace.get(a.trace, ()) if t.status == 201 and effects.get(
+                t.package) == "unsafe"]
+    for key, rows in made.items():
+        rows = sorted(set(rows), key=lambda t: t.at)
+        for one, two in zip(rows, rows[1:]):
+            if two.at + SLACK < one.freed_at:
+                breaks.append(Break(2, two.at, f"{two.key} under the client's key {key} while {one.key} stood"))
+    return breaks
+
+
 def rule_3(records):
     """Nothing new to a box later than the grace after its manager was told that it drains or is gone."""
     grace = round(records.site["rules"]["drain_grace_ms"] * 10)
--- /dev/null
+++ b/flaxscale/rules/promises.py
@@ -0,0 +1,141 @@
+"""Judges, from clients' and boxes' records alone, what is promised of work in hand beside the six rules.
+
+- **Taken up once**: no two managers are granted a session under one epoch, and no session's answer is given to two
+  viewers.
+- **No orphan**: what stands at a box ends within `limit` of the time from which no client wants it: since its player
+  stopped, or, where no client ever got its answer, since the last try under its client's key (without one: its own) was
+  answered or given up. Time in which the box hung, stood still, or could not be reached by some manager counts not.
+
+Times are tenths of a millisecond of the machine's monotonic clock.
+"""
+import json
+import pathlib
+from collections import defaultdict
+
+from .check import SLACK, Break
+from .records import FAR, hidden_spans, rows_of
+
+NAMES = {7: "taken up once", 8: "no orphan"}
+MORE = 50_000               # detection of a death, claims, and a box's own turns
+
+
+def limit(site):
+    """How long a session may stand for nobody: what ends it last is its box's own, by media or lease."""
+    fleet = site.get("fleet", {})
+    return round(10 * max(fleet.get("media_ms", 30_000), fleet.get("lease_ms", 4_000))) + MORE
+
+
+class Stood:
+    """One session as its box's records have it."""
+    __slots__ = "key", "trace", "box", "begun", "over", "ufrag", "claims"
+
+    def __init__(self, key, trace, box):
+        self.key, self.trace, self.box, self.claims = key, trace, box, []
+        self.begun, self.over, self.ufrag = None, FAR, None
+
+
+def promises(folder):
+    """Breaks, with the numbers of NAMES. Records of a build that does not say when a session begins have none."""
+    folder = pathlib.Path(folder)
+    site = json.loads((folder / "day.json").read_text())["site"]
+    lab, clients = rows_of(folder / "lab.jsonl"), rows_of(folder / "clients.jsonl")
+    end = next((r["at"] for r in lab if r["what"] == "end"), 0)
+    killed = [(r["at"], r["box"]) for r in lab if r["what"] == "kill" and "box" in r]
+    managers = [f"m{n}" for n in range(site.get("managers", 1))]
+    blind = defaultdict(list)
+    for (_, box), spans in hidden_spans(lab, managers).items():
+        blind[box] += spans
+    stood = []
+    for file in sorted(folder.glob("box-*.jsonl")):
+        stood += sessions(rows_of(file), killed, blind)
+    breaks = taken_up_twice(stood, clients)
+    wanted, waited = wishes(clients)
+    for s in stood:
+        if s.begun is None:
+            continue
+        until = wanted.get(s.ufrag) if s.ufrag in wanted else waited(s.trace)
+        if until is None or until == FAR:
+            continue
+        until = max(until, s.begun)
+        due = until + limit(site) + hidden(blind[s.box], until, min(s.over, end))
+        if min(s.over, end) > due + SLACK:
+            breaks.append(Break(8, until, f"{s.key} at box {s.box} stood for nobody for "
+                                f"{(min(s.over, end) - until) / 10_000:.1f} s"))
+    return sorted(breaks, key=lambda b: (b.rule, b.at))
+
+
+def sessions(rows, killed, blind):
+    """The sessions of one start of a box; spans in which it hung are added to blind."""
+    box, found, hung = None, {}, None
+    for row in rows:
+        what, key = row["what"], row.get("key")
+        if what == "start":
+            box, began = row["box"], row["at"]
+        elif what == "setup":
+            found[key] = Stood(key, row["trace"] or key, box)
+        elif what == "trouble" and row["name"] == "hang":
+            if row["value"]:
+                hung = row["at"]
+            elif hung is not None:
+                blind[box].append((hung, row["at"]))
+                hung = None
+        elif key not in found:
+            continue
+        elif what == "begun":
+            found[key].begun = found[key].begun or row["at"]
+        elif what == "over":
+            found[key].over = min(found[key].over, row["at"])
+        elif what == "answer" and row["status"] == 201:
+            found[key].ufrag = row.get("ufrag")
+        elif what == "adopted":
+            found[key].claims.append((row["at"], row["manager"], row["epoch"]))
+    dead = min([r["at"] for r in rows if r["what"] == "dead"] + [at for at, b in killed if b == box and at >= began],
+               default=FAR)
+    if hung is not None:
+        blind[box].append((hung, dead))
+    for s in found.values():
+        s.over = min(s.over, dead)
+    return list(found.values())
+
+
+def wishes(clients):
+    """({ufrag: until when its player wanted it}, waited(trace): when the last try for that viewing was over)."""
+    asked = {r["n"]: r for r in clients if r["what"] == "asked"}
+    held = {r["n"]: r["at"] for r in clients if r["what"] == "held"}
+    seen = {r["n"]: r for r in clients if r["what"] == "seen"}
+    wanted, tries, of_trace = {}, defaultdict(list), {}
+    for n, row in asked.items():
+        group = row.get("key") or row["trace"]
+        of_trace[row["trace"]] = group
+        tries[group].append(seen[n]["at"] if n in seen else FAR)
+        got = seen.get(n, {})
+        if got.get("fate") == "plays" and got.get("ufrag"):
+            wanted[got["ufrag"]] = max(wanted.get(got["ufrag"], 0), held.get(n, FAR))
+    return wanted, lambda trace: max(tries[of_trace[trace]]) if trace in of_trace else None
+
+
+def hidden(spans, since, until):
+    """How much of a time lies in any of these spans."""
+    total, at = 0, since
+    for a, b in sorted(spans):
+        a, b = max(a, at), min(b, until)
+        if a < b:
+            total, at = total + b - a, b
+    return total
+
+
+def taken_up_twice(stood, clients):
+    breaks, viewers = [], {}
+    for s in stood:
+        granted = {}
+        for at, manager, epoch in s.claims:
+            if granted.setdefault(epoch, manager) != manager:
+                breaks.append(Break(7, at, f"{s.key}: {granted[epoch]} and {manager} hold it under epoch {epoch}"))
+    asked = {r["n"]: r.get("key") or r["trace"] for r in clients if r["what"] == "asked"}
+    for row in clients:
+        if row["what"] == "seen" and row.get("fate") == "plays" and row.get("ufrag") and row["n"] in asked:
+            who = asked[row["n"]]
+            if viewers.setdefault(row["ufrag"], who) != who:
+                breaks.append(Break(7, row["at"], f"one session's answer was given to {viewers[row['ufrag']]} and to "
+                                    f"{who}"))
+    return breaks
--- a/flaxscale/rules/records.py
+++ b/flaxscale/rules/records.py
@@ -21,6 +21,7 @@
     fate: str | None            # as the client saw it; None: the day ended first
     status: int
     seen_at: int
+    key: str | None = None      # its client's own, for all its tries
 
 
 class TuneIn(NamedTuple):
@@ -71,8 +72,9 @@
 class Versions:
     """What the catalogue said of titles, version by version; what each watcher was told, and said that it took."""
 
-    def __init__(self, rows):
-        self.titles, self.acks, self.told = {}, {}, {}
+    def __init__(self, rows, handed=False):
+        """handed: managers may hand each other what one of them was told."""
+        self.titles, self.acks, self.told, self.handed = {}, {}, {}, handed
         for row in rows:
             if row["what"] == "version":
                 for name, title in row["titles"].items():
@@ -89,7 +91,8 @@
         with anything.
         """
         before = [v for at, v in self.acks.get(manager, ()) if at <= since]
-        told = [v for at, v in self.told.get(manager, ()) if at <= until]
+        by = [rows for name, rows in self.told.items() if name == manager or self.handed and name[0] == "m"]
+        told = [v for rows in by for at, v in rows if at <= until]
         return (before[-1], max([before[-1], *told])) if before else None
 
     def between(self, name, first, last):
@@ -149,7 +152,8 @@
                    starts, [(r["at"], r["manager"], r["kind"], [tuple(b) for b in r["boxes"]])
                             for r in told if r["what"] == "told"],
                    spans(lab, "kill", "back"), spans(lab, "stall", "go_on"), end,
-                   Versions(rows_of(folder / "catalogue.jsonl")) if (folder / "catalogue.jsonl").exists() else None,
+                   Versions(rows_of(folder / "catalogue.jsonl"), day["site"].get("allowed", {}).get("peers", False))
+                   if (folder / "catalogue.jsonl").exists() else None,
                    hidden_spans(lab, [f"m{n}" for n in range(day["site"].get("managers", 1))]))
 
 
@@ -229,7 +233,7 @@
             got = seen.get(row["n"])
             out.append(Asked(row["n"], row["at"], row["manager"], row["title"], row["sends"], row["trace"],
                              row["patience"], got and got["fate"], got["status"] if got else 0,
-                             got["at"] if got else FAR))
+                             got["at"] if got else FAR, row.get("key")))
     return out
 
 
--- a/flaxscale/serve/pool.py
+++ b/flaxscale/serve/pool.py
@@ -10,6 +10,7 @@
 from ..http1 import sse
 from ..http1.client import Broken, ClientSide, Data, Done, Head, request
 from .clock import now
+from .limit import within
 
 IDLE = 300_000              # a kept connection unused for so long is closed: before boxes close it
 
@@ -163,8 +164,8 @@
     async def connect(self):
         loop, error = asyncio.get_running_loop(), None
         try:
-            _, link = await asyncio.wait_for(loop.create_connection(lambda: Link(self), self.host, self.port),
-                                             self.pool.dial_s)
+            _, link = await within(self.pool.dial_s, loop.create_connection(
+                lambda: Link(self), self.host, self.port))
         except (OSError, asyncio.TimeoutError) as bad:
             error = f"{type(bad).__name__}: {bad}"
         self.dialing -= 1
@@ -217,6 +218,21 @@
             call.limit = asyncio.get_running_loop().call_later(within_s, call.run_out)
         return call
 
+    async def ask(self, host, port, method, target, headers, body, within_s):
+        """The Answer to one request; OSError where none came, TimeoutError (one of them) where none came in time."""
+        came = asyncio.get_running_loop().create_future()
+        call = self.send(host, port, method, target, headers, body,
+                         lambda result: came.done() or came.set_result(result))
+        try:
+            result = await within(within_s, came)
+        except TimeoutError:
+            raise TimeoutError(f"no answer within {within_s:g} s") from None
+        finally:
+            call.cancel()               # nothing where it is over
+        if isinstance(result, Failed):
+            raise OSError(result.detail)
+        return result
+
     def sweep(self):
         """Closes what has been kept for long; call it now and then."""
         time = now()
@@ -252,8 +268,8 @@
 
     async def connect(self, dial_s):
         try:
-            await asyncio.wait_for(asyncio.get_running_loop().create_connection(
-                lambda: self, self.host, self.port), dial_s)
+            await within(dial_s, asyncio.get_running_loop().create_connection(
+                lambda: self, self.host, self.port))
         except ConnectionRefusedError as bad:
             self.end(True, str(bad))
         except (OSError, asyncio.TimeoutError) as bad:
--- a/flaxscale/serve/server.py
+++ b/flaxscale/serve/server.py
@@ -72,6 +72,7 @@
         self.server, self.side = server, ServerSide(server.limits)
         self.transport, self.current, self.waiting = None, None, deque()
         self.full = self.paused = self.closing = False
+        self.fresh = True           # nothing was read on it yet
         self.lingers = 0            # bytes still read for nothing after a refusal
         self.deadline, self.phase = None, None
 
@@ -94,6 +95,7 @@
                     self.transport.close()
             return
         self.server.tap(self, data)
+        self.fresh = False
         for event in self.side.feed(data):
             if isinstance(event, GoOn):
                 if self.current is None and not self.waiting:
--- a/flaxscale/signalling/endpoint.py
+++ b/flaxscale/signalling/endpoint.py
@@ -25,6 +25,10 @@
     def body(self):
         return problem.problem(self.status, TITLES.get(self.status, "Refused"), self.detail, **self.more)
 
+    def answer(self):
+        """(status, headers, body) for a client."""
+        return self.status, [("Content-Type", problem.KIND), *self.headers, *CORS], self.body()
+
 
 TITLES = {307: "Elsewhere", 400: "The request can't be read", 401: "A token is needed",
           403: "The token is not known here",
--- a/flaxscale/site/change.py
+++ b/flaxscale/site/change.py
@@ -27,6 +27,8 @@
     want(zone in new.zones, "zones", f"{zone!r} kept, this manager's own")
     want(me < new.managers, "managers", f"over {me}, this manager's number")
     want(new.allowed.peers == old.allowed.peers, "allowed.peers", "as now: talk begins and ends with a manager")
+    want((new.duties, new.fleet.drift) == (old.duties, old.fleet.drift), "duties",
+         "as now: spans of leases are the same at who grants and who holds")
     want(new.peaks == old.peaks, "peaks", "as now: peaks are announced in service")
     further = new.rules.further
     want(further is None or further.span_ms <= widest_span_ms, "rules.further.span_ms",
--- a/flaxscale/site/shapes.py
+++ b/flaxscale/site/shapes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..leases.duties import DUTIES, task_with
 from ..peaks.announce import faults as peak_faults
 from ..peaks.times import PeakRow
 
@@ -45,11 +46,16 @@
     note_lag_ms: float = 900
     note_every_ms: float = 3000
     lease_ms: float = 4000              # a box keeps what its manager left so long, unless somebody claims it
+    media_ms: float = 30_000            # a box ends what had no media for so long (RFC 7675: consent expires)
     link_figure: str = "x0"             # names in the load reports
     uplink_figure: str | None = None
     streams_figure: str | None = None   # streams that a box runs
     reports: Literal["answers", "probe"] = "answers"    # how boxes report their load: unasked, or to probes only
     weights: Literal["sizes", "none"] = "sizes"         # what the list's weights tell; none: places tell sizes
+    behind_s: float = 6                 # a manager that settled versions have not reached for so long is a straggler
+    floor_share: float = 0.34           # a floor that shuts out more of the living managers is refused unless forced
+    floor_by_rule: bool = False         # the service raises the floor to what has been settled for behind_s
+    drift: float = 0.01                 # clocks of two machines differ by at most so much of any span
 
 
 class FurtherRow(Struct, forbid_unknown_fields=True):
@@ -58,6 +64,14 @@
     span_ms: float
 
 
+class DutyRow(Struct, forbid_unknown_fields=True):
+    """Something that one manager does for the whole fleet, or several share out, under leases (leases/duties.py)."""
+    on: bool = True
+    period_s: float = 0                 # 0: the duty's own usual figure, as for those below
+    span_s: float = 0                   # of a lease
+    step_s: float = 0                   # what one act of it takes at most
+
+
 class RulesRow(Struct, forbid_unknown_fields=True):
     drain_grace_ms: float
     warm_within_ms: float
@@ -114,6 +128,7 @@
     held_most: int = 100_000            # viewings held at most, playing ones included
     patience_most_ms: float = 30_000    # a client's own Prefer: wait counts up to here
     keep_answers_ms: float = 30_000     # an Idempotency-Key is known this long after its answer
+    one_per_viewer: bool = False        # who says its viewer id has one viewing of a title: a new offer is in its place
 
 
 class Site(Struct, forbid_unknown_fields=True):
@@ -129,6 +144,7 @@
     prices: PricesRow = msgspec.field(default_factory=PricesRow)
     goal: GoalRow = msgspec.field(default_factory=GoalRow)
     front: FrontRow = msgspec.field(default_factory=FrontRow)
+    duties: dict[str, DutyRow] = {}     # what is done under leases; nothing that is not named here
     peaks: list[PeakRow] = []           # announced here; those put in service under the same name come first
 
 
@@ -168,6 +184,9 @@
     want(fleet.uplink_kb > 0, "fleet.uplink_kb", "over 0")
     asked = fleet.reports == "probe"
     want(fleet.lease_ms > 0, "fleet.lease_ms", "over 0")
+    want(fleet.media_ms > 0, "fleet.media_ms", "over 0")
+    want(fleet.behind_s > 0, "fleet.behind_s", "over 0")
+    want(0 <= fleet.floor_share <= 1, "fleet.floor_share", "0 to 1")
     want(fleet.note_every_ms > 0 or fleet.note_every_ms == 0 and asked, "fleet.note_every_ms",
          "over 0, or 0 where fleet.reports is 'probe'")
     want(site.allowed.probes or not asked, "allowed.probes", "true, as fleet.reports is 'probe',")
@@ -197,6 +216,12 @@
             package = getattr(row, use)
             want(package is None or package in site.packages, f"{at}.{use}",
                  f"one of the packages {', '.join(site.packages)}")
+    want(0 <= fleet.drift < 0.5, "fleet.drift", "0 up to 0.5")
+    for name, row in site.duties.items():
+        want(name in DUTIES, f"duties.{name}", f"one of {', '.join(DUTIES)}")
+        want(min(row.period_s, row.span_s, row.step_s) >= 0, f"duties.{name}", "figures of 0 or more")
+        fault = name in DUTIES and task_with(name, row.period_s, row.span_s, row.step_s, fleet.drift).fault()
+        want(not fault, f"duties.{name}.span_s", f"another figure ({fault})")
     announced = []
     for n, row in enumerate(site.peaks):
         try:
--- a/flaxscale/standins/box.py
+++ b/flaxscale/standins/box.py
@@ -52,14 +52,17 @@
 
 class Session:
     __slots__ = ("key", "title", "package", "manager", "rung", "began", "ufrag", "etag", "name", "sends", "cookie",
-                 "media", "life")
+                 "media", "life", "mark", "print", "reply", "flowed")
 
     def __init__(self, key, title, package, manager, rung, began, sends):
         self.key, self.title, self.package, self.manager = key, title, package, manager
         self.rung, self.began, self.sends = rung, began, sends
         self.ufrag = self.etag = self.name = None
         self.cookie, self.media = "", False     # put down by its manager; whether its media were ever asked for
+        self.mark = self.print = ""     # of its client's key and offer
+        self.reply = None           # (etag, body) of its answer, once it is worked out
         self.life = ""              # of its manager, which is another one after a restart
+        self.flowed = began         # when its media last flowed to somebody
 
 
 class Verdict(NamedTuple):
@@ -83,6 +86,8 @@
         self.lie = 1.0              # the figures told are so many times the true ones
         self.unfenced = 0.0         # it forgets what was claimed and grants it again: planted, for the checker to find
 
+        self.unfloored = 0.0        # it forgets the floor of versions: planted, as the one before it
+
     def set(self, name, value):
         if not hasattr(self, name):
             raise ValueError(f"{name!r} is no trouble of a box; known: {', '.join(sorted(vars(self)))}")
