The judge calls it unknown, not contradicted, where an account may have ended before

At fault: rules/audit.py, judge: it looked whether the account knows the action's name before it looked whether the account reaches that far. Ruled out: the manager's side (field() and did() of one action have no await between them; the boxes' rows have the number that was in force).

Change: claims and orders, which are made again, are judged so only as far as the account goes. A set-up is made once, so that one under another number stays a contradiction. Test with both sides; it fails without the change.

--- a/flaxscale/rules/audit.py
+++ b/flaxscale/rules/audit.py
@@ -56,8 +56,13 @@
             # An order may be sent again: each number under which it was counts.
             self.did.setdefault((KINDS.get(row["kind"], row["kind"]), row["key"]), []).append(row["number"])
 
+    def lacks(self, number):
+        """Whether rows under this stamp may be gone: dropped, or after its end."""
+        return self.dropped or number >= (self.last or 0)
+
 
 KINDS = {"end": "order", "rung": "order"}
+ONCE = {"setup"}        # claims and orders are made again under later stamps, which a lost row may tell of
 
 
 def rows_of(file):
@@ -186,10 +191,10 @@
             findings.append(Finding("unknown", manager, key, f"{kind} under stamp {number}; no account of life {life}"))
         elif number in own.did.get((kind, key), ()):
             agreed += 1
-        elif (kind, key) in own.did:
+        elif (kind, key) in own.did and (kind in ONCE or not own.lacks(number)):
             findings.append(Finding("contradiction", manager, key, f"{kind} under stamp {number} by its box, under "
                                     f"{own.did[kind, key]} by the manager"))
-        elif own.dropped or number >= (own.last or 0):
+        elif own.lacks(number):
             findings.append(Finding("unknown", manager, key, f"{kind} under stamp {number}; the account of life {life} "
                                     "dropped rows or ends before"))
         else:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -155,6 +155,9 @@
         self.assertEqual([("back", "m0.x.0.0")], found(lambda: self.own.insert(len(self.own), self.own.pop(5))))
         self.assertEqual([("contradiction", "stamp 1")], found(lambda: self.box[0]["stamp"].update(list_version=9)))
         self.assertEqual([("unknown", f"m0.x.{n}.0") for n in (0, 1, 2, 3, 0)], found(self.own.clear))
+        # Ordered again under a stamp after which the account may have ended (its disk was full): only unknown.
+        self.assertEqual([("unknown", "m0.x.0.0")], found(lambda: self.box[5].update(stamp=2)))
+        self.assertEqual([("contradiction", "m0.x.0.0")], found(lambda: self.own[5].update(number=2)))
 
     def test_the_commands_say_it_by_status(self):
         self.judged()
