After a standstill, who left the door is dropped unread and who still waits is answered

At fault: serve/server.py, connection_made, which let everybody in alike. Ruled out: timers (1 ms), notes of all boxes (4 ms), the decision (none was made).

Change: who is let in after a standstill and has closed already (TCP_INFO) is dropped at once; a client that closes its side counts as gone here anyway. Nothing changes where nobody stood still: the state is not asked for.

--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -112,7 +112,7 @@
         self.keys = KeyBook(round(row.keep_answers_ms * 10))
         self.server = Server(self.handle, Limits(row.head_bytes, 64, 2048, row.body_bytes),
                              Times(round(row.head_ms * 10), round(row.body_ms * 10), round(row.idle_ms * 10)),
-                             row.connections)
+                             row.connections, may_be_gone=lambda: self.still.older(now()) > 0)
         self.viewings, self.names, self.by_key, self.seen = {}, {}, {}, {}
         self.early = set()          # set-ups that are out, and over by their box's stream
         self.ones = {}              # (viewer, title): the viewing's id, where one each is the site's rule
@@ -835,6 +835,7 @@
         age = None if self.book.told_at is None else (now() - self.book.told_at) / 10_000
         return json.dumps({"manager": self.name, "boot": self.boot, "list_version": self.book.version,
                            "list_heard_s_ago": age, "viewings": len(self.viewings), "counts": self.counts,
+                           "gone_at_door": self.server.gone_at_door,
                            "settings": self.settings(),
                            "owed": self.boxes.owed.count(), "faults": self.runner.faults,
                            "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
--- a/flaxscale/serve/server.py
+++ b/flaxscale/serve/server.py
@@ -4,6 +4,7 @@
 came meanwhile wait, and past a few reading stops. A client that closes is told to whoever works on its request.
 """
 import asyncio
+import socket
 from collections import deque
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 WAITING = 8                 # requests read ahead on one connection
 STREAM_BACKLOG = 1 << 20    # a stream whose reader is further behind is cut
 LINGER, LINGER_BYTES = 20_000, 4 << 20  # after a refusal so long, and so much, is read for nothing
+GONE = 7, 8                 # TCP_INFO's first byte: closed, and closed by the other side (tcp_states.h)
 
 
 class Times(NamedTuple):
@@ -78,6 +80,11 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        if self.server.may_be_gone() and transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in GONE:
+            self.server.gone_at_door += 1
+            self.abort()
+            return
         if len(self.server.lines) >= self.server.most:
             self.server.turned_away += 1
             transport.write(response(503, [("Content-Type", problem.KIND), ("Retry-After", "1")],
@@ -214,12 +221,16 @@
 class Server:
     """Listens, and hands each request to handle(exchange)."""
 
-    def __init__(self, handle, limits=Limits(), times=Times(), most=20_000, tap=None):
-        """tap(line, data) sees all bytes that come in."""
+    def __init__(self, handle, limits=Limits(), times=Times(), most=20_000, tap=None, may_be_gone=lambda: False):
+        """tap(line, data) sees all bytes that come in.
+
+        may_be_gone(): who is let in now may have waited long at the door. Then a client that closed meanwhile is
+        dropped unread: after a standstill most of those that wait have gone, and they stand before who still waits.
+        """
         self.handle, self.limits, self.times, self.most = handle, limits, times, most
-        self.tap = tap or (lambda line, data: None)
+        self.tap, self.may_be_gone = tap or (lambda line, data: None), may_be_gone
         self.lines, self.listener, self.sweeper, self.loop = set(), None, None, None
-        self.turned_away = self.refused = self.cut_off = 0
+        self.turned_away = self.refused = self.cut_off = self.gone_at_door = 0
         self.stopping, self.dated = False, (0, "")
 
     def date(self):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,6 +1,7 @@
 """The front on sockets against stand-ins, with the failures that it is for. Each test causes one kind."""
 import asyncio
 import json
+import socket
 import unittest.mock
 
 from flaxscale.interface import How
@@ -395,6 +396,26 @@
         front.still.span = 0, 0
         self.assertEqual("plays", (await self.ask(viewer="c")).fate)
 
+    async def test_who_left_the_door_during_a_standstill_is_not_read_before_who_still_waits(self):
+        # 480 of 600 that waited had gone; each was read, refused and written to before the others were looked at.
+        front, took = self.fronts[0], []
+        handle, front.server.handle = front.server.handle, lambda exchange: (took.append(exchange), handle(exchange))
+        asked = [socket.create_connection(front.address) for _ in range(24)]     # nothing of ours runs meanwhile
+        for one in asked:
+            one.sendall(self.post(self.wish()))
+        for one in asked[:20]:
+            one.close()
+        front.still.rang_at -= 30_000
+        for one in asked[20:]:
+            reader, writer = await asyncio.open_connection(sock=one)
+            self.assertIn(b"503", await reader.readline())
+            writer.close()
+        self.assertEqual((20, 4), (front.server.gone_at_door, len(took)))
+        self.assertEqual(4, front.counts["turned_away"])
+        front.still.rings(now())
+        front.still.span = 0, 0
+        self.assertEqual("plays", (await self.ask(viewer="c")).fate)
+
     async def test_a_push_is_judged_by_its_own_packages_patience(self):
         gate = self.fronts[0].gate
         self.fronts[0].lag_timer.cancel()   # or it judges anew between the two
