--- a/bench/standstill.py
+++ b/bench/standstill.py
@@ -110,8 +110,8 @@
                 firsts, lasts = [r[0][0] for r in rows], [r[0][-1] for r in rows]
                 late = [sum(ms > 50 for ms in r[0]) for r in rows]
                 said = sorted(Counter(status for r in rows for status in r[1]).items())
-                print(f"{many} waiting, {rows[0][2] - many} gone: first answer after "
-                      f"{statistics.median(firsts):.0f} ms, last {statistics.median(lasts):.0f} (at most {max(lasts):.0f}); after 50 ms "
+                print(f"{many} waiting, {rows[0][2] - many} gone: first answer after {statistics.median(firsts):.0f} "
+                      f"ms, last {statistics.median(lasts):.0f} (at most {max(lasts):.0f}); after 50 ms "
                       f"{statistics.median(late):.0f}; status {said}", flush=True)
         finally:
             await run.finish()
