--- a/bench/deaths.py
+++ b/bench/deaths.py
@@ -7,7 +7,6 @@
 By processes, on days of the examples' site; figures come from the records of clients and boxes. Not part of CI.
 """
 import asyncio
-import json
 import os
 import pathlib
 import statistics
@@ -90,8 +89,8 @@
                                               times * CAPACITY, KILL_S, AWAY_S), seed, plays_by_span))
                 for seed in range(1, seeds + 1)]
         told = ", ".join(f"{name} {statistics.mean(r[name] for r in rows):.0f}" for name in ("before", "dead", "back"))
-        print(f"{times} times {CAPACITY:g} a second: {told}; asked at most {max(r['asked'] for r in rows)} in a second; "
-              f"broke a rule {sum(r['broke'] for r in rows)} of {len(rows)}", flush=True)
+        print(f"{times} times {CAPACITY:g} a second: {told}; asked at most {max(r['asked'] for r in rows)} in a "
+              f"second; broke a rule {sum(r['broke'] for r in rows)} of {len(rows)}", flush=True)
     machine()
 
 
--- a/flaxscale/explore/leases.py
+++ b/flaxscale/explore/leases.py
@@ -11,6 +11,7 @@
 go back, whatever the clocks do; no token takes effect for two owners; no token is told to two owners, unless the store
 was put back from an older copy.
 """
+import itertools
 from typing import NamedTuple
 
 from ..leases.fence import Fence
@@ -242,6 +243,12 @@
     def put(world, n, side):
         return world._replace(sides=(*world.sides[:n], side, *world.sides[n + 1:]))
 
+    def alike(self, world):
+        """The one that stands for all states in which managers with clocks of one rate have changed their names."""
+        rates = self.rates[:len(world.sides)]
+        return min(renamed(world, names) for names in itertools.permutations(range(len(rates)))
+                   if all(rates[n] == rates[to] for n, to in enumerate(names)))
+
     def good(self, world):
         """Somebody holds it under a token that the resource takes."""
         return any(self.believes(side, NAMES[n]) and (not world.fence or side.token > world.fence[0] or (
@@ -252,6 +259,21 @@
     return f"{NAMES[n]}{life}"
 
 
+def renamed(world, names):
+    """The same state with manager n called names[n]."""
+    def owner(by):
+        return NAMES[names[NAMES.index(by[0])]] + by[1:]
+    sides = [None] * len(names)
+    for n, side in enumerate(world.sides):
+        sides[names[n]] = side
+    older = world.older and (world.older[0], (owner(world.older[1][0]), world.older[1][1]))
+    return world._replace(
+        sides=tuple(sides), row=(owner(world.row[0]), *world.row[1:]) if world.row else (),
+        fence=(world.fence[0], owner(world.fence[1])) if world.fence else (), older=older,
+        told=tuple(sorted((token, owner(by)) for token, by in world.told)),
+        wire=tuple(sorted((kind, names[n], *rest) for kind, n, *rest in world.wire)))
+
+
 def given_up(world, n):
     """No answer that is still on its way is to the present asking of this manager any more."""
     return world._replace(wire=tuple(sorted((*m[:3], False) if m[1] == n and m[0] != "act" else m
