--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -101,7 +101,8 @@
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
          "crowd", "uplink", "settings", "way", "disk", "box_stall", "catalogue_stall", "floor"}
-SOCKETS_ONLY = {"way", "disk", "box_stall", "catalogue_stall", "floor", "manager_restart", "settings"}
+SOCKETS_ONLY = {"disk", "catalogue_stall", "floor", "manager_restart", "settings"}
+MODEL_WAYS = {"cut", "delay"}       # kinds that the model plays: the others are of connections, which it has none of
 MOST_PROCESSES = 400
 
 
@@ -178,6 +179,8 @@
         want(sockets is not False or row.what not in SOCKETS_ONLY, f"{at}.what",
              f"a trouble that the model plays ({row.what!r} needs processes)")
         if row.what == "way":
+            want(sockets is not False or row.kind in MODEL_WAYS, f"{at}.kind",
+                 f"one of {', '.join(sorted(MODEL_WAYS))} in the model ({row.kind!r} needs processes)")
             want(row.kind in KINDS, f"{at}.kind", f"one of {', '.join(sorted(KINDS))}")
             want(row.kind not in CHANCES or 0 < row.value <= 1, f"{at}.value", "a share, over 0, at most 1")
             want(row.kind != "throttle" or row.value > 0, f"{at}.value", "kB a second, over 0")
--- a/flaxscale/model/fleet.py
+++ b/flaxscale/model/fleet.py
@@ -45,8 +45,9 @@
 class Fleet:
     """All boxes, and the list that tells of them late. managers: those who are told."""
 
-    def __init__(self, world, day, site, sense):
-        self.world, self.day, self.site, self.sense = world, day, site, sense
+    def __init__(self, world, day, site, sense, send):
+        """send(from, to, span, act, *args): by the ways between parties."""
+        self.world, self.day, self.site, self.sense, self.send = world, day, site, sense, send
         self.seed, self.work = world.seed, round(day.work_ms * 10)
         fleet = day.site.fleet
         self.uplinks = dict.fromkeys(range(fleet.racks), fleet.uplink_kb)
@@ -80,7 +81,7 @@
             self.world.later(5_000, self.tell, row)
             return
         for manager in self.managers:
-            self.tell_one(manager, row)
+            self.send("list", manager.name, 0, self.tell_one, manager, row)
 
     def tell_one(self, manager, row):
         if manager.up and not manager.stands(self.tell_one, manager, row):
--- a/flaxscale/model/manager.py
+++ b/flaxscale/model/manager.py
@@ -9,6 +9,7 @@
 
     def __init__(self, play, me):
         self.play, self.world, self.me, self.up, self.life = play, play.world, me, True, 0
+        self.name = f"m{me}"
         self.told, self.viewings, self.alarm, self.until = {}, {}, 0, 0
         self.start(play.fleet.full())
 
--- a/flaxscale/model/play.py
+++ b/flaxscale/model/play.py
@@ -1,14 +1,17 @@
 """Plays a day in virtual time and counts what it was worth. The same file as `flaxscale day` plays on sockets.
 
 What the model leaves out: HTTP and SDP, time that a manager's own work takes, connections and their limits, the order
-in which packets of one instant arrive. Messages between managers and boxes take NET each way.
+in which packets of one instant arrive. Messages between managers and boxes take NET each way, and go by the same ways
+(lab/ways.py) as those of processes: on one that is cut they wait, in order, until it is healed; a late one brings them
+later, in order. A box that is stopped is one whose ways are all cut; what it streams goes on here, and stops there.
 """
 from collections import Counter, defaultdict
 
 from .. import interface as face
 from ..interface import How, ListKind, NoteKind
 from ..lab.day import arrivals
-from ..lab.shapes import holders_of
+from ..lab.shapes import holders_of, ways_of
+from ..lab.ways import CLEAR, Fault, Ways, in_pieces
 from ..peaks.keeper import RoomKeeper, Surroundings, rates_of
 from ..run import Fate
 from ..site.terms import Sense
@@ -101,7 +104,8 @@
         self.packages = list(day.site.packages.values())
         self.names = list(day.site.packages)
         self.numbers = sense.packages
-        self.fleet = Fleet(self.world, day, site_of(day.site), sense)
+        self.fleet = Fleet(self.world, day, site_of(day.site), sense, self.send)
+        self.ways, self.waiting, self.late_on, self.way_faults = Ways(), {}, {}, 0
         self.faults, self.seconds, self.ids = [], defaultdict(Row), 0
         self.titles = {name: n for n, name in enumerate(sorted(day.site.titles))}
         self.rates, self.held = rates_of(day.site), {}
@@ -227,17 +231,48 @@
         if p.tries > 0 and p.dice.draw() < demand.returns:
             self.world.later(round(p.dice.between(demand.back_s) * SECOND), self.ask, p)
 
+    # Ways
+
+    def send(self, a, b, span, act, *args):
+        """act(*args) once what a party sends now has reached another, `span` after that on a way without faults."""
+        state = self.ways.of((a, b))
+        if state is CLEAR and (a, b) not in self.late_on:
+            self.world.later(span, act, *args)
+        elif not state.passes():
+            self.waiting.setdefault((a, b), []).append((span, act, args))
+        else:                           # in order, as on one connection
+            late = span + round(10 * (state.delay_ms + state.jitter_ms * self.world.dice("ways").draw()))
+            at = self.late_on[a, b] = max(self.world.now + late, self.late_on.get((a, b), 0))
+            self.world.at(at, act, *args)
+            if state is CLEAR and at == self.world.now + span:      # what was late has all come
+                del self.late_on[a, b]
+
+    def strike(self, fault, ways, span, pieces):
+        """A fault of ways for so long; pieces: [(after it, ways)] that heal then."""
+        self.way_faults += 1
+        self.ways.put(self.way_faults, fault, ways)
+        for after, some in pieces:
+            self.world.later(span + round(after * SECOND), self.heal, self.way_faults, some)
+
+    def heal(self, number, ways):
+        for way in self.ways.heal(number, ways):
+            if self.ways.of(way).passes():
+                for span, act, args in self.waiting.pop(way, ()):
+                    self.send(*way, span, act, *args)
+
     # Between managers and boxes
 
     def set_up(self, manager, vw, nth, server, rung):
         vw.server, vw.nth, vw.key = server, nth, (manager.me, manager.life, vw.id, nth)
         self.second().tune_ins["further" if nth else "first"] += 1
-        self.world.later(NET, self.at_box, manager, manager.life, vw, vw.key, server, rung, self.world.now)
+        self.send(manager.name, f"b{server}", NET, self.at_box, manager, manager.life, vw, vw.key, server, rung,
+                  self.world.now)
 
     def probe(self, manager, life, server):
-        """Answered beside the set-ups; a box that hangs or is gone lets it run into its limit."""
-        holder = self.fleet.boxes[server]
-        if holder.dead or holder.box.trouble.hang:
+        """Answered beside the set-ups; a box that hangs, is gone or out of reach lets it run into its limit."""
+        holder, ways = self.fleet.boxes[server], ((manager.name, f"b{server}"), (f"b{server}", manager.name))
+        cut = not all(self.ways.of(way).passes() for way in ways)
+        if holder.dead or holder.box.trouble.hang or cut:
             limit = round(self.day.site.allowed.dial_timeout_ms * 10)
             self.world.later(limit, manager.probed, life, server, How.UNREACHED if holder.dead else How.TIMEOUT, limit,
                              None)
@@ -247,8 +282,8 @@
     def at_box(self, manager, life, vw, key, server, rung, sent_at):
         holder, now = self.fleet.boxes[server], self.world.now
         def answer(after, how, figures=None):
-            self.world.later(after + NET, manager.outcome, life, vw.id, key[3], how, now + after + NET - sent_at,
-                             figures)
+            self.send(f"b{server}", manager.name, after + NET, self.come, manager, life, vw.id, key[3], how, sent_at,
+                      figures)
         if holder.dead:
             answer(0, How.UNREACHED)
             return
@@ -284,13 +319,19 @@
         now = self.world.now
         if holder.dead or holder.boot != boot or holder.box.trouble.hang:
             if holder.dead or holder.boot != boot:
-                self.world.later(NET, manager.outcome, life, vw.id, key[3], How.RESET, now + NET - sent_at, None)
+                self.send(f"b{holder.place.id}", manager.name, NET, self.come, manager, life, vw.id, key[3], How.RESET,
+                          sent_at, None)
             return
         if key in holder.box.sessions:
-            self.world.later(NET, manager.outcome, life, vw.id, key[3], None, now + NET - sent_at, holder.figures(now))
+            self.send(f"b{holder.place.id}", manager.name, NET, self.come, manager, life, vw.id, key[3], None, sent_at,
+                      holder.figures(now))
+
+    def come(self, manager, life, id, nth, how, sent_at, figures):
+        """An outcome reaches its manager."""
+        manager.outcome(life, id, nth, how, self.world.now - sent_at, figures)
 
     def end_at_box(self, server, key):
-        self.world.later(NET, self.ended_at_box, server, key)
+        self.send(f"m{key[0]}", f"b{server}", NET, self.ended_at_box, server, key)
 
     def ended_at_box(self, server, key):
         holder = self.fleet.boxes[server]
@@ -306,7 +347,7 @@
             vw.gone = True
 
     def set_rung(self, server, key, rung):
-        self.world.later(NET, self.rung_at_box, server, key, rung)
+        self.send(f"m{key[0]}", f"b{server}", NET, self.rung_at_box, server, key, rung)
 
     def rung_at_box(self, server, key, rung):
         holder = self.fleet.boxes[server]
@@ -316,7 +357,7 @@
     def peer_word(self, manager, server, kb):
         for other in self.managers:
             if other is not manager:
-                self.world.later(NET, self.hear_peer, other, other.life, manager.me, server, kb)
+                self.send(manager.name, other.name, NET, self.hear_peer, other, other.life, manager.me, server, kb)
 
     def hear_peer(self, manager, life, peer, server, kb):
         if manager.stands(self.hear_peer, manager, life, peer, server, kb):
@@ -335,7 +376,7 @@
             vw = self.by_key.pop(key, None)
             if vw is None:
                 continue
-            self.world.later(NET, vw.manager.lost, key[1], key[2], key[3])
+            self.send(f"b{holder.place.id}", vw.manager.name, NET, vw.manager.lost, key[1], key[2], key[3])
             if vw.playing and not vw.gone:
                 vw.gone = True
                 self.come_again(vw.player)
@@ -359,9 +400,11 @@
 
     def tell(self, holder, boot, key, notes):
         if not holder.dead and holder.boot == boot and not holder.box.trouble.hang:
-            manager = self.managers[key[0]]
-            for kind, amount in notes:
-                manager.note(key[1], key[2], kind, amount)
+            self.send(f"b{holder.place.id}", f"m{key[0]}", 0, self.told, key, notes)
+
+    def told(self, key, notes):
+        for kind, amount in notes:
+            self.managers[key[0]].note(key[1], key[2], kind, amount)
 
     def notes(self, holder):
         if holder.dead:
@@ -463,6 +506,15 @@
             rack, kb = row.rack or 0, self.day.site.fleet.uplink_kb
             fleet.uplinks[rack] = kb * row.value
             self.world.later(span, fleet.uplinks.__setitem__, rack, kb)
+        elif row.what == "way":
+            ways = ways_of(self.day, n)
+            self.strike(Fault(row.kind, row.value, row.jitter), ways, span,
+                        in_pieces(ways, row.heal_s, self.world.dice(f"heal-{n}")))
+        elif row.what == "box_stall":
+            others = [m.name for m in self.managers]
+            for b in boxes:
+                ways = [way for o in others for way in ((o, f"b{b}"), (f"b{b}", o))]
+                self.strike(Fault("cut"), ways, span, [(0.0, ways)])
         elif row.what in ("crowd", "catalogue_crash"):
             pass                # the crowd is in the arrivals; a catalogue is told once here, and managers keep it
         else:
@@ -487,7 +539,7 @@
 
     def manager_back(self, manager):
         manager.start([row for row in manager.told.values() if row.state is not face.State.GONE])
-        self.world.later(round(self.fleet.late), self.full_list, manager, manager.life)
+        self.send("list", manager.name, round(self.fleet.late), self.full_list, manager, manager.life)
 
     def full_list(self, manager, life):
         if manager.stands(self.full_list, manager, life):
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -94,6 +94,35 @@
         with self.assertRaisesRegex(SiteError, "'manager_restart' needs processes"):
             read_day(str(EXAMPLES / "handover-day.jsonnet"), sockets=False)
 
+    def test_a_way_that_is_cut_brings_nothing_and_all_of_it_once_when_it_heals(self):
+        quiet, row = bad_day(troubles=[], length_s=14.0), type(bad_day().troubles[0])
+        ways = [["m0"], ["boxes"]]
+        cut = row(at_s=6, what="way", between=ways, for_s=4)
+        for one_way in (False, True):
+            cut = msgspec.structs.replace(cut, one_way=one_way)
+            play, came, sent = Play(msgspec.structs.replace(quiet, troubles=[cut]), 5), [], []
+            at_box, tune = play.at_box, play.set_up
+            play.at_box = lambda manager, life, vw, key, *more: (
+                came.append((play.day_s(), key)), at_box(manager, life, vw, key, *more))
+            play.set_up = lambda manager, vw, nth, *more: (
+                sent.append((play.day_s(), (manager.me, manager.life, vw.id, nth))), tune(manager, vw, nth, *more))
+            play.run()
+            mine = [at for at, key in came if key[0] == 0]
+            self.assertFalse([at for at in mine if 6.001 < at < 10])
+            self.assertTrue([at for at, key in sent if key[0] == 0 and 6 < at < 10])
+            self.assertEqual(len(sent), len({key for _, key in came}))
+            self.assertEqual(len(came), len(sent))                      # each once
+            self.assertEqual(([], 0), (play.faults, play.totals()["fates"].get("unanswered", 0)))
+            others = [at for at, key in came if key[0] != 0 and 6 < at < 10]
+            self.assertGreater(len(others), 5)
+        late = row(at_s=6, what="way", kind="delay", value=700, jitter=200, between=ways, for_s=4)
+        play = Play(msgspec.structs.replace(quiet, troubles=[late]), 5).run()
+        self.assertGreater(play.totals()["tune_ins"].get("further", 0), 0)
+        self.assertEqual([], play.faults)
+        stall = row(at_s=6, what="box_stall", boxes=[0, 1, 2], for_s=4)
+        play = Play(msgspec.structs.replace(quiet, troubles=[stall]), 5).run()
+        self.assertLess(play.totals()["service"], Play(quiet, 5).run().totals()["service"])
+
     def test_a_cold_fleet_is_not_pushed_over_but_one_with_a_careless_front_is(self):
         crowd = msgspec.structs.replace(bad_day().demand, rate=70.0)
         day = bad_day(troubles=[], demand=crowd, boxes=[msgspec.structs.replace(b, cold=True) for b in bad_day().boxes])
