--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -107,7 +107,7 @@
     """Model plays."""
 
     def test_planted_faults_are_found_and_a_sound_manager_breaks_nothing(self):
-        # All boxes cold and a crowd: a manager that keeps no pace; one that overlooks seats; one that is deaf to drains.
+        # All boxes cold and a crowd: one that keeps no pace; one that overlooks seats; one that is deaf to drains.
         day = quiet_day()
         crowd = [TroubleRow(at_s=6, what="crash", for_s=1, boxes=list(range(12))),
                  TroubleRow(at_s=8, what="crowd", for_s=5, value=4)]
