--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -10,7 +10,7 @@
     "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
     "managers": ("journal", "managers"), "platform": ("platform", "platform"), "relay": ("relay", "relay"),
     "audit": ("audit", "audit"), "fleet": ("fleet", "fleet"), "leases": ("leases", "leases"),
-    "solve": ("solve", "solve"), "hunt": ("hunt", "hunt"),
+    "solve": ("solve", "solve"), "hunt": ("hunt", "hunt"), "report": ("report", "report"),
 }
 
 
