The gate leaves room beside one title's crowd, by worth, while its manager is behind

Need: one title must not take a manager from all others. While the rate of requests is limited, a title that makes up half of what was taken lately, weighed by what its viewings are worth, is taken only where many tokens are left; what is worth less than half of the usual where some are.

--- a/flaxscale/admission/gate.py
+++ b/flaxscale/admission/gate.py
@@ -6,8 +6,10 @@
   has waited unseen. As in CoDel (K. Nichols and V. Jacobson, RFC 8289) the least lag of a span counts, so that one
   burst is no overload. While it stays over LAG and does not fall, the rate at which requests are taken is cut to a
   part of what was served; it rises again when the lag is gone. The rate comes as tokens, and a part of them is kept:
-  a further try needs some to spare, a client that asked for more than its share needs many. What patience can
-  no longer cover, lag and a usual answer taken off, is refused whatever the rate.
+  a further try needs some to spare, a client that asked for more than its share needs many, and so does a title that
+  makes up half of what was taken, weighed by what its viewings are worth: its crowd can't take the place of all others.
+  What is worth less than half of the usual needs some to spare. What patience can no longer cover, lag and a usual
+  answer taken off, is refused whatever the rate.
 - **A client tries again too soon.** Whoever was refused is told how long to stay away, twice as long each time. One
   that comes before that is refused without a look, and told longer still; one that keeps to it is like any other.
 
@@ -31,6 +33,9 @@
 MEMORY = 300_000                # a refusal is known for half a minute: the next one within it doubles the hold-off
 SPARE, MANY = 0.25, 0.6         # of the tokens: left for a further try, for a client over its share
 SHARE = 2.0                     # times the mean of clients lately: more than its share
+TITLE_PART, CHEAP = 0.5, 0.5    # of all taken lately, by worth: a title's crowd; of the usual worth: little
+ALL = "all"                     # the count of what was taken of any title
+WORTH = 0.02                    # weight of the last request in the usual worth
 HOLD, DOUBLINGS = 2_000, 5      # the first hold-off, and how often it doubles
 
 
@@ -72,7 +77,8 @@
         self.rate = self.tokens = None      # requests a second that are taken; None: all
         self.span_at, self.least, self.came, self.taken, self.token_at = None, None, 0, 0, 0
         self.usual = 0.0                    # what an answer usually takes
-        self.asked = Counts(FORGET)
+        self.asked, self.titles = Counts(FORGET), Counts(FORGET)
+        self.worth = None                   # what is asked for is usually worth
         self.told = {}                      # client: (until when it was told to stay away, how often in a row)
         self.spans, self.mean = 0, 1.0      # of what clients asked lately
         self.refused = dict.fromkeys(("behind", "late", "again"), 0)
@@ -120,29 +126,39 @@
 
     # What is asked
 
-    def ask(self, now, client, left, again):
-        """None where the request is taken up; else Refused. left: what its patience leaves. again: a further try."""
+    def ask(self, now, client, left, again, title="", worth=1.0):
+        """None where the request is taken up; else Refused. left: what its patience leaves. again: a further try.
+
+        title: for a title of its own; empty: of none. worth: of its package, over 0, in any unit.
+        """
         if not self.on:
             return None
         self.came += 1
+        self.worth = worth if self.worth is None else self.worth + WORTH * (worth - self.worth)
+        mark = crc32(title.encode()) % CLIENTS if title else None
+        crowd = title and self.titles.at(mark, now) * self.worth / worth > TITLE_PART * max(
+            1.0, self.titles.at(ALL, now))
         key = crc32(client.encode()) % CLIENTS
         count = self.asked.add(key, now)
         if now < self.told.get(key, (0, 0))[0]:
             return self.refuse("again", now, key)
         if left < self.lag + self.usual:
             return self.refuse("late", now, key)
-        if self.rate is not None and not self.token(now, again, count > SHARE * self.mean):
+        if self.rate is not None and not self.token(now, again or worth < CHEAP * self.worth,
+                                                    crowd or count > SHARE * self.mean):
             return self.refuse("behind", now, key)
         self.taken += 1
+        for one in (mark, ALL) if title else (ALL,):
+            self.titles.add(one, now)
         self.told.pop(key, None)
         return None
 
-    def token(self, now, again, over):
-        """One of the requests that are taken in this time."""
+    def token(self, now, later, over):
+        """One of the requests that are taken in this time. later, over: only where some, or many, are left."""
         most = max(4.0, self.rate * SPAN / 10_000)
         self.tokens = min(most, self.tokens + self.rate * max(0, now - self.token_at) / 10_000)
         self.token_at = now
-        if self.tokens < 1.0 + most * (MANY if over else SPARE if again else 0.0):
+        if self.tokens < 1.0 + most * (MANY if over else SPARE if later else 0.0):
             return False
         self.tokens -= 1.0
         return True
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -341,7 +341,8 @@
         left = self.sense.patience(self.sense.packages[package], fields.wait_of(headers.get("prefer"))) - (
             time - exchange.arrived) - self.still.older(exchange.arrived)
         again = time - self.seen.get((self.viewer_id(stated, exchange), title), -AGAIN) < AGAIN
-        if no := self.gate.ask(time, client, left, again):
+        worth = self.site.packages[package].value
+        if no := self.gate.ask(time, client, left, again, title, worth):
             self.counts["turned_away"] += 1
             raise Refusal(503, "this manager is behind" if no.why in ("behind", "late") else "too many tries",
                           [("Retry-After", str(max(1, fields.seconds_up(no.hold_off))))], fate="blocked",
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,13 +17,13 @@
         self.gate, self.cost, self.patience, self.draw = gate, S / capacity, patience, random.Random(seed)
         self.free_at, self.good, self.fates, self.beat = 0.0, Counter(), Counter(), 0
 
-    def ask(self, now, client="c", again=False):
+    def ask(self, now, client="c", again=False, **what):
         """Arrivals in order. What becomes of it: Refused, late or good."""
         while self.beat <= now:                     # the timer that the shell rings
             self.gate.lagged(self.beat, int(max(0, self.free_at - self.beat)))
             self.beat += 250
         begins = max(now, self.free_at)
-        no = self.gate.ask(int(begins), client, int(self.patience - (begins - now)), again)
+        no = self.gate.ask(int(begins), client, int(self.patience - (begins - now)), again, **what)
         self.free_at = begins + self.cost * (0.1 if no else 1.0)
         if no:
             self.fates[no.why] += 1
@@ -83,6 +83,31 @@
 
 
 class Tries(unittest.TestCase):
+    def served(self, of, rate=800, told=True):
+        """The part that is served of each kind of request, at four times capacity. of: {kind: (part, what)}."""
+        server, asked, draw, now = Server(Gate(1), 200), Counter(), random.Random(4), 0.0
+        kinds = [kind for kind, (part, _) in of.items() for _ in range(part)]
+        while (now := now + draw.expovariate(rate / S)) < 20 * S:
+            kind = draw.choice(kinds)
+            asked[kind] += 1
+            fate = server.ask(now, f"{kind}{draw.randrange(4000)}", **(of[kind][1] if told else {}))
+            server.good[kind] += fate == "good"
+        return {kind: server.good[kind] / asked[kind] for kind in of}
+
+    def test_one_titles_crowd_does_not_take_the_place_of_all_others(self):
+        of = {"hot": (9, {"title": "hot"}), **{f"t{n}": (1, {"title": f"t{n}"}) for n in range(3)}}
+        alike, found = self.served(of, told=False), self.served(of)
+        for n in range(3):
+            self.assertGreater(found[f"t{n}"], 1.4 * alike[f"t{n}"])
+        self.assertGreater(found["hot"], 0.6 * alike["hot"])            # it is not shut out
+        # A crowd that is worth more than all others is no crowd too many.
+        dear = {**of, "hot": (9, {"title": "hot", "worth": 5.0})}
+        self.assertGreater(self.served(dear)["hot"], 1.05 * found["hot"])
+
+    def test_what_is_worth_more_is_served_before(self):
+        found = self.served({"dear": (1, {"worth": 5.0}), "cheap": (3, {"worth": 1.0})})
+        self.assertGreater(found["dear"], 1.5 * found["cheap"])
+
     def test_a_client_that_tries_on_is_held_off_longer_each_time(self):
         gate = Gate(1)
         gate.lag = 3 * S
