--- a/flaxscale/report/page.py
+++ b/flaxscale/report/page.py
@@ -5,7 +5,7 @@
 
 from .story import MOST_ROWS, fates
 
-WIDTH, LEFT, LANE, CHART = 1160, 170, 17, 120
+WIDTH, LEFT, LANE, CHART = 1160, 260, 17, 120
 COLOURS = {
     "dead": "#b22", "stands still": "#e8a33d", "planned restart": "#5b8dd9", "cut": "#b22", "faulty way": "#e8a33d",
     "trouble": "#c86fc9", "version 0": "#9fb8d8", "version 1": "#5b8dd9", "plays": "#4a9d5b", "blocked": "#e8a33d",
--- a/flaxscale/report/story.py
+++ b/flaxscale/report/story.py
@@ -77,9 +77,10 @@
              ("leases", lease_lanes(records.catalogue, s, end))]
     taken = sorted((s(r["at"]), r["key"], r["key"].partition(".")[0], r["manager"], start_of(rows))
                    for rows in boxes.values() for r in rows if r["what"] == "adopted")
+    off = {m: offset(rows, records.clients) for m, rows in records.fronts.items()}
     return Story(records.day.get("site", {}).get("name", "?"), records.day.get("seed", 0), int(end) + 1,
                  [(heading, some) for heading, some in lanes if some], charts_of(records, boxes, s, int(end) + 1),
-                 taken, [*deaths(records.fronts, lab, s), *audited(records)], late)
+                 taken, [*deaths(records.fronts, lab, s, end, off), *clocks(off), *audited(records)], late)
 
 
 def start_of(rows):
@@ -201,13 +202,33 @@
             Chart("viewings that begin, by package, a second", service)]
 
 
-def deaths(fronts, lab, s):
+def offset(rows, clients):
+    """How far a manager's clock is from that of the records, in tenths of a millisecond: by answers that clients saw.
+
+    0 where they are within a second of each other: an answer takes a while to be seen.
+    """
+    traces = {r["n"]: r.get("trace") for r in clients if r["what"] == "asked"}
+    seen = {traces.get(r["n"]): r["at"] for r in clients if r["what"] == "seen"}
+    found = sorted(r["mono"] - seen[r["trace"]] for r in rows
+                   if r.get("event") == "answered" and r.get("trace") in seen)
+    middle = found[len(found) // 2] if found else 0
+    return middle if abs(middle) > 10_000 else 0
+
+
+def clocks(off):
+    wrong = [(m, f"its clock is {by / 10_000:+.0f} s from that of the others; its log is shown by theirs")
+             for m, by in sorted(off.items()) if by]
+    return [Two("clocks", wrong)] if wrong else []
+
+
+def deaths(fronts, lab, s, end, off):
     """Where managers' own logs tell different stories of who died: one that lived, or told by some only, or late."""
     told = defaultdict(dict)
     for manager, rows in fronts.items():
         for r in rows:
             if r.get("event") == "member" and r.get("state") in ("dead", "left") and r["name"] != manager:
-                told[r["name"], r["state"]].setdefault(manager, s(r["mono"]))
+                if (at := s(r["mono"] - off[manager])) < end - 1:   # all leave as the day ends
+                    told[r["name"], r["state"]].setdefault(manager, at)
     gone = defaultdict(list)
     for r in lab:
         if r["what"] in ("kill", "stall", "restart") and "manager" in r:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -31,7 +31,7 @@
                row(5, "heal", n=0, ways=["m1>b1"]), row(7, "heal", n=0, ways=["b1>m1"]), row(10, "end")]
         box = [row(-1, "start", box=1), row(4, "adopted", key="m0.x.1.0", manager="m1"),
                row(1, "answer", key="m0.x.1.0", status=201)]       # written late
-        clients = [row(1, "asked", n=1, title="cam", sends=False), row(1.1, "seen", n=1, fate="plays")]
+        clients = [row(1, "asked", n=1, title="cam", sends=False, trace="t"), row(1.1, "seen", n=1, fate="plays")]
         leases = [row(1, "lease", did="granted", piece="compact", owner="m0.a", token=1),
                   row(1.5, "lease", did="act", piece="compact", owner="m0.a", token=1),
                   row(5, "lease", did="granted", piece="compact", owner="m2.b", token=2)]
@@ -56,8 +56,14 @@
     def test_two_stories_of_one_death_are_both_told_and_one_story_is_none(self):
         def member(second, name, state="dead"):
             return {"event": "member", "name": name, "state": state, "mono": at(second)}
-        story, _ = self.story(fronts={"m0": [], "m1": [member(4, "m0")], "m2": [member(4.5, "m0")]})
+        story, _ = self.story(fronts={"m0": [], "m1": [member(4, "m0"), member(10.5, "m2", "left")],
+                                      "m2": [member(4.5, "m0")]})
         self.assertEqual([], story.twos)
+        # One whose clock is an hour off is read by what its clients saw.
+        wrong = {"event": "answered", "trace": "t", "mono": at(3601.1)}
+        story, _ = self.story(fronts={"m0": [], "m1": [member(4, "m0")], "m2": [wrong, member(3604.2, "m0")]})
+        self.assertEqual(["clocks"], [two.about for two in story.twos])
+        self.assertIn("+3600 s", story.twos[0].stories[0][1])
         story, _ = self.story(fronts={"m0": [], "m1": [member(4, "m0"), member(5, "m2")], "m2": []})
         self.assertEqual(["m0 as dead", "m2 as dead"], [two.about for two in story.twos])
         self.assertIn(("m2", "never said that it is dead"), story.twos[0].stories)
