--- a/flaxscale/cli/days.py
+++ b/flaxscale/cli/days.py
@@ -8,6 +8,7 @@
 from ..lab.day import DayRun
 from ..lab.shapes import read_day
 from ..rules.check import RULES, check
+from ..rules.comeback import of_day
 from ..rules.duties import NAMES as DUTIES
 from ..rules.duties import duties
 from ..rules.promises import NAMES, promises
@@ -62,6 +63,8 @@
         click.echo(f"... and {len(verdict.breaks) - 50} more")
     for b in unkept[:50]:
         click.echo(f"promise ({PROMISED[b.rule]}) not kept: {b.detail}")
+    if (back := of_day(folder)) is not None and back.back is not None:
+        click.echo(f"the fleet {'came' if back.back else 'did not come'} back: {back.said}")
     click.echo(verdict.line())
     return BROKEN if verdict.breaks or unkept else 0
 
--- a/flaxscale/cli/report.py
+++ b/flaxscale/cli/report.py
@@ -29,12 +29,13 @@
     from ..report.story import Records, tell
     from ..rules.audit import judge
     from ..rules.check import RULES, check
+    from ..rules.comeback import of_day
     from ..rules.duties import NAMES as DUTIES
     from ..rules.duties import duties
     from ..rules.promises import NAMES, promises
     from ..rules.records import RecordError
     try:
-        verdict, unkept = check(folder), [*promises(folder), *duties(folder)]
+        verdict, unkept, back = check(folder), [*promises(folder), *duties(folder)], of_day(folder)
         day = json.loads((folder / "day.json").read_text())
     except (RecordError, OSError, ValueError) as bad:
         click.echo(f"flaxscale: {bad}", err=True)
@@ -50,7 +51,8 @@
                          judge(folder).findings if accounts else []))
     file = out or folder / "report.html"
     try:
-        file.write_text(page(story, clients, sorted(breaks, key=lambda b: b[1]), verdict.line()))
+        file.write_text(page(story, clients, sorted(breaks, key=lambda b: b[1]), verdict.line(),
+                             back.said if back else ""))
     except OSError as bad:
         click.echo(f"flaxscale: {file}: can't be written: {bad.strerror}", err=True)
         sys.exit(BAD)
--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -103,7 +103,8 @@
         else:
             await asyncio.gather(*(self.start_front(m) for m in range(day.site.managers)))
         (self.out / "day.json").write_text(json.dumps({
-            "seed": self.seed, "site": msgspec.to_builtins(day.site), "after": msgspec.to_builtins(day.after),
+            "seed": self.seed, "length_s": day.length_s, "site": msgspec.to_builtins(day.site),
+            "after": msgspec.to_builtins(day.after),
             "managers": {f"m{m}": list(p.address) for m, p in self.fronts.items()}}))
 
     async def start_catalogue(self, port=0):
--- a/flaxscale/lab/hunts.py
+++ b/flaxscale/lab/hunts.py
@@ -19,11 +19,11 @@
 from ..hunt.marks import by_second, marks_of
 from ..hunt.search import SHAPE, Hunt, Outcome
 from ..hunt.shrink import shrink
-from ..hunt.space import Space, healed_at
+from ..hunt.space import Space
 from ..model.judge import day_with, played, quiet_of
 from ..rules.audit import judge as audit_judge
 from ..rules.check import check
-from ..rules.comeback import comes_back
+from ..rules.comeback import of_day
 from ..rules.duties import duties
 from ..rules.promises import promises
 from ..rules.records import rows_of
@@ -97,11 +97,7 @@
     more = [((r["at"] - began) // 10_000, f"box {r['what']}") for file in out.glob("box-*.jsonl") for r in rows_of(file)
             if r["what"] in ("adopted", "fenced", "fell", "floor")]
     seconds = by_second([*seen, *more])
-    plays = {s: came["plays"] for s, came in seconds}
-    first, healed = min((row.at_s for row in troubles), default=0.0), healed_at(troubles)
-    # Processes that are killed come back when they are ready, which takes a while.
-    healed = max([healed, *((r["at"] - began) / 10_000 for r in lab if r["what"] in ("back", "restarted"))])
-    back = comes_back(plays, first, healed, day.length_s) if troubles else None
+    back = of_day(out)
     counts = sum((came for _, came in seconds), Counter())
     kinds = Counter()
     breaks = tuple((kind, text) for kind, text in breaks if not kinds.update([kind]) and kinds[kind] <= 3)
--- a/flaxscale/rules/comeback.py
+++ b/flaxscale/rules/comeback.py
@@ -6,7 +6,12 @@
 one healed it must be back at PART of that, for the rest of the day. Counts are small, so that chance alone is allowed
 for: three times the root of what was expected.
 """
+import json
 import math
+import pathlib
+from collections import Counter
+
+from .records import RecordError, rows_of
 
 WITHIN_S, PART = 6.0, 0.85
 FEWEST = 20                     # viewings that begin in a span that says anything
@@ -39,3 +44,28 @@
     said = (f"{now:.1f} viewings begin a second from {WITHIN_S:g} s after the last fault healed, {before:.1f} before "
             f"the first one; {PART * expected / len(after):.1f} expected")
     return Back(back, before, now, said)
+
+
+def of_day(folder):
+    """The same from a day's records: a Back, or None where nothing struck it. RecordError: they can't be read."""
+    folder = pathlib.Path(folder)
+    try:
+        length = json.loads((folder / "day.json").read_text()).get("length_s")
+        lab, clients = rows_of(folder / "lab.jsonl"), rows_of(folder / "clients.jsonl")
+    except (OSError, ValueError) as bad:
+        raise RecordError(f"{folder}: {bad}") from None
+    began = next((r["at"] for r in lab if r["what"] == "begin"), None)
+    struck = [r for r in lab if r["what"] in ("trouble", "fault", "kill", "stall")]
+    if began is None or not struck:
+        return None
+
+    def second(at):
+        return (at - began) / 10_000
+    end = next((second(r["at"]) for r in lab if r["what"] == "end"), second(lab[-1]["at"]))
+    # Processes that are killed come back when they are ready, which takes a while.
+    healed = max([second(r["at"]) for r in lab if r["what"] in (
+        "back", "restarted", "heal", "go_on", "box_go_on", "kill", "fault")] + [
+        second(r["at"]) + (r.get("for_s") or 0) for r in lab if r["what"] == "trouble"])
+    plays = Counter(int(second(r["at"])) for r in clients if r["what"] == "seen" and r["fate"] == "plays")
+    # Who comes again is no new demand; the players' own end is after the last of it.
+    return comes_back(plays, min(second(r["at"]) for r in struck), healed, min(length or end, end))
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -1,4 +1,5 @@
 """The hunt: what it draws can be played, it learns and resumes, makes small, and finds what is planted."""
+import json
 import pathlib
 import tempfile
 import unittest
@@ -15,7 +16,7 @@
 from flaxscale.lab.hunts import Hunting
 from flaxscale.lab.shapes import TroubleRow, faults, read_day
 from flaxscale.model import judge
-from flaxscale.rules.comeback import comes_back
+from flaxscale.rules.comeback import comes_back, of_day
 from tests.test_day import ROOT, Played, flaxscale
 
 FOUND = pathlib.Path(__file__).parent / "found"
@@ -102,6 +103,21 @@
         self.assertIs(None, comes_back(steady, 6, 28, 30).back)         # too near the end
         self.assertIs(True, comes_back({**steady, 20: 13, 21: 14}, 6, 12, 30).back)
 
+    def test_a_days_records_say_it_and_a_box_that_is_not_back_yet_counts_as_struck(self):
+        def told(plays, back=9.0):
+            rows = [{"at": round(s * 10_000), "what": "seen", "fate": "plays"} for s in plays]
+            lab = [{"at": 0, "what": "begin"}, {"at": 60_000, "what": "kill", "manager": "m0"},
+                   {"at": round(back * 10_000), "what": "back", "manager": "m0"}, {"at": 320_000, "what": "end"}]
+            with tempfile.TemporaryDirectory() as folder:
+                for name, some in (("lab", lab), ("clients", rows)):
+                    pathlib.Path(folder, f"{name}.jsonl").write_text("".join(json.dumps(r) + "\n" for r in some))
+                pathlib.Path(folder, "day.json").write_text('{"length_s": 30}')
+                return of_day(folder)
+        steady = [n / 30 for n in range(900)]
+        self.assertIs(True, told(steady).back)
+        self.assertIs(False, told([s for s in steady if s < 6 or s * 30 % 4 < 1]).back)
+        self.assertIs(None, told(steady, 25.0).back)
+
 
 class Found(unittest.TestCase):
     """Model plays."""
