--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -695,10 +695,11 @@
         if not self.is_cold(srv):
             return True
         turn, peers = self.pace_turn(srv), self.terms.peers
-        # Known to be cold: all keep to turns. Cold for all that a new list can't tell: our share at any time.
-        if srv.doubt_at is None and self.now >= srv.cold_until:
-            return srv.turn is None or turn - srv.turn >= peers
-        return turn % peers == self.terms.me and srv.turn != turn
+        # Known to be cold: all keep to turns. Cold for all that a new list can't tell: our share at any time, and one
+        # of both soon after the other was a set-up too many.
+        if srv.turn is not None and turn - srv.turn < peers:
+            return False
+        return srv.doubt_at is None and self.now >= srv.cold_until or turn % peers == self.terms.me
 
     # What is heard of servers
 
