--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -695,7 +695,7 @@
         if not self.is_cold(srv):
             return True
         turn, peers = self.pace_turn(srv), self.terms.peers
-        # Known to be cold: by turns. For all a new list can't tell: our share, which counts for turns after it.
+        # Known to be cold: by turns. For all a new list can't tell: our share, and it counts for later turns.
         if srv.turn is not None and turn - srv.turn < peers:
             return False
         return srv.doubt_at is None and self.now >= srv.cold_until or turn % peers == self.terms.me
