A share of the cold pace that was taken at any time is tested, and why it counts for later turns

At fault: Manager.in_pace, whose turns only looked whether the last set-up was in the same turn. Ruled out: the list (late as stated), the others (each by its turns).

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -164,6 +164,27 @@
         self.at(S)
         self.compare()
 
+    def test_a_share_taken_before_the_list_told_counts_for_the_turns_after_it(self):
+        # A restarted manager took its share at once, and its turn a moment after its list had told that the server had
+        # just started: with the others' turns one set-up too many, and a cold server fell (found by the hunt).
+        self.start(pack(), warm=False, servers=1, peers=3, me=1)
+        srv = self.manager.servers[1]
+
+        def takes(say):
+            turn, may = self.manager.pace_turn(srv), self.manager.in_pace(srv)
+            self.lines.append(f"{say}: turn {turn % 3} of 3, {'taken' if may else 'not ours'}")
+            srv.turn = turn if may else srv.turn
+            return turn
+        while self.manager.pace_turn(srv) % 3:
+            self.at(S // 20)
+        first = takes("cold for all that its list can't tell")
+        self.at(0, self.list(1, kind=face.ListKind.DELTA, started_at=self.now))
+        while (turn := self.manager.pace_turn(srv)) < first + 6:
+            if turn != first and turn != getattr(self, "last", None):
+                self.last = takes("known to be cold")
+            self.at(S // 20)
+        self.compare()
+
     def test_failed_server_counts_as_cold_though_no_list_says_so(self):
         self.start(pack(), servers=1, peers=2, me=1)
         self.at(0, self.ask(1))
