--- a/bench/deaths.py
+++ b/bench/deaths.py
@@ -7,7 +7,7 @@
 By processes, on days of the examples' site; figures come from the records of clients and boxes. Not part of CI.
 """
 import asyncio
-import os
+import json
 import pathlib
 import statistics
 import sys
@@ -18,14 +18,27 @@
 
 from bench.front import cpu, machine, quantile, spread
 from bench.inhand import rows_of
-from flaxscale.cli import logs, service
-from flaxscale.lab.day import DayRun
-from flaxscale.lab.players import Wish, trace_of
-from flaxscale.lab.shapes import read_day
+from flaxscale.cli import service
+from flaxscale.lab.players import Player, Wish, trace_of
+from flaxscale.lab.records import Recorder
+from flaxscale.site.load import evaluate
 
 ROOT = pathlib.Path(__file__).parent.parent
 SLOTS, PLAY_S, KILL_S, LENGTH_S, AWAY_S = 8, 2.0, 6, 18, 6
 CAPACITY = 12 * SLOTS / PLAY_S          # viewings a second that 12 boxes can play
+# Begins a day's fleet by the lab of the checkout that it is run in, says where its managers are, and waits.
+HOLDS = """import asyncio, json, sys
+from flaxscale.cli import logs
+from flaxscale.lab.day import DayRun
+from flaxscale.lab.shapes import read_day
+async def main():
+    run = DayRun(read_day(sys.argv[1]), 1, sys.argv[2], logs.logger("error", None))
+    await run.begin()
+    print(json.dumps([[list(p.address), p.child.pid] for p in run.fronts.values()]), flush=True)
+    await asyncio.to_thread(sys.stdin.readline)
+    await run.finish()
+asyncio.run(main())
+"""
 CROWDED = """local day = import '%s';
 day {
   site+: { managers: 10, fleet+: { uplink_kb: 2e6, kinds: { small: 8, large: %d } } },
@@ -149,41 +162,42 @@
 def normal(against, rounds, seconds, rate):
     """Two undisturbed fleets of five managers, one of each checkout, loaded in turn: added time and processor."""
     async def fleet(name, checkout, folder):
+        """A fleet of a checkout's own programs, begun by its own lab: (the program that holds it, its managers)."""
         file = folder / f"{name}.jsonnet"
-        file.write_text("local day = import '%s'; day { troubles: [], ways: false, work_ms: 2, length_s: 60, lease_ms: "
-                        "60000, site+: { fleet+: { uplink_kb: 2e6, kinds: { small: 40, large: 200 } } }, boxes: [ b { "
+        file.write_text("local day = import '%s'; day { troubles: [], work_ms: 2, length_s: 60, lease_ms: 60000, "
+                        "site+: { fleet+: { uplink_kb: 2e6, kinds: { small: 40, large: 200 } } }, boxes: [ b { "
                         "weight: 25, link_kb: 150000 } for b in day.boxes ] }" % (
                             checkout / "examples" / "handover-day.jsonnet"))
-        run = DayRun(read_day(str(file)), 1, folder / name, logs.logger("error", None))
-        before = os.environ.get("PYTHONPATH")
-        os.environ["PYTHONPATH"] = str(checkout)        # of the processes that are started now
-        try:
-            await run.begin()
-        finally:
-            os.environ.pop("PYTHONPATH") if before is None else os.environ.update(PYTHONPATH=before)
-        return run
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", HOLDS, str(file), str(folder / name), cwd=checkout, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE)
+        return child, json.loads(await child.stdout.readline())
 
     async def load(run, first):
         """Set-ups with and without a key in turn, each ended at once: {keyed: [ms]}, us of processor each."""
-        took, tasks, used = {True: [], False: []}, [], sum(cpu(p.child.pid) for p in run.fronts.values())
+        (_, fronts), took, tasks = run, {True: [], False: []}, []
+        used = sum(cpu(pid) for _, pid in fronts)
 
         async def one(n):
-            m, keyed = n % len(run.fronts), n // len(run.fronts) % 2 == 1
+            m, keyed = n % len(fronts), n // len(fronts) % 2 == 1
             wish = Wish(n, f"tour-{n % 6 + 1}", False, f"v{n}", 3.0, 1.0, None, 0, f"k{n}" if keyed else None,
                         trace_of(1, n))
-            got = await run.player.ask(run.fronts[m].address, f"m{m}", wish)
+            got = await player.ask(fronts[m][0], f"m{m}", wish)
             if got.fate == "plays":
                 took[keyed].append(got.after / 10)
-                await run.player.end(run.fronts[m].address, got.location)
+                await player.end(fronts[m][0], got.location)
         loop = asyncio.get_running_loop()
         began = loop.time()
         for n in range(round(seconds * rate)):
             await asyncio.sleep(max(0.0, began + n / rate - loop.time()))
             tasks.append(asyncio.ensure_future(one(first + n)))
         await asyncio.gather(*tasks)
-        used = sum(cpu(p.child.pid) for p in run.fronts.values()) - used
+        used = sum(cpu(pid) for _, pid in fronts) - used
         return took, used / max(1, len(took[True]) + len(took[False])) * 1e6
 
+    token = json.loads(evaluate(str(ROOT / "examples" / "boats.jsonnet")))["front"]["tokens"][0]
+    player = Player(Recorder(), token)
+
     async def both(folder):
         runs = {"this": await fleet("this", ROOT, folder), "against": await fleet("against", against.resolve(), folder)}
         await asyncio.sleep(2.0)
@@ -192,8 +206,8 @@
             for name in sorted(runs, reverse=bool(k % 2)):
                 found[name].append(await load(runs[name], n))
                 n += round(seconds * rate)
-        for run in runs.values():
-            await run.finish()
+        for child, _ in runs.values():
+            await child.communicate(b"end\n")
         for name, rows in found.items():
             for keyed in (False, True):
                 p50, p99 = ([quantile(took[keyed], q) for took, _ in rows] for q in (0.5, 0.99))
