--- a/bench/deaths.py
+++ b/bench/deaths.py
@@ -18,6 +18,7 @@
 
 from bench.front import cpu, machine, quantile, spread
 from bench.inhand import rows_of
+from flaxscale.chance import drawn
 from flaxscale.cli import service
 from flaxscale.lab.players import Player, Wish, trace_of
 from flaxscale.lab.records import Recorder
@@ -189,7 +190,8 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         for n in range(round(seconds * rate)):
-            await asyncio.sleep(max(0.0, began + n / rate - loop.time()))
+            # Not in step with the managers' slots, which would make one fleet's round all early and another's all late.
+            await asyncio.sleep(max(0.0, began + (n + 5 * drawn(b"normal:%d" % n)) / rate - loop.time()))
             tasks.append(asyncio.ensure_future(one(first + n)))
         await asyncio.gather(*tasks)
         used = sum(cpu(pid) for _, pid in fronts) - used
--- a/flaxscale/cli/report.py
+++ b/flaxscale/cli/report.py
@@ -8,16 +8,6 @@
 from . import BAD
 
 
-def rows_of(file):
-    out = []
-    for line in file.read_bytes().split(b"\n") if file.exists() else ():
-        try:
-            out.append(json.loads(line))
-        except ValueError:
-            continue            # a killed process's last line
-    return out
-
-
 @click.command()
 @click.argument("folder", type=click.Path(path_type=pathlib.Path))
 @click.option("--out", default=None, type=click.Path(path_type=pathlib.Path),
@@ -27,7 +17,7 @@
     leases, take-overs and answers on one time line."""
     from ..report.page import page
     from ..report.story import Records, tell
-    from ..rules.audit import judge
+    from ..rules.audit import judge, rows_of
     from ..rules.check import RULES, check
     from ..rules.comeback import of_day
     from ..rules.duties import NAMES as DUTIES
@@ -47,7 +37,8 @@
     fronts = {f"m{file.stem.partition('-')[2]}": rows_of(file) for file in sorted(folder.glob("front-*.log"))}
     accounts = any(folder.glob("account-*.jsonl"))
     boxes = {file.name: rows_of(file) for file in sorted(folder.glob("box-*.jsonl"))}
-    story = tell(Records(day, lab, clients, boxes, rows_of(folder / "catalogue.jsonl"), fronts,
+    catalogue = folder / "catalogue.jsonl"
+    story = tell(Records(day, lab, clients, boxes, rows_of(catalogue) if catalogue.exists() else [], fronts,
                          judge(folder).findings if accounts else []))
     file = out or folder / "report.html"
     try:
