--- a/flaxscale/lab/hunts.py
+++ b/flaxscale/lab/hunts.py
@@ -6,6 +6,7 @@
 import concurrent.futures
 import contextlib
 import json
+import multiprocessing
 import os
 import pathlib
 import shutil
@@ -163,7 +164,8 @@
             with concurrent.futures.ThreadPoolExecutor(self.jobs) as pool:
                 yield pool
         else:
-            with concurrent.futures.ProcessPoolExecutor(self.jobs) as pool:
+            # Begun anew, not forked: whoever hunts may have threads that a fork would leave in the middle of something.
+            with concurrent.futures.ProcessPoolExecutor(self.jobs, multiprocessing.get_context("spawn")) as pool:
                 yield pool
 
     def shows(self, found):
