--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -19,7 +19,7 @@
 from flaxscale.rules.comeback import comes_back, of_day
 from tests.test_day import ROOT, Played, flaxscale
 
-FOUND = pathlib.Path(__file__).parent / "found"
+FOUND = pathlib.Path(__file__).parent / "hunted"
 
 
 def quiet_day(name="bad-day", **more):
@@ -148,7 +148,9 @@
             self.assertIn(kind, {k for k, _ in found.breaks}, name)
 
     def test_days_that_once_broke_something_break_nothing_now(self):
-        for file in sorted(FOUND.glob("*.jsonnet")):
+        files = sorted(FOUND.glob("*.jsonnet"))
+        self.assertEqual(["cut-through-a-restart.jsonnet", "down-twice.jsonnet"], [file.name for file in files])
+        for file in files:
             seed = int(file.read_text().partition("--seed ")[2].partition(".")[0])
             day = read_day(file, sockets=False)
             outcome, _ = judge.played(day, seed, day.troubles)
