--- a/bench/deaths.py
+++ b/bench/deaths.py
@@ -16,7 +16,7 @@
 
 import click
 
-from bench.front import cpu, machine, quantile, spread
+from bench.front import ROOMY, cpu, machine, quantile, spread
 from bench.inhand import rows_of
 from flaxscale.chance import drawn
 from flaxscale.cli import service
@@ -44,8 +44,7 @@
 day {
   site+: { managers: 10, fleet+: { uplink_kb: 2e6, kinds: { small: 8, large: %d } } },
   length_s: %d, settle_s: 2.5, lease_ms: 9000, groups: {}, work_ms: 20,
-  boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
-          for n in std.range(0, 11)],
+  """ + ROOMY + """,
   demand+: { rate: %g, keyed: 0.5, back_s: [0.2, 0.8], play_s: [1.5, 2.5], pushes: [], tries: 3, returns: 1, leave: 0,
              titles: { ['tour-%%d' %% n]: 1 for n in std.range(1, 6) } },
   troubles: [{ at_s: %d, what: 'manager_crash', managers: [0, 1, 2], for_s: %d }],
@@ -55,8 +54,7 @@
 day {
   site+: { fleet+: { uplink_kb: 2e6, kinds: { small: 40, large: 200 } } },
   length_s: 14, settle_s: 2.5, lease_ms: 12000, groups: {},
-  boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
-          for n in std.range(0, 11)],
+  """ + ROOMY + """,
   demand+: { rate: 40, keyed: 0, play_s: [1, 3], pushes: [], leave: 0,
              titles: { ['tour-%%d' %% n]: 1 for n in std.range(1, 6) } },
   troubles: [{ at_s: 4, what: 'hang', boxes: [0, 2, 4, 6], for_s: 3 },
--- a/bench/front.py
+++ b/bench/front.py
@@ -19,6 +19,9 @@
 from flaxscale.lab.processes import Process
 
 ROOT = pathlib.Path(__file__).parents[1]
+# Twelve boxes with room for all, as part of a day's text that is still to be formatted.
+ROOMY = """boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
+          for n in std.range(0, 11)]"""
 
 
 def site(boxes, managers=1):
--- a/bench/inhand.py
+++ b/bench/inhand.py
@@ -15,7 +15,7 @@
 
 import click
 
-from bench.front import machine
+from bench.front import ROOMY, machine
 from flaxscale.cli import service
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -24,8 +24,7 @@
 day {
   site+: { managers: %d, fleet+: { uplink_kb: 2e6, kinds: { small: 24, large: 200 } } },
   length_s: 13, settle_s: 2.5, lease_ms: 9000,
-  boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
-          for n in std.range(0, 11)],
+  """ + ROOMY + """,
   groups: {}, work_ms: 40,
   demand+: { rate: 100, keyed: 0.9, back_s: [0.05, 0.3], play_s: [2.5, 4.5], pushes: [], tries: 6, returns: 1, leave: 0,
              titles: { ['tour-%%d' %% n]: 1 for n in std.range(1, 6) } },
--- a/bench/standstill.py
+++ b/bench/standstill.py
@@ -15,7 +15,7 @@
 
 import click
 
-from bench.front import machine
+from bench.front import ROOMY, machine
 from flaxscale.cli import logs, service
 from flaxscale.lab.day import DayRun
 from flaxscale.lab.players import Wish, headers_of, offer_of, target_of, trace_of
@@ -26,8 +26,7 @@
 DAY = """local day = import '%s';
 day { ways: false, troubles: [], clocks: {}, groups: {}, length_s: 60, lease_ms: 20000,
       site+: { managers: 3, fleet+: { uplink_kb: 2e6, kinds: { small: 40, large: 200 } } },
-      boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
-              for n in std.range(0, 11)] }
+      """ + ROOMY + """ }
 """
 
 
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -15,7 +15,7 @@
 
 import click
 
-from bench.front import machine
+from bench.front import ROOMY, machine
 from flaxscale.cli import service
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -25,8 +25,7 @@
   site+: { managers: 3, fleet+: { uplink_kb: 2e6, kinds: { small: 40, large: 200 } },
            allowed+: { hold_off_most_ms: %d }, front+: { gate: %s } },
   length_s: %d, settle_s: 2.5, lease_ms: 20000, groups: {}, work_ms: 20,
-  boxes: [{ cell: n %% 6, kind: 'large', zone: day.site.zones[n %% 3], weight: 25, link_kb: 150000 }
-          for n in std.range(0, 11)],
+  """ + ROOMY + """,
   demand+: { rate: %g, keyed: 0, back_s: [0.05, 0.3], play_s: [1, 2], pushes: [], tries: 8, returns: 1, leave: 0,
              titles: { ['tour-%%d' %% n]: 1 for n in std.range(1, 6) } },
   troubles: [{ at_s: %d, what: 'manager_stall', managers: [0, 1, 2], for_s: %d }],
