A session that is over, ended or another's while its claim is out is not held for good

Cause, from its logs by the one key: m1 joined its client's first try (epoch 1), the client ended it 34 ms later, and before that end reached the box a job that asks a box for what bears m1's own name, begun by the box's stream, claimed the session again (epoch 2) and took it over as another viewing. The end then went out with the new epoch and was obeyed; a box does not tell who ended a session that it is over, so that the second viewing stood for good with nothing behind it (members.claim skipped what is held or out, not what is owed an end; front.adopted asked neither). Ruled out: two managers (claims_refused 0 at both, m2 held nothing), a first set-up that came late, seats.

Looking for its like by tests that hold the grant back found another: what a second manager claims before the first has read its own grant is told by the box's stream first, taken there for nothing of ours, and held for good once the grant is read. And one that is claimed twice by one manager (for its client, and as what a dead one left) kept the lower epoch.

Change: claims that are out are known by key; an end of ours or an "over" by the stream that comes meanwhile lets the session go when the grant is read (an end goes out under the new epoch; the box refuses it where it is another's). What is owed an end, or claimed already, is not claimed. The second grant of one key is the first one's.

--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -194,6 +194,7 @@
     def end(self, box, key):
         self.owed.end(box, key, now())
         self.over(box, key)
+        self.owner.members.over_early(key)
         self.push(box)
 
     def set_rung(self, box, key, rung):
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -727,8 +727,11 @@
 
     def adopted(self, box, place, key, epoch, row, cookie, boot, orphan):
         """A box granted a claim: the viewing plays on, under this manager."""
+        if key in self.boxes.keys(box):     # claimed twice: for its client, and as what a dead one left
+            self.boxes.epochs[key] = max(epoch, self.boxes.epochs.get(key, 0))
+            return
         entry, package = self.entry(cookie.title, cookie.sends)
-        if package is None or orphan or cookie.name in self.names:
+        if package is None or orphan or cookie.name in self.names or key in self.boxes.owed.keys(box):
             self.let_end(box, key, epoch, "nobody watches" if orphan else "not known, or held already")
             return
         self.ids += 1
@@ -755,6 +758,7 @@
         """A box says that what is still out is over, or another's: its answer is on another way, and may come later."""
         if key in self.by_key:
             self.early.add(key)
+        self.members.over_early(key)
 
     def session_over(self, id, how, to=""):
         """to: the manager that has it now, where its box said so."""
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -99,6 +99,7 @@
         self.ration, self.asking = Ration(now()), asyncio.Semaphore(ASKED_MOST)
         self.told, self.timer = None, None
         self.gone_to = OrderedDict()        # viewings that another manager took from us
+        self.claiming, self.lost_again = set(), set()   # claims that are out; what of them is over again
 
     async def start(self, host, port, serves):
         front = self.front
@@ -121,6 +122,12 @@
             self.told = made
             self.front.runner.reserved(*made)
 
+    def over_early(self, key):
+        """A session is over, or another's, by its box's stream or by our own order: where its claim is out, the grant
+        is on another way and comes later. Held all the same it would be ours for good, with nothing there."""
+        if key in self.claiming:
+            self.lost_again.add(key)
+
     def ended_there(self, key):
         """A box ended a session, or is gone with it: where we had claimed it only for that, its seat is free."""
         if self.book.settled(key):
@@ -244,8 +251,9 @@
         rows, cookies, whole = {}, {}, True
         for row in found.sessions:
             if row.key in front.boxes.keys(box) or front.is_out(row.key) or row.key.startswith(
-                    f"{front.name}.{front.boot}."):
-                continue            # of this very life
+                    f"{front.name}.{front.boot}.") or row.key in self.claiming or row.key in front.boxes.owed.keys(
+                    box):
+                continue            # of this very life, or soon to be; or its client has ended it
             try:
                 cookies[row.key] = cookie_in(row.cookie)
             except ValueError as bad:
@@ -309,11 +317,12 @@
         return claims, later
 
     async def granted(self, box, place, claims, under=()):
-        """Keys that a box granted. An answer that is lost may have granted all: the same claims are asked for again.
-
-        Where the box stays silent they are given up: it is told to end what it may have granted.
+        """Keys that a box granted, and that are ours still. An answer that is lost may have granted all: the same
+        claims are asked for again. Where the box stays silent they are given up: it is told to end what it may have
+        granted.
         """
         audit = self.front.audit
+        self.claiming.update(claims)
         try:
             for n in range(TRIES):
                 try:
@@ -323,7 +332,10 @@
                     said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted,
                                            [field, *under])
                     audit.stamps.heard(box, place.boot, field[1])
-                    return [key for key in said.granted if key in claims]
+                    good = [key for key in said.granted if key in claims]
+                    for key in self.lost_again.intersection(good):      # refused there where it is another's
+                        self.front.let_end(box, key, claims[key], "over meanwhile")
+                    return [key for key in good if key not in self.lost_again]
                 except UnderFloor as no:    # the box granted none of it
                     self.front.boxes.answered_under(box, place.boot, field[1], no)
                     if self.front.fleet.shut is not None:
@@ -338,6 +350,9 @@
             for key in claims:
                 self.book.settled(key)
             raise
+        finally:
+            self.claiming.difference_update(claims)
+            self.lost_again.difference_update(claims)
         for key, epoch in claims.items():
             self.front.let_end(box, key, epoch, "claim not answered")
         return []
--- a/tests/test_inhand.py
+++ b/tests/test_inhand.py
@@ -4,10 +4,11 @@
 import pathlib
 import signal
 
+from flaxscale.front.members import Sessions
 from flaxscale.front.steps import STEPS, TAKING
 from flaxscale.lab.players import Wish, headers_of, offer_of, target_of, trace_of
 from flaxscale.rules.promises import promises
-from tests.rig import Talking
+from tests.rig import Talking, within
 from tests.test_stragglers import LIMIT, TOKEN, Fleet
 
 MANY = 18
@@ -126,6 +127,113 @@
             writer.close()
 
 
+class LateGrants(Talking):
+    """What happens at a box between its grant of a claim and the adopter's reading of it."""
+
+    async def adopted(self, meanwhile):
+        """A viewing of m0's is claimed after its death; meanwhile(adopter, other, box, key) is done before the adopter
+        reads the grant. (adopter, other, {manager: how many it has more than before})."""
+        await self.all_met()
+        self.held = []
+        for m in (1, 2):                # streams of both to every box stand
+            for box in self.fronts[m].boxes.places:
+                self.fronts[m].boxes.keep_stream(box)
+            while not all(f"m{m}" in box.streams for box in self.boxes.values()):
+                self.held.append(await self.media(await self.ask("one", front=m)))
+        before = {f.name: len(f.viewings) for f in self.fronts[1:]}
+        self.held.append(await self.media(await self.ask("one", front=0)))
+        late = []
+
+        def slow(front, other):
+            call = front.members.call
+
+            async def answered_late(place, method, target, body, *more, **limits):
+                answer = await call(place, method, target, body, *more, **limits)
+                if target == "/manager/adopt" and not late:
+                    late.append((front, other))
+                    [key] = body["claims"]
+                    box = next(box for box, known in front.boxes.places.items() if known == place)
+                    await within(LIMIT, meanwhile(front, other, box, key))
+                return answer
+            front.members.call = answered_late
+        slow(self.fronts[1], self.fronts[2])
+        slow(self.fronts[2], self.fronts[1])
+        gone = self.fronts[0]
+        await self.kill(0)
+        await self.until(lambda: late, "somebody has claimed it")
+        [(adopter, other)] = late
+        await within(LIMIT, asyncio.gather(*adopter.members.jobs.values()))
+        await self.nothing_owed(adopter)
+        self.fronts.remove(gone)
+        return adopter, other, {f.name: len(f.viewings) - before[f.name] for f in self.fronts}
+
+    @staticmethod
+    async def nothing_owed(front):
+        """Looked at whenever a box has answered."""
+        async with asyncio.timeout(LIMIT):
+            while front.boxes.owed.count():
+                await front.members.call(next(iter(front.boxes.places.values())), "GET", "/manager/sessions?of=none",
+                                         None, Sessions)
+
+    def ended(self):
+        for _, writer in self.held:
+            writer.close()
+
+    async def test_what_another_claims_meanwhile_is_let_go(self):
+        # Its box says "over" on the stream before the grant was read: the adopter took that for nothing of its own,
+        # then held for good a viewing that another has.
+        async def claimed_by_the_other(adopter, other, box, key):
+            heard, over = asyncio.Event(), adopter.over_early
+
+            def over_early(ended):
+                over(ended)
+                if ended == key:
+                    heard.set()
+            adopter.over_early = over_early
+            found = await other.members.call(adopter.boxes.places[box], "GET", f"/manager/sessions?of={adopter.name}",
+                                             None, Sessions)
+            [row] = [row for row in found.sessions if row.key == key]
+            self.assertTrue(await other.tries.claimed(box, row, True))
+            await heard.wait()
+        adopter, other, more = await self.adopted(claimed_by_the_other)
+        self.assertEqual({adopter.name: 0, other.name: 1}, more)
+        self.assertEqual(len(self.held), self.playing())
+        self.ended()
+
+    async def test_what_is_to_be_ended_is_not_taken_up_again_under_its_own_name(self):
+        # A stream to the box that opens then names the session as its own, which it claimed anew while the end that its
+        # client had asked for was on its way: a viewing that stood for good at its manager, of a session that was over.
+        # Seen at a step of a set-up, on machines with much to do.
+        async def nothing(adopter, other, box, key):
+            pass
+        adopter, other, _ = await self.adopted(nothing)
+        [vw] = [vw for vw in adopter.viewings.values() if vw.name.startswith("m0.")]
+        box, key, count = vw.box, vw.key, len(adopter.viewings)
+        pushed, adopter.boxes.push_now = adopter.boxes.push_now, lambda box: None       # its orders wait
+        adopter.runner.left(vw.id)
+        adopter.found(box, [key])
+        jobs = [job for (_, of), job in adopter.members.jobs.items() if of == adopter.name]
+        await within(LIMIT, asyncio.gather(*jobs))
+        adopter.boxes.push_now = pushed
+        adopter.boxes.push_now(box)
+        await self.nothing_owed(adopter)
+        self.assertEqual(count - 1, len(adopter.viewings))
+        self.assertEqual(len(self.held) - 1, self.playing())
+        self.ended()
+
+    async def test_what_is_claimed_twice_by_one_manager_is_one_viewing_and_plays_on(self):
+        # A client that asks for its first try, and the take-over of its dead manager, may claim one session together.
+        async def joined(adopter, other, box, key):
+            found = await adopter.members.call(adopter.boxes.places[box], "GET",
+                                               f"/manager/sessions?of={adopter.name}", None, Sessions)
+            [row] = [row for row in found.sessions if row.key == key]
+            self.assertTrue(await adopter.tries.claimed(box, row, True))
+        adopter, other, more = await self.adopted(joined)
+        self.assertEqual({adopter.name: 1, other.name: 0}, more)
+        self.assertEqual(len(self.held), self.playing())
+        self.ended()
+
+
 class Steps(InHand):
     """A manager that dies or stands still at each step of a set-up; its client asks another under its key."""
 
