--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -101,8 +101,8 @@
 BOX_TROUBLES = frozenset(vars(Trouble()))
 WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
          "crowd", "uplink", "settings", "way", "disk", "box_stall", "catalogue_stall", "floor"}
-SOCKETS_ONLY = {"disk", "catalogue_stall", "floor", "manager_restart", "settings"}
-MODEL_WAYS = {"cut", "delay"}       # kinds that the model plays: the others are of connections, which it has none of
+SOCKETS_ONLY = {"disk", "floor", "settings"}
+MODEL_WAYS = {"cut", "delay", "lose"}   # kinds that the model plays: the others are of connections; it has none
 MOST_PROCESSES = 400
 
 
--- a/flaxscale/model/fleet.py
+++ b/flaxscale/model/fleet.py
@@ -4,6 +4,7 @@
 from .. import interface as face
 from ..interface import ListKind, State
 from ..lab.shapes import link_of
+from ..leases.fence import Fence
 from ..standins.box import Box, Place
 
 
@@ -13,6 +14,7 @@
     def __init__(self, fleet, place, started_at):
         self.fleet, self.place, self.dead, self.boot = fleet, place, False, 0
         self.cached, self.box = None, None
+        self.leases = Fence()           # it outlives the box's process: it is on its disk
         self.start(started_at)
 
     def start(self, started_at):
@@ -87,6 +89,7 @@
         if manager.up and not manager.stands(self.tell_one, manager, row):
             manager.told[row.server] = row
             manager.runner.listing(ListKind.DELTA, [row])
+            manager.listed([row])
 
     def full(self):
         return [row for row in self.told.values() if row.state is not State.GONE]
