--- a/bench/hunt.py
+++ b/bench/hunt.py
@@ -153,6 +153,7 @@
     if among:
         day = msgspec.structs.replace(day, length_s=32.0)
         day.site.fleet.lease_ms = 9_000
+        day.demand.play_s = [10.0, 20.0]        # longer than a lease, or none is lost with its manager
     return day
 
 
