--- a/flaxscale/model/duties.py
+++ b/flaxscale/model/duties.py
@@ -70,7 +70,7 @@
         clock = play.day.clocks.get(manager.name)
         self.rate, self.born = clock.rate if clock is not None else 1.0, self.world.now
         self.holder, self.turns = Holder(self.owner, play.seed * 1000 + manager.me, self.now()), duties.Turns()
-        self.stream, self.linked, self.dial_at = 0, False, 0
+        self.stream, self.linked, self.dial_at, self.mine, self.mine_of = 0, False, 0, {}, None
         self.world.later(1 + manager.me * TICK // max(1, play.day.site.managers), self.tick)
 
     def now(self):
@@ -110,10 +110,7 @@
         if self.holder.deaf(now):
             self.broken()
         self.link()
-        pieces = duties.pieces_of(self.tasks, self.manager.boxes())
-        alive = () if self.manager.leaving else self.manager.taker.swim.alive()
-        shared = share(list(pieces), eligible([Fit(name) for name in alive]))
-        mine = {piece: pieces[piece] for piece, name in shared.items() if name == self.manager.name}
+        mine = self.shares()
         self.holder.wants(mine, now)
         self.turns.forget(mine)
         given, asked = self.holder.give(now, self.turns.under_way), self.holder.due(now)
@@ -126,6 +123,17 @@
                 work = round(WORKS * self.world.dice("duties").draw())
                 self.world.later(work, self.act, piece, task, lease.token)
 
+    def shares(self):
+        """{piece: Task} that are ours, reckoned where what we know of members or boxes has changed."""
+        view = self.manager.taker.view, self.manager.leaving
+        if view != self.mine_of:
+            pieces = duties.pieces_of(self.tasks, self.manager.boxes())
+            alive = () if self.manager.leaving else self.manager.taker.swim.alive()
+            shared = share(list(pieces), eligible([Fit(name) for name in alive]))
+            self.mine = {piece: pieces[piece] for piece, name in shared.items() if name == self.manager.name}
+            self.mine_of = view
+        return self.mine
+
     def told(self, stream, told):
         if self.here() and not self.manager.stands(self.told, stream, told) and stream == self.stream:
             now = self.now()
--- a/flaxscale/model/takeover.py
+++ b/flaxscale/model/takeover.py
@@ -52,7 +52,7 @@
         self.swim.join(others)
         self.book = SeatBook(now, round(play.day.site.fleet.lease_ms * 10))
         self.ration, self.jobs, self.told, self.alarm = Ration(now), {}, None, 0
-        self.taken = self.refused = 0
+        self.taken = self.refused = self.view = 0       # view: of members and boxes, another number where it changed
         self.world.at(now, self.ring, 0)
 
     def begin(self):
@@ -81,6 +81,7 @@
 
     def hear_changes(self):
         for news in self.swim.taken_changes():
+            self.view += 1
             self.play.records.append(
                 (self.world.now, "member", self.name, news.name, news.state.name.lower(), news.boot))
             if news.state in (State.DEAD, State.LEFT):
@@ -103,6 +104,7 @@
 
     def listed(self, boxes):
         """Boxes that the list names only now may hold sessions of an earlier life."""
+        self.view += 1
         if self.book.listed(boxes, self.world.now):
             self.reserve()
         self.take_over(self.name, boxes)
