--- a/tests/test_among.py
+++ b/tests/test_among.py
@@ -46,8 +46,7 @@
 
     def test_one_that_stands_still_loses_its_share_and_ends_nothing_when_it_goes_on(self):
         day = talking(length_s=24.0)
-        rows = [crash(6, 0, 7.0, "manager_stall"), crash(16, 1, 0.3, "manager_restart")]
-        outcome, totals = played(day, 3, rows)
+        outcome, _ = played(day, 3, [crash(6, 0, 7.0, "manager_stall"), crash(16, 1, 0.3, "manager_restart")])
         self.assertEqual((), outcome.breaks)
         self.assertTrue({"members adopted", "members dead", "members left"} <= {
             mark.rpartition(" x")[0] for mark in outcome.marks}, outcome.marks)
@@ -145,7 +144,8 @@
             elif row["what"] == "over":
                 held.pop(row["key"], None)
             elif row["what"] == "adopted":
-                self.once(epochs, row["key"], row["epoch"])
+                self.assertEqual(epochs.get(row["key"], 0) + 1, row["epoch"])
+                epochs[row["key"]] = row["epoch"]
                 taken.setdefault(held[row["key"]], set()).add(row["key"])
                 held[row["key"]] = row["manager"]
         return died, taken, {key for key, manager in held.items() if manager in ("m0", "m1")}
@@ -155,16 +155,9 @@
         for _, what, _, *row in play.records:
             if what == "adopted":
                 key, epoch, before = row
-                self.once(epochs, key, epoch)
+                self.assertEqual(epochs.get(key, 0) + 1, epoch)
+                epochs[key] = epoch
                 taken.setdefault(before, set()).add(key)
         stand = [row for holder in play.fleet.boxes.values() for row in holder.box.sessions.items()]
         return deaths(play), taken, {
             key for key, s in stand if s.manager in ("m0", "m1") and s.life < play.named(s.manager).life}
-
-    def once(self, epochs, key, epoch):
-        self.assertEqual(epochs.get(key, 0) + 1, epoch)
-        epochs[key] = epoch
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_inhand.py
+++ b/tests/test_inhand.py
@@ -204,7 +204,7 @@
         # A stream to the box that opens then names the session as its own, which it claimed anew while the end that its
         # client had asked for was on its way: a viewing that stood for good at its manager, of a session that was over.
         # Seen at a step of a set-up, on machines with much to do.
-        adopter, _, _ = await self.adopted(lambda *_: asyncio.sleep(0))
+        adopter, _, _ = await self.adopted(lambda adopter, *_: self.nothing_owed(adopter))
         [vw] = [vw for vw in adopter.viewings.values() if vw.name.startswith("m0.")]
         box, key, count = vw.box, vw.key, len(adopter.viewings)
         pushed, adopter.boxes.push_now = adopter.boxes.push_now, lambda box: None       # its orders wait
