--- a/flaxscale/lab/timeline.py
+++ b/flaxscale/lab/timeline.py
@@ -22,8 +22,10 @@
         kind = f" {row['kind']}" if "kind" in row else ""
         return f"{'way' if what == 'fault' else 'healed:'}{kind} {some(row['ways'])} (fault {row['n']})"
     if what == "floor":
-        return f"floor refused: {row['refused']}" if row["refused"] else (
-            f"floor raised to {row['floor']}, as version {row['version']}; under it: {some(row['under']) or 'nobody'}")
+        if row["refused"]:
+            return f"floor refused: {row['refused']}"
+        under = some(row["under"]) or "nobody"
+        return f"floor raised to {row['floor']}, as version {row['version']}; under it: {under}"
     who = row.get("manager") or (f"b{row['box']}" if "box" in row else row.get("name", ""))
     return f"{what.replace('_', ' ')} {who}".strip()
 
