--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -4,6 +4,7 @@
 the actions wanted, in order. interface.py has the types of both. Times are whole tenths of a millisecond.
 No clock, no I/O, nothing shared between instances.
 """
+
 from collections import Counter
 from math import exp, log
 from zlib import crc32
@@ -12,42 +13,42 @@
 from .interface import How, ListKind, NoteKind, State
 
 SECOND = 10_000
-SLOT = 500                  # viewings gathered this long are placed together
-BRIM = 0.97                 # the lowest rung fits while a link or uplink stays under this
-MARK, MARK_SPREAD = 0.97, 0.5   # mark for the rung step that earns most per kB; so much lower for the least
-SHED_OVER, SHED_TO = 1.1, 1.0   # only over this do playing viewings step down, to here: less passes by itself
-STEP_PAUSE = 3 * SECOND     # a viewing that stepped stays there this long before it steps up
-PAYBACK = 3                 # a step up must earn its price this many times over in the life expected
-LIFE = 30 * SECOND          # life left that is expected where no hint came
-REST = 2 * SECOND           # a server that said full or delivers short gets nothing new this long
-SHUT, SHUT_DOUBLINGS = SECOND // 2, 5   # first pause after a failed tune-in, doubled for each one more
-TRY_LEAST = SECOND // 4     # no tune-in gets less than this
-DRAWN = 8                   # so many are looked at of the holders heard of, and of the rest; near ones first
-DARK = 0.25                 # kept free of a link that nothing was heard of, where others use it unseen
-PACE_SHARE = 0.7            # of the pace that pushes a cold server over
-DEEP, STILL = 0.94, 0.25    # shares delivered that shed by themselves; under the lower nothing flows at all
-SETTLE = 2 * SECOND         # the share delivered is smoothed over about this
-FRESH = SECOND // 10        # what others ask of an uplink is reckoned anew after this, or when a figure comes
-WARM_SIGN = 0.25            # others ask this much of a link: its server did not start just now
-NEAR_WORST = 0.05           # packages served this much better share the worst one's weight to a third
-EASED = 1.2                 # an announced peak took this much of its room: beyond is a crowd like any other
-WORDS_COST = 0.005          # of the service figure, at most, for telling peers what we ask
-STANDS = 2 * SECOND         # a note of short delivery holds so long
-BLAMED, BEYOND = 12 * SECOND, 0.2   # an uplink is to blame so long for so much more than links explain
-FEW, GUESS, UNSEEN = 4, 0.5, 0.8    # so few viewings or figures are half believed; most that a guess says
+SLOT = 500  # viewings gathered this long are placed together
+BRIM = 0.97  # the lowest rung fits while a link or uplink stays under this
+MARK, MARK_SPREAD = 0.97, 0.5  # mark for the rung step that earns most per kB; so much lower for the least
+SHED_OVER, SHED_TO = 1.1, 1.0  # only over this do playing viewings step down, to here: less passes by itself
+STEP_PAUSE = 3 * SECOND  # a viewing that stepped stays there this long before it steps up
+PAYBACK = 3  # a step up must earn its price this many times over in the life expected
+LIFE = 30 * SECOND  # life left that is expected where no hint came
+REST = 2 * SECOND  # a server that said full or delivers short gets nothing new this long
+SHUT, SHUT_DOUBLINGS = SECOND // 2, 5  # first pause after a failed tune-in, doubled for each one more
+TRY_LEAST = SECOND // 4  # no tune-in gets less than this
+DRAWN = 8  # so many are looked at of the holders heard of, and of the rest; near ones first
+DARK = 0.25  # kept free of a link that nothing was heard of, where others use it unseen
+PACE_SHARE = 0.7  # of the pace that pushes a cold server over
+DEEP, STILL = 0.94, 0.25  # shares delivered that shed by themselves; under the lower nothing flows at all
+SETTLE = 2 * SECOND  # the share delivered is smoothed over about this
+FRESH = SECOND // 10  # what others ask of an uplink is reckoned anew after this, or when a figure comes
+WARM_SIGN = 0.25  # others ask this much of a link: its server did not start just now
+NEAR_WORST = 0.05  # packages served this much better share the worst one's weight to a third
+EASED = 1.2  # an announced peak took this much of its room: beyond is a crowd like any other
+WORDS_COST = 0.005  # of the service figure, at most, for telling peers what we ask
+STANDS = 2 * SECOND  # a note of short delivery holds so long
+BLAMED, BEYOND = 12 * SECOND, 0.2  # an uplink is to blame so long for so much more than links explain
+FEW, GUESS, UNSEEN = 4, 0.5, 0.8  # so few viewings or figures are half believed; most that a guess says
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
 LOOK_AGAIN, LOOK_LAG = 2 * SECOND, SECOND // 2  # a younger figure is not asked for again; a probe's is so old
-LOOK_UP = 4 * SECOND        # what plays lowest is looked after so long after its last step, then 3 times that
-SERVES = 5 * SECOND         # a server that answered well so lately serves
+LOOK_UP = 4 * SECOND  # what plays lowest is looked after so long after its last step, then 3 times that
+SERVES = 5 * SECOND  # a server that answered well so lately serves
 SLOT_ALARM, BEAT_ALARM = 0, 1
-BEAT = SECOND // 4          # we look this often whether we stood still
+BEAT = SECOND // 4  # we look this often whether we stood still
 
 
 class Ring:
     """Amounts over time in fixed buckets that are used again."""
 
     def __init__(self, width, count):
-        self.width, self.cells, self.last = width, [None] * count, -1     # last: number of the newest bucket
+        self.width, self.cells, self.last = width, [None] * count, -1  # last: number of the newest bucket
 
     def cell(self, now):
         b = now // self.width
@@ -70,10 +71,10 @@
     """Account of one link or uplink: the last figure heard, corrected by our own asking since."""
 
     def __init__(self, kb, unheard):
-        self.kb, self.unheard = max(kb, 1.0), unheard   # unheard: what others are taken to ask, by their use
-        self.own, self.heard_at = 0.0, None     # own: kB a second that our viewings ask
+        self.kb, self.unheard = max(kb, 1.0), unheard  # unheard: what others are taken to ask, by their use
+        self.own, self.heard_at = 0.0, None  # own: kB a second that our viewings ask
         self.base = self.own_then = self.kept = 0.0
-        self.links, self.reckoned = [], (-SECOND, 0)    # of an uplink: as of when, what others ask of it
+        self.links, self.reckoned = [], (-SECOND, 0)  # of an uplink: as of when, what others ask of it
         self.changes = Ring(SECOND // 10, 64)
 
     def asks(self, now, own, new=True):
@@ -89,8 +90,11 @@
         self.own_then -= kb
 
     def use(self):
-        return (self.own / self.kb + self.unheard() if self.heard_at is None
-                else max(0.0, self.base + (self.own - self.own_then) / self.kb))
+        return (
+            self.own / self.kb + self.unheard()
+            if self.heard_at is None
+            else max(0.0, self.base + (self.own - self.own_then) / self.kb)
+        )
 
     def share(self):
         return min(1.0, max(self.own, 1.0) / self.kb / max(self.use(), 1e-9))
@@ -105,13 +109,13 @@
     def __init__(self, row, link):
         self.row, self.link, self.rack = row, link, None
         self.viewings = {}
-        self.ills = self.shut_until = self.rests_until = self.shed_at = 0   # ills: failures, halved by good
-        self.doubt_at, self.cold_until = None, 0    # doubt: seen failing then, not seen working since
-        self.turn, self.seen_warm = None, False     # last turn of the pace used; it carried others' viewings
-        self.well_at = -SERVES      # when it last answered well
-        self.short_at = self.short_since = self.asked = 0   # short delivery: last told, since when, how short
-        self.looking, self.others = False, 0    # a probe of it is out; others' streams, as last reported
-        self.judged, self.usable, self.kept = -1, False, 0.0    # in which call; how; kB kept for a peak
+        self.ills = self.shut_until = self.rests_until = self.shed_at = 0  # ills: failures, halved by good
+        self.doubt_at, self.cold_until = None, 0  # doubt: seen failing then, not seen working since
+        self.turn, self.seen_warm = None, False  # last turn of the pace used; it carried others' viewings
+        self.well_at = -SERVES  # when it last answered well
+        self.short_at = self.short_since = self.asked = 0  # short delivery: last told, since when, how short
+        self.looking, self.others = False, 0  # a probe of it is out; others' streams, as last reported
+        self.judged, self.usable, self.kept = -1, False, 0.0  # in which call; how; kB kept for a peak
 
     def use(self):
         return max(self.link.use(), self.rack.use())
@@ -123,13 +127,13 @@
     def __init__(self, ask, now):
         self.ask, self.id, self.seat = ask, ask.id, (ask.title, ask.package)
         self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
-        self.nth, self.server = -1, None    # number of the last tune-in; where one is out or it plays
+        self.nth, self.server = -1, None  # number of the last tune-in; where one is out or it plays
         self.playing = self.answered = self.waiting = False
-        self.held = self.rung = 0   # held: slots in which nothing fitted
-        self.erred = {}             # servers that serve and answered it with an error: what they were before
+        self.held = self.rung = 0  # held: slots in which nothing fitted
+        self.erred = {}  # servers that serve and answered it with an error: what they were before
         self.stepped_at, self.begun_at = now, None
         self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
-        self.life, self.look_after = None, LOOK_UP     # look_after: when its server is looked at for room
+        self.life, self.look_after = None, LOOK_UP  # look_after: when its server is looked at for room
 
     def bound(self, low, top):
         self.floor = max(self.pack.floor, low)
@@ -143,26 +147,31 @@
     def __init__(self, terms):
         self.servers, self.racks, self.cells = {}, {}, {}
         self.viewings, self.waiting, self.seats = {}, [], Counter()
-        self.titles = {}            # what a catalogue told of titles
-        self.reserved = {}, ()      # seats that claims may take; servers that may play an earlier life's
-        self.lacking = {}           # (server, title): until when it is not asked for it
-        self.kept_for = {}, {}      # titles, packages of an announced peak: the rung that room is kept for
+        self.titles = {}  # what a catalogue told of titles
+        self.reserved = {}, ()  # seats that claims may take; servers that may play an earlier life's
+        self.lacking = {}  # (server, title): until when it is not asked for it
+        self.kept_for = {}, {}  # titles, packages of an announced peak: the rung that room is kept for
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
         self.calls = self.draws = self.weighed_at = self.usual_use = 0
         width = max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60))
         self.taken, self.further, self.counts_back = Ring(width, 64), Ring(width, 64), 60 * width
-        self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0   # asked_kb: by all our viewings
-        self.stood = Ring(8 * SECOND, 9)        # the longest between two beats
-        self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)     # others' use of links, as heard
+        self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0  # asked_kb: by all our viewings
+        self.stood = Ring(8 * SECOND, 9)  # the longest between two beats
+        self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)  # others' use of links, as heard
         self.rule(terms)
 
     def rule(self, terms):
         """Goes by these terms from now on."""
         self.terms, self.rules, self.allowed = terms, terms.rules, terms.allowed
-        self.cross, self.dial = (price * sum(p.value for p in terms.packages) / len(terms.packages)
-                                 for price in (terms.prices.cross_zone, terms.prices.handshake))
-        self.looks = int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9))) if (
-            terms.allowed.probes and terms.fleet.load_by_probe) else 0
+        self.cross, self.dial = (
+            price * sum(p.value for p in terms.packages) / len(terms.packages)
+            for price in (terms.prices.cross_zone, terms.prices.handshake)
+        )
+        self.looks = (
+            int(min(LOOKS, LOOK_COST / max(terms.prices.probe, 1e-9)))
+            if (terms.allowed.probes and terms.fleet.load_by_probe)
+            else 0
+        )
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
         self.marks = self.rung_marks({})
@@ -174,7 +183,7 @@
             self.bind(vw)
         self.racks = {}
         for srv in self.servers.values():
-            srv.others = 0      # streams may be reported no more
+            srv.others = 0  # streams may be reported no more
             self.stand(srv)
             self.recount(srv)
         self.set_rungs({vw: vw.in_bounds() for vw in self.viewings.values() if vw.playing and vw.server})
@@ -190,9 +199,18 @@
             return
         near = {p: exp(-served[p] / asked[p] / NEAR_WORST) for p in asked}
         total = sum(self.terms.packages[p].value * asked[p] for p in asked)
-        self.marks = self.rung_marks({
-            p: 1 + goal.worst_package / max(goal.whole, 0.1) * near[p] / sum(near.values())
-            * total / (self.terms.packages[p].value * asked[p]) for p in asked})
+        self.marks = self.rung_marks(
+            {
+                p: 1
+                + goal.worst_package
+                / max(goal.whole, 0.1)
+                * near[p]
+                / sum(near.values())
+                * total
+                / (self.terms.packages[p].value * asked[p])
+                for p in asked
+            }
+        )
 
     def rung_marks(self, weights):
         """For each package and rung: its rate, the mark of the step to it, and what that earns per kB.
@@ -207,8 +225,9 @@
                 steps[p, r] = gain / (max(kb - less_kb, 1e-9) * pack.scale)
         order = sorted(set(steps.values()), reverse=True)
         mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
-        return {(p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns)
-                for (p, r), earns in steps.items()}
+        return {
+            (p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns) for (p, r), earns in steps.items()
+        }
 
     def step(self, vw, rung):
         return self.marks[vw.ask.package, rung]
@@ -222,11 +241,22 @@
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
         if now >= self.weighed_at + SECOND:
             self.weigh()
-        acts = {face.Asked: self.take, face.Note: self.note, face.Ended: self.ended, face.Begun: self.begun,
-                face.Alarm: self.alarm, face.Listing: self.listing, face.HandedOver: self.hand_over,
-                face.Left: self.left, face.Probed: self.probed, face.PeerSays: self.peer_says,
-                face.Kept: self.keep, face.Reserved: self.reserve, face.Changed: self.changed,
-                face.Catalogued: self.catalogued}
+        acts = {
+            face.Asked: self.take,
+            face.Note: self.note,
+            face.Ended: self.ended,
+            face.Begun: self.begun,
+            face.Alarm: self.alarm,
+            face.Listing: self.listing,
+            face.HandedOver: self.hand_over,
+            face.Left: self.left,
+            face.Probed: self.probed,
+            face.PeerSays: self.peer_says,
+            face.Kept: self.keep,
+            face.Reserved: self.reserve,
+            face.Changed: self.changed,
+            face.Catalogued: self.catalogued,
+        }
         acts[type(event)](event)
         return self.out
 
@@ -238,8 +268,15 @@
 
     def look(self, vw):
         """Where only probes bring load reports, a few holders are asked while it waits for its slot."""
-        dim = [srv for srv in self.holders(vw) if srv.row.state is State.READY and self.now >= srv.shut_until
-               and self.dim(srv)] if self.looks else []
+        dim = (
+            [
+                srv
+                for srv in self.holders(vw)
+                if srv.row.state is State.READY and self.now >= srv.shut_until and self.dim(srv)
+            ]
+            if self.looks
+            else []
+        )
         for srv in self.some(dim, self.looks):
             self.probe(srv)
 
@@ -254,8 +291,7 @@
     def look_up(self):
         """What plays at its lowest rung is looked after too: it may have begun in a crowd."""
         for vw in self.viewings.values() if self.looks else ():
-            if (vw.playing and vw.server and vw.rung == vw.floor < vw.top
-                    and self.now - vw.stepped_at >= vw.look_after):
+            if vw.playing and vw.server and vw.rung == vw.floor < vw.top and self.now - vw.stepped_at >= vw.look_after:
                 vw.look_after *= 3
                 self.probe(vw.server)
 
@@ -277,7 +313,7 @@
         """A figure of a link, from a note or a probe."""
         srv.link.heard(self.now, lag, amount)
         others = max(0.0, amount - srv.link.own / srv.link.kb)
-        if srv.rack.reckoned[0] <= self.now:    # else it is to blame
+        if srv.rack.reckoned[0] <= self.now:  # else it is to blame
             srv.rack.reckoned = -SECOND, 0
         self.told.add(self.now, others)
         self.tellings.add(self.now, 1)
@@ -316,7 +352,7 @@
             self.resume(vw, How.OK)
             if vw.server:
                 self.well(vw.server)
-                self.set_rungs({vw: vw.in_bounds()})    # a rendition may have gone while the tune-in was out
+                self.set_rungs({vw: vw.in_bounds()})  # a rendition may have gone while the tune-in was out
 
     def ended(self, event):
         srv, vw = self.servers.get(event.server), self.viewings.get(event.id)
@@ -364,8 +400,15 @@
         to its rung no mark need be lower, as those that it keeps links open for have come. Beyond is a crowd.
         """
         self.kept_for, whole = (event.titles, event.packages), sum(event.rooms.values())
-        took = sum(self.asking(vw for vw in srv.viewings.values() if self.kept_rung(vw) >= 0)
-                   for server, srv in self.servers.items() if server in event.rooms) if whole else 0
+        took = (
+            sum(
+                self.asking(vw for vw in srv.viewings.values() if self.kept_rung(vw) >= 0)
+                for server, srv in self.servers.items()
+                if server in event.rooms
+            )
+            if whole
+            else 0
+        )
         left = max(0.0, 1 - took * self.terms.peers / whole) if whole else 0
         self.eased = took * self.terms.peers <= EASED * whole
         for rack in self.racks.values():
@@ -456,15 +499,22 @@
                 vw.held = 1
                 self.wait(vw)
 
-    def chance(self):           # multiplied, since the checksums of like seeds are alike
+    def chance(self):  # multiplied, since the checksums of like seeds are alike
         self.draws += 1
-        return crc32(b"%d:%d" % (self.terms.seed, self.draws)) * 0x9E3779B1 % 2 ** 32 / 2 ** 32
+        return crc32(b"%d:%d" % (self.terms.seed, self.draws)) * 0x9E3779B1 % 2**32 / 2**32
 
     def may_repeat(self, vw):
         late = self.now + TRY_LEAST > self.out_until(vw)
-        if late or len(vw.erred) > 1 or vw.nth + 1 >= self.allowed.tune_ins or (
-                vw.ran_at is not None and vw.pack.effect != "safe"
-                and (vw.pack.effect == "unsafe" or self.now - vw.ran_at >= vw.pack.repeat_window)):
+        if (
+            late
+            or len(vw.erred) > 1
+            or vw.nth + 1 >= self.allowed.tune_ins
+            or (
+                vw.ran_at is not None
+                and vw.pack.effect != "safe"
+                and (vw.pack.effect == "unsafe" or self.now - vw.ran_at >= vw.pack.repeat_window)
+            )
+        ):
             return False
         if self.rules.further_span is None:
             return True
@@ -528,20 +578,29 @@
         """The holder and rung of most immediate value; ties go to the roomiest holder."""
         holders, every = self.open_holders(vw, bad_too), self.terms.fleet.note_every
         old = self.now - 2 * (every or 2 * SECOND)
-        for srv in holders:     # where we hold nothing no figure comes, and the last one misleads
+        for srv in holders:  # where we hold nothing no figure comes, and the last one misleads
             if not (srv.viewings and every) and (srv.link.heard_at or 0) < old:
                 srv.link.heard_at, srv.others = None, 0
         # Of those that nothing was heard of one by chance, or all managers would take the same largest.
-        dark = {srv: max(1.0, srv.link.kb * (1 - srv.use()))
-                for srv in self.some([srv for srv in holders if srv.link.heard_at is None], DRAWN)}
+        dark = {
+            srv: max(1.0, srv.link.kb * (1 - srv.use()))
+            for srv in self.some([srv for srv in holders if srv.link.heard_at is None], DRAWN)
+        }
         drawn = dark and max(dark, key=lambda srv: log(self.chance() + 1e-9) / dark[srv])
         # Of those heard of a few: figures come to all managers at once, who would all take the same best.
         heard = self.some([srv for srv in holders if srv.link.heard_at is not None], DRAWN)
         fits = [(*self.fit(srv, vw), srv) for srv in (heard + [drawn] if drawn else heard)]
         # Where nothing of ours plays there is no connection: it has its price, and many managers pay it.
-        best = max((fit for fit in fits if fit[0] is not None), default=None, key=lambda fit: (
-            vw.pack.value * self.terms.ladder.worth[fit[0]] - self.crossing(fit[2])
-            - (0 if fit[2].viewings else self.dial), fit[1]))
+        best = max(
+            (fit for fit in fits if fit[0] is not None),
+            default=None,
+            key=lambda fit: (
+                vw.pack.value * self.terms.ladder.worth[fit[0]]
+                - self.crossing(fit[2])
+                - (0 if fit[2].viewings else self.dial),
+                fit[1],
+            ),
+        )
         return best and (best[2], best[0])
 
     def some(self, holders, count):
@@ -562,8 +621,11 @@
             return [self.servers[server] for server in sorted(known.holders) if server in self.servers]
         if vw.ask.cells >= self.terms.fleet.cells:
             return list(self.servers.values())
-        return [srv for j in range(vw.ask.cells)
-                for srv in self.cells.get((vw.ask.first_cell + j) % self.terms.fleet.cells, {}).values()]
+        return [
+            srv
+            for j in range(vw.ask.cells)
+            for srv in self.cells.get((vw.ask.first_cell + j) % self.terms.fleet.cells, {}).values()
+        ]
 
     def has_seat(self, seat, holders=()):
         """Whether one more may play there. Not while an earlier life of ours may fill seats unknown to us."""
@@ -576,13 +638,20 @@
     def open_holders(self, vw, bad_too=True):
         """The holders of the title to which the rules and their health let a tune-in go now."""
         every = self.holders(vw)
-        if (not self.has_seat(vw.seat, every) or self.now >= self.out_until(vw)
-                or vw.nth >= 0 and not self.may_repeat(vw)):
+        if (
+            not self.has_seat(vw.seat, every)
+            or self.now >= self.out_until(vw)
+            or vw.nth >= 0
+            and not self.may_repeat(vw)
+        ):
             return []
         holders = [srv for srv in every if (srv.usable if srv.judged == self.calls else self.judge(srv))]
         if vw.ran_at is not None or self.lacking:
-            holders = [srv for srv in holders if self.near_enough(vw, srv.row)
-                       and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)]
+            holders = [
+                srv
+                for srv in holders
+                if self.near_enough(vw, srv.row) and self.now >= self.lacking.get((srv.row.server, vw.ask.title), 0)
+            ]
         sound = [srv for srv in holders if self.sound(srv)]
         if sound or not bad_too:
             return sound
@@ -592,9 +661,14 @@
 
     def judge(self, srv):
         """Whether rules and places let anything go there; once a call, as a slot asks that many times."""
-        srv.judged, srv.usable = self.calls, (
-            srv.row.state is State.READY and self.in_pace(srv)
-            and len(srv.viewings) + srv.others + 1 <= self.terms.fleet.slots[srv.row.kind])
+        srv.judged, srv.usable = (
+            self.calls,
+            (
+                srv.row.state is State.READY
+                and self.in_pace(srv)
+                and len(srv.viewings) + srv.others + 1 <= self.terms.fleet.slots[srv.row.kind]
+            ),
+        )
         return srv.usable
 
     def near_enough(self, vw, row):
@@ -605,7 +679,8 @@
     def rate(self, srv, vw, rung):
         """What the viewing would add at this server: less where it joins a live stream of ours."""
         joins = vw.pack.live and any(
-            o.rung == rung and o.seat == vw.seat and o is not vw for o in srv.viewings.values())
+            o.rung == rung and o.seat == vw.seat and o is not vw for o in srv.viewings.values()
+        )
         return self.step(vw, rung)[0] * (self.terms.ladder.join if joins else 1)
 
     def fit(self, srv, vw):
@@ -619,7 +694,7 @@
         for rung in range(vw.top, vw.floor - 1, -1):
             kb = self.rate(srv, vw, rung)
             after = max(use + kb / srv.link.kb, srv.rack.use() + both + kb / srv.rack.kb)
-            if rung == vw.floor:        # nobody is blocked for a crowd that may come
+            if rung == vw.floor:  # nobody is blocked for a crowd that may come
                 after -= max(kept, both)
             if after <= (self.mark(vw, rung) if rung > vw.floor else BRIM + dark):
                 return rung, (1 - after) * cap
@@ -631,8 +706,9 @@
         for vw in viewings:
             key = vw.ask.package, vw.rung, vw.ask.title if vw.pack.live else vw.id
             streams[key] = streams.get(key, 0) + 1
-        return sum(self.marks[p, rung][0] * (1 + self.terms.ladder.join * (n - 1))
-                   for (p, rung, _), n in streams.items())
+        return sum(
+            self.marks[p, rung][0] * (1 + self.terms.ladder.join * (n - 1)) for (p, rung, _), n in streams.items()
+        )
 
     def recount(self, srv, new=True):
         own = self.asking(srv.viewings.values())
@@ -655,17 +731,29 @@
     def usual_uplink(self, rack):
         """What others ask of an unreported uplink, by its own links: the usual alone is that of busy ones."""
         if self.now - rack.reckoned[0] > FRESH:
-            others = sum((max(0.0, link.use() - link.own / link.kb) if link.heard_at is not None
-                          and self.now - link.heard_at < 8 * SECOND else self.usual()) * link.kb
-                         for link in rack.links) / rack.kb
+            others = (
+                sum(
+                    (
+                        max(0.0, link.use() - link.own / link.kb)
+                        if link.heard_at is not None and self.now - link.heard_at < 8 * SECOND
+                        else self.usual()
+                    )
+                    * link.kb
+                    for link in rack.links
+                )
+                / rack.kb
+            )
             rack.reckoned = self.now, others
         return rack.reckoned[1]
 
     # Health and the cold pace
 
     def sound(self, srv):
-        return (self.now >= max(srv.rests_until, srv.shut_until) and not srv.looking
-                and not (srv.ills and any(not vw.playing for vw in srv.viewings.values())))
+        return (
+            self.now >= max(srv.rests_until, srv.shut_until)
+            and not srv.looking
+            and not (srv.ills and any(not vw.playing for vw in srv.viewings.values()))
+        )
 
     def ill(self, srv):
         """A failed tune-in or a lost stream, whatever the cause: pause, longer each time, then one trial."""
@@ -682,8 +770,11 @@
 
     def is_cold(self, srv):
         # The list of a manager that has just started may not know of a restart; what it sees there may.
-        return (srv.doubt_at is not None or self.now < srv.cold_until
-                or (not srv.seen_warm and self.now < self.started_at + self.rules.warm_within))
+        return (
+            srv.doubt_at is not None
+            or self.now < srv.cold_until
+            or (not srv.seen_warm and self.now < self.started_at + self.rules.warm_within)
+        )
 
     def pace_turn(self, srv):
         """Turns of the time in which one set-up of all managers may go to a cold server."""
@@ -704,8 +795,14 @@
 
     def listing(self, event):
         named = {row.server for row in event.entries}
-        for row in [*event.entries, *(srv.row._replace(state=State.GONE) for n, srv in self.servers.items()
-                                      if event.kind is not ListKind.DELTA and n not in named)]:
+        for row in [
+            *event.entries,
+            *(
+                srv.row._replace(state=State.GONE)
+                for n, srv in self.servers.items()
+                if event.kind is not ListKind.DELTA and n not in named
+            ),
+        ]:
             self.listed(row)
 
     def listed(self, row):
@@ -730,7 +827,7 @@
     def stand(self, srv):
         """Puts a server's link in its rack, at the size that the terms give it."""
         fleet, number, size = self.terms.fleet, srv.row.cell % self.terms.fleet.racks, srv.row.weight
-        if not fleet.weighed:       # the places of its kind tell its size
+        if not fleet.weighed:  # the places of its kind tell its size
             size = fleet.slots[srv.row.kind] * len(fleet.slots) / sum(fleet.slots)
         srv.link.kb = max(1.0, size * fleet.kb_per_weight)
         if number not in self.racks:
@@ -751,7 +848,7 @@
             self.recount(vw.server, new=False)
         if event.kind is NoteKind.RUNG or srv is None:
             return
-        lag = 0 if vw and vw.begun_at == self.now else self.terms.fleet.note_lag      # fresh at its set-up
+        lag = 0 if vw and vw.begun_at == self.now else self.terms.fleet.note_lag  # fresh at its set-up
         if event.kind is NoteKind.DELIVERED:
             return self.delivers(srv, lag, event.amount)
         if event.kind is NoteKind.LINK:
@@ -776,8 +873,12 @@
             srv.short_since = self.now
         srv.short_at, srv.asked = self.now, 1 / max(share, STILL)
         if "uplink" not in self.terms.fleet.load_names:
-            ours = [o for o in self.servers.values() if o.rack is srv.rack and any(
-                vw.playing and self.now >= vw.stepped_at + STANDS for vw in o.viewings.values())]
+            ours = [
+                o
+                for o in self.servers.values()
+                if o.rack is srv.rack
+                and any(vw.playing and self.now >= vw.stepped_at + STANDS for vw in o.viewings.values())
+            ]
             asked = min((o.asked if self.now < o.short_at + STANDS else 0 for o in ours), default=0)
             told = [o.link.use() for o in ours if (o.link.heard_at or 0) >= o.short_since + lag]
             if told and asked > max(told) + BEYOND:
@@ -808,8 +909,11 @@
         """Plan of rungs that frees so much, from the steps that earn least; a part of a step by chance."""
         plan = {vw: vw.rung for vw in viewings if vw.playing}
         while kb > 0:
-            vw = min((vw for vw in plan if plan[vw] > vw.floor), default=None,
-                     key=lambda vw: (self.step(vw, plan[vw])[2], vw.id))
+            vw = min(
+                (vw for vw in plan if plan[vw] > vw.floor),
+                default=None,
+                key=lambda vw: (self.step(vw, plan[vw])[2], vw.id),
+            )
             if vw is None:
                 break
             less = self.step(vw, plan[vw])[0] - self.step(vw, plan[vw] - 1)[0]
@@ -822,10 +926,17 @@
     def step_up(self, servers):
         """Room goes to the steps that earn most; a reported uplink's to all its servers at once."""
         ladder, rack, both = self.terms.ladder, servers[0].rack, servers[0].rack.use()
-        use = {srv: srv.use() if rack.heard_at is None else srv.link.use()
-               for srv in servers if self.now >= srv.rests_until}
-        plan = {vw: vw.rung for srv in use for vw in srv.viewings.values()
-                if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE}
+        use = {
+            srv: srv.use() if rack.heard_at is None else srv.link.use()
+            for srv in servers
+            if self.now >= srv.rests_until
+        }
+        plan = {
+            vw: vw.rung
+            for srv in use
+            for vw in srv.viewings.values()
+            if vw.playing and vw.rung < vw.top and self.now - vw.stepped_at >= STEP_PAUSE
+        }
         open_to = set(plan)
         while open_to:
             vw = max(open_to, key=lambda vw: (self.step(vw, plan[vw] + 1)[2], -vw.id))
@@ -835,13 +946,23 @@
             kb = self.step(vw, plan[vw] + 1)[0] - self.step(vw, plan[vw])[0]
             alone = max(use[srv] + 2 * kb / link.kb, both + 2 * kb / rack.kb) <= mark
             # All who hear of this room take their own share of it, less than a step by chance.
-            part = min(1.0, max(0.0, mark - use[srv]) * link.kb * link.share() / kb,
-                       max(0.0, mark - both) * rack.kb * rack.share() / kb)
+            part = min(
+                1.0,
+                max(0.0, mark - use[srv]) * link.kb * link.share() / kb,
+                max(0.0, mark - both) * rack.kb * rack.share() / kb,
+            )
             if fits := alone and self.chance() < part:
                 use[srv] += kb / link.kb / link.share()
                 both += kb / rack.kb / rack.share()
                 plan[vw] += 1
             if not fits or plan[vw] == vw.top:
                 open_to.discard(vw)
-        self.set_rungs({vw: r for vw, r in plan.items() if (ladder.worth[r] - ladder.worth[vw.rung]) * (
-            vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE) >= PAYBACK * ladder.switch_cost})
+        self.set_rungs(
+            {
+                vw: r
+                for vw, r in plan.items()
+                if (ladder.worth[r] - ladder.worth[vw.rung])
+                * (vw.asked_at + vw.ask.hint - self.now if vw.ask.hint else LIFE)
+                >= PAYBACK * ladder.switch_cost
+            }
+        )
--- a/flaxscale/explore/inhand.py
+++ b/flaxscale/explore/inhand.py
@@ -14,6 +14,7 @@
 nothing is in hand without a holder: the client has its answer or was refused, what stands is held by a living manager
 for that client, and all else has ended.
 """
+
 from typing import NamedTuple
 
 from ..members.adopt import Fence, Session, plan
@@ -26,37 +27,39 @@
 
 class At(NamedTuple):
     """The box's session under the mark, one of those that it may have."""
+
     key: str
     owner: str
     life: int
     epoch: int
-    stands: bool                # else it is still worked on
+    stands: bool  # else it is still worked on
 
 
 class World(NamedTuple):
-    asked: int                  # tries that the client made: the first at a, the second at b, the third at c
-    fate: str                   # of the last: waits, broken, plays, refused, gone
-    got: str                    # the key that its 201 was for
-    lives: tuple                # by manager; a down one's is negative
-    hands: tuple                # by manager: what it does for the client, () for nothing
-    books: tuple                # by manager: (manager, life) that has the key in hand, or ()
+    asked: int  # tries that the client made: the first at a, the second at b, the third at c
+    fate: str  # of the last: waits, broken, plays, refused, gone
+    got: str  # the key that its 201 was for
+    lives: tuple  # by manager; a down one's is negative
+    hands: tuple  # by manager: what it does for the client, () for nothing
+    books: tuple  # by manager: (manager, life) that has the key in hand, or ()
     boot: int
-    sessions: tuple             # At, sorted by key
-    barred: str                 # the manager for whom alone one may begin under the mark; empty: anyone
-    ended: tuple                # keys ended by name before or after they came
+    sessions: tuple  # At, sorted by key
+    barred: str  # the manager for whom alone one may begin under the mark; empty: anyone
+    ended: tuple  # keys ended by name before or after they came
     wire: tuple
-    crashes: int                # that may still come
+    crashes: int  # that may still come
     boots: int
-    hello: tuple                # by manager: its stream to the box will begin anew, and say what stands under its name
+    hello: tuple  # by manager: its stream to the box will begin anew, and say what stands under its name
 
 
 def start(crashes=1, boots=1):
-    return World(0, "none", "", (1, 1, 1), ((), (), ()), ((), (), ()), 0, (), "", (), (), crashes, boots,
-                 (False, False, False))
+    return World(
+        0, "none", "", (1, 1, 1), ((), (), ()), ((), (), ()), 0, (), "", (), (), crashes, boots, (False, False, False)
+    )
 
 
 def put(row, n, item):
-    return (*row[:n], item, *row[n + 1:])
+    return (*row[:n], item, *row[n + 1 :])
 
 
 def up(world, m):
@@ -86,9 +89,12 @@
         for m in range(len(MANAGERS)):
             if up(world, m):
                 yield from self.manager(world, m)
-            elif world.lives[m] == -1 and self.back:            # once
-                yield f"{MANAGERS[m]} comes back", world._replace(
-                    lives=put(world.lives, m, 2), hello=put(world.hello, m, True)), None
+            elif world.lives[m] == -1 and self.back:  # once
+                yield (
+                    f"{MANAGERS[m]} comes back",
+                    world._replace(lives=put(world.lives, m, 2), hello=put(world.hello, m, True)),
+                    None,
+                )
         for message in world.wire:
             after = world._replace(wire=without(world.wire, message))
             yield from getattr(self, "to_" + message[0])(after, *message[1:])
@@ -100,17 +106,33 @@
         if world.fate == "broken":
             yield "the client gives up", world._replace(fate="gone"), None
         if world.boots:
-            yield "the box restarts", world._replace(
-                boots=world.boots - 1, boot=world.boot + 1, sessions=(), barred="", ended=(),
-                hello=tuple(up(world, m) for m in range(len(MANAGERS)))), None
+            yield (
+                "the box restarts",
+                world._replace(
+                    boots=world.boots - 1,
+                    boot=world.boot + 1,
+                    sessions=(),
+                    barred="",
+                    ended=(),
+                    hello=tuple(up(world, m) for m in range(len(MANAGERS))),
+                ),
+                None,
+            )
         for m in range(len(MANAGERS)):
             if world.crashes and up(world, m):
                 mine = world.fate == "waits" and world.asked - 1 == m
-                yield f"{MANAGERS[m]} crashes", world._replace(
-                    crashes=world.crashes - 1, lives=put(world.lives, m, -world.lives[m]),
-                    fate="broken" if mine else world.fate,
-                    hello=put(world.hello, m, False),
-                    hands=put(world.hands, m, ()), books=put(world.books, m, ())), None
+                yield (
+                    f"{MANAGERS[m]} crashes",
+                    world._replace(
+                        crashes=world.crashes - 1,
+                        lives=put(world.lives, m, -world.lives[m]),
+                        fate="broken" if mine else world.fate,
+                        hello=put(world.hello, m, False),
+                        hands=put(world.hands, m, ()),
+                        books=put(world.books, m, ()),
+                    ),
+                    None,
+                )
 
     def taken(self, world, m):
         """The client asks the next manager; the one before hears that it left, if it lives."""
@@ -120,8 +142,13 @@
         wire = added(world.wire, *(("keep", m, world.lives[m], n) for n in others))
         if self.bug == "nobody is asked":
             return f"the client asks {me}", self.begin(world._replace(books=books, wire=wire), m, world.boot), None
-        return f"the client asks {me}", world._replace(
-            books=books, wire=wire, hands=put(world.hands, m, ("asks", tuple(others), (found,), world.boot))), None
+        return (
+            f"the client asks {me}",
+            world._replace(
+                books=books, wire=wire, hands=put(world.hands, m, ("asks", tuple(others), (found,), world.boot))
+            ),
+            None,
+        )
 
     def kept(self, world, keeper, m):
         """What a keeper's own book says of this try of m's, and the books after it."""
@@ -137,12 +164,19 @@
 
     def manager(self, world, m):
         me, hand = MANAGERS[m], world.hands[m]
-        if hand and world.asked - 1 > m and hand[0] not in ("ends", "claims") and (
-                hand[0] != "holds" or world.got != hand[1]):
+        if (
+            hand
+            and world.asked - 1 > m
+            and hand[0] not in ("ends", "claims")
+            and (hand[0] != "holds" or world.got != hand[1])
+        ):
             yield f"{me} hears that its client left", self.left(world, m), None
         if hand and hand[0] == "asks" and hand[1]:
-            yield f"{me} waits no longer for {MANAGERS[hand[1][0]]}", self.answered(
-                world, m, hand[1][0], tries.SILENT), None
+            yield (
+                f"{me} waits no longer for {MANAGERS[hand[1][0]]}",
+                self.answered(world, m, hand[1][0], tries.SILENT),
+                None,
+            )
         if hand and hand[0] == "box":
             if not self.unsafe or self.bug == "a silent box says no":
                 yield f"{me} waits no longer for the box", self.settled(world, m, None), None
@@ -159,20 +193,30 @@
 
     def hears_hello(self, world, m):
         """The box names what stands under this manager's name: what it does not know it ends, or takes up."""
-        strange = [at for at in world.sessions if at.owner == MANAGERS[m] and at.stands and not any(
-            w[:3] in (("claim", m, at.key), ("end", m, at.key)) for w in world.wire) and (
-                world.hands[m][1:2] != (at.key,))]
+        strange = [
+            at
+            for at in world.sessions
+            if at.owner == MANAGERS[m]
+            and at.stands
+            and not any(w[:3] in (("claim", m, at.key), ("end", m, at.key)) for w in world.wire)
+            and (world.hands[m][1:2] != (at.key,))
+        ]
         mine = [at.key for at in world.sessions if at.owner == MANAGERS[m]]
         if world.hands[m][:1] == ("holds",) and world.hands[m][1] not in mine:
-            yield (f"the box does not know {world.hands[m][1]} of {MANAGERS[m]}'s",
-                   world._replace(hands=put(world.hands, m, ())), None)
+            yield (
+                f"the box does not know {world.hands[m][1]} of {MANAGERS[m]}'s",
+                world._replace(hands=put(world.hands, m, ())),
+                None,
+            )
         elif not strange:
-            yield f"the box names nothing that {MANAGERS[m]} does not know", world._replace(
-                hello=put(world.hello, m, False)), None
+            yield (
+                f"the box names nothing that {MANAGERS[m]} does not know",
+                world._replace(hello=put(world.hello, m, False)),
+                None,
+            )
         for at in strange if not world.hands[m] else ():
             if at.key == key_of(m, world.lives[m]) and at.epoch == 0:
-                yield (f"{MANAGERS[m]} ends {at.key}, of which it knows nothing",
-                       self.end(world, m, at.key, 0), None)
+                yield (f"{MANAGERS[m]} ends {at.key}, of which it knows nothing", self.end(world, m, at.key, 0), None)
             else:
                 yield from self.take_over(world, m, at)
 
@@ -186,8 +230,9 @@
 
     def end(self, world, m, key, epoch):
         """Owed to the box until it says yes."""
-        return world._replace(hands=put(world.hands, m, ("ends", key, epoch)),
-                              wire=added(world.wire, ("end", m, key, epoch)))
+        return world._replace(
+            hands=put(world.hands, m, ("ends", key, epoch)), wire=added(world.wire, ("end", m, key, epoch))
+        )
 
     def refuse(self, world, m):
         mine = world.asked - 1 == m and world.fate == "waits"
@@ -204,19 +249,21 @@
         return self.ask_box(world, m, boot)
 
     def ask_box(self, world, m, boot):
-        return world._replace(hands=put(world.hands, m, ("box", boot)),
-                              wire=added(world.wire, ("try", m, world.lives[m])))
+        return world._replace(
+            hands=put(world.hands, m, ("box", boot)), wire=added(world.wire, ("try", m, world.lives[m]))
+        )
 
     def begin(self, world, m, boot):
         """boot: the start of the box that was known when the viewing came."""
         key = key_of(m, world.lives[m])
-        return world._replace(hands=put(world.hands, m, ("out", key)),
-                              wire=added(world.wire, ("setup", m, key, boot)))
+        return world._replace(hands=put(world.hands, m, ("out", key)), wire=added(world.wire, ("setup", m, key, boot)))
 
     def settled(self, world, m, said):
         """said: what the box told, (Said, At or None); None: nothing."""
-        step, boot = tries.settle({1: said and said[0]}, self.unsafe and self.bug != "a silent box says no"), (
-            world.hands[m][1])
+        step, boot = (
+            tries.settle({1: said and said[0]}, self.unsafe and self.bug != "a silent box says no"),
+            (world.hands[m][1]),
+        )
         if isinstance(step, tries.Begin):
             return self.begin(world, m, boot)
         if isinstance(step, tries.Ask):
@@ -224,8 +271,10 @@
         at = said[1]
         if self.bug == "joins without a claim":
             return self.plays(world._replace(hands=put(world.hands, m, ("holds", at.key, at.epoch))), m, at.key)
-        return world._replace(hands=put(world.hands, m, ("claims", at.key, at.epoch + 1)),
-                              wire=added(world.wire, ("claim", m, at.key, at.epoch + 1, world.lives[m])))
+        return world._replace(
+            hands=put(world.hands, m, ("claims", at.key, at.epoch + 1)),
+            wire=added(world.wire, ("claim", m, at.key, at.epoch + 1, world.lives[m])),
+        )
 
     def plays(self, world, m, key):
         """Its client is answered, if it still waits there."""
@@ -236,13 +285,22 @@
     def take_over(self, world, m, at):
         """A dead manager's, or an earlier life's own: claimed by whom the hashing names, and ended where unwatched."""
         alive = [name for n, name in enumerate(MANAGERS) if up(world, n)]
-        made = plan([Session(at.key, at.owner, at.epoch, NAME, at.key == world.got)], at.owner, MANAGERS[m],
-                    [MANAGERS[m]] if at.owner == MANAGERS[m] else alive)
+        made = plan(
+            [Session(at.key, at.owner, at.epoch, NAME, at.key == world.got)],
+            at.owner,
+            MANAGERS[m],
+            [MANAGERS[m]] if at.owner == MANAGERS[m] else alive,
+        )
         for c in made.claims:
             claim = ("claim", m, c.key, c.epoch, world.lives[m])
             if claim not in world.wire and not world.hands[m]:
-                yield (f"{MANAGERS[m]} claims {c.key}", world._replace(
-                    hands=put(world.hands, m, ("claims", c.key, c.epoch)), wire=added(world.wire, claim)), None)
+                yield (
+                    f"{MANAGERS[m]} claims {c.key}",
+                    world._replace(
+                        hands=put(world.hands, m, ("claims", c.key, c.epoch)), wire=added(world.wire, claim)
+                    ),
+                    None,
+                )
 
     # What arrives
 
@@ -281,8 +339,11 @@
         broken = None
         if self.unsafe and world.sessions:
             broken = f"{key} begins while {world.sessions[0].key} stands, under one key of an unsafe package"
-        yield f"the box begins {key}", world._replace(
-            sessions=added(world.sessions, At(key, MANAGERS[m], life, 0, False))), broken
+        yield (
+            f"the box begins {key}",
+            world._replace(sessions=added(world.sessions, At(key, MANAGERS[m], life, 0, False))),
+            broken,
+        )
 
     def never_ran(self, world, m, key, life):
         if world.lives[m] == life and world.hands[m] == ("out", key):
@@ -290,8 +351,10 @@
         return world
 
     def worked(self, world, at):
-        return world._replace(sessions=added(without(world.sessions, at), at._replace(stands=True)),
-                              wire=added(world.wire, ("answer", began_by(at.key), at.key, world.boot)))
+        return world._replace(
+            sessions=added(without(world.sessions, at), at._replace(stands=True)),
+            wire=added(world.wire, ("answer", began_by(at.key), at.key, world.boot)),
+        )
 
     def to_answer(self, world, m, key, boot):
         life, hand = int(key[1:]), world.hands[m]
@@ -300,7 +363,7 @@
             return
         held = world._replace(hands=put(world.hands, m, ("holds", key, 0)))
         if boot != world.boot and self.bug != "an answer of another start is believed":
-            held = held._replace(hello=put(held.hello, m, True))        # the stream is asked for anew
+            held = held._replace(hello=put(held.hello, m, True))  # the stream is asked for anew
         yield f"{MANAGERS[m]} has {key}", self.plays(held, m, key), None
 
     def to_claim(self, world, m, key, epoch, life):
@@ -308,11 +371,20 @@
         good = key in held and fence_of(world).claim(key, epoch, me)
         if good:
             before = held[key]
-            world = world._replace(sessions=added(without(world.sessions, before), before._replace(
-                owner=me, epoch=epoch, life=now if self.bug == "a claim is of the life that there is now" else life)))
+            world = world._replace(
+                sessions=added(
+                    without(world.sessions, before),
+                    before._replace(
+                        owner=me,
+                        epoch=epoch,
+                        life=now if self.bug == "a claim is of the life that there is now" else life,
+                    ),
+                )
+            )
             if before.owner != me and self.bug != "who lost it is not told":
-                world = world._replace(wire=added(world.wire, (
-                    "moved", MANAGERS.index(before.owner), key, before.life)))
+                world = world._replace(
+                    wire=added(world.wire, ("moved", MANAGERS.index(before.owner), key, before.life))
+                )
         what = f"the box {'grants' if good else 'refuses'} {me}'s claim to {key}"
         if world.lives[m] != life or world.hands[m] != ("claims", key, epoch):
             yield what, world, None
@@ -372,23 +444,37 @@
         return False
     for m, hand in enumerate(world.hands):
         if hand and up(world, m) and not any(at[:2] == (hand[1], MANAGERS[m]) for at in world.sessions):
-            return False            # it believes to hold what another has, or nobody
+            return False  # it believes to hold what another has, or nobody
     for at in world.sessions:
         m = MANAGERS.index(at.owner)
-        if not at.stands or not up(world, m) or world.lives[m] != at.life or at.key != world.got or (
-                world.hands[m] != ("holds", at.key, at.epoch)):
+        if (
+            not at.stands
+            or not up(world, m)
+            or world.lives[m] != at.life
+            or at.key != world.got
+            or (world.hands[m] != ("holds", at.key, at.epoch))
+        ):
             return False
     return True
 
 
-BUGS = ("nobody is asked", "a silent box says no", "nothing is barred", "joins without a claim",
-        "no start is named", "nothing is owed", "an end is not remembered", "who lost it is not told",
-        "an answer of another start is believed",
-        "a claim is of the life that there is now")
+BUGS = (
+    "nobody is asked",
+    "a silent box says no",
+    "nothing is barred",
+    "joins without a claim",
+    "no start is named",
+    "nothing is owed",
+    "an end is not remembered",
+    "who lost it is not told",
+    "an answer of another start is believed",
+    "a claim is of the life that there is now",
+)
 
 
 class Small(NamedTuple):
     """A case that is explored whole."""
+
     unsafe: bool
     asks: int = 2
     crashes: int = 0
@@ -409,6 +495,7 @@
         if world.asked == case.asks and not any(hand and hand[0] == "asks" for hand in world.hands):
             world = world._replace(books=((), (), ()), wire=tuple(w for w in world.wire if w[0] != "keep"))
         return world._replace(ended=tuple(key for key in world.ended if key in on_its_way))
+
     return search.explore(start(case.crashes, case.boots), steps, most, settled, same)
 
 
--- a/flaxscale/explore/leases.py
+++ b/flaxscale/explore/leases.py
@@ -11,6 +11,7 @@
 go back, whatever the clocks do; no token takes effect for two owners; no token is told to two owners, unless the store
 was put back from an older copy.
 """
+
 import itertools
 from typing import NamedTuple
 
@@ -24,35 +25,43 @@
 PIECE = "duty"
 NAMES = ("a", "b", "c")
 WITHIN, BEYOND = ((9, 10, 11), (10, 11, 9), (11, 9, 10)), ((5, 10, 11), (10, 5, 11))
-BUGS = ("span counted from the answer", "no fence", "token lost at a restart", "granter forgets a grant",
-        "drift left out", "a token without its owner")
+BUGS = (
+    "span counted from the answer",
+    "no fence",
+    "token lost at a restart",
+    "granter forgets a grant",
+    "drift left out",
+    "a token without its owner",
+)
 
 
 class Side(NamedTuple):
     """A manager. What is left by its own clock; 0: nothing."""
+
     up: bool
     token: int
-    left: int                   # of its grant
-    asking: int                 # since when it asks, negative by its clock; 1: it does not
-    act: int                    # the token under which it is about to act: it has checked; 0: none
-    life: int = 1               # each is an owner of its own to granter and resource
+    left: int  # of its grant
+    asking: int  # since when it asks, negative by its clock; 1: it does not
+    act: int  # the token under which it is about to act: it has checked; 0: none
+    life: int = 1  # each is an owner of its own to granter and resource
 
 
 class World(NamedTuple):
     """wire: ("ask" | "granted" | "busy", manager, token, whether it is of its present asking), ("act", manager, token,
     life)."""
+
     sides: tuple
-    granter: bool               # it is up
+    granter: bool  # it is up
     count: int
-    row: tuple                  # (owner, token, left) of the granter's last grant; () none
-    opens: int                  # by the granter's clock, until something new may be granted
-    fence: tuple                # (token, owner) at the resource, () none
-    told: tuple                 # (token, owner) that were ever told and are still known to somebody
+    row: tuple  # (owner, token, left) of the granter's last grant; () none
+    opens: int  # by the granter's clock, until something new may be granted
+    fence: tuple  # (token, owner) at the resource, () none
+    told: tuple  # (token, owner) that were ever told and are still known to somebody
     wire: tuple
     crashes: int
-    put_back: int               # times that the store may still be put back
-    older: tuple                # (count, row) of the copy, as (count, (owner, token)); () none was made
-    doubtful: bool              # the store was put back: a token may have been told twice
+    put_back: int  # times that the store may still be put back
+    older: tuple  # (count, row) of the copy, as (count, (owner, token)); () none was made
+    doubtful: bool  # the store was put back: a token may have been told twice
 
 
 def start(managers=2, crashes=1, put_back=0):
@@ -62,8 +71,12 @@
 def put_back_soon():
     """A manager was stopped between check and act under a token that the copy of the store knows nothing of."""
     return start(2, 0, 1)._replace(
-        granter=False, sides=(Side(True, 2, 18, 1, 2), Side(True, 0, 0, 1, 0)), count=2, row=("a1", 2, 23),
-        older=(1, ("b1", 1)))
+        granter=False,
+        sides=(Side(True, 2, 18, 1, 2), Side(True, 0, 0, 1, 0)),
+        count=2,
+        row=("a1", 2, 23),
+        older=(1, ("b1", 1)),
+    )
 
 
 class Machine:
@@ -119,8 +132,9 @@
         for message in world.wire:
             yield f"lost: {message}", world._replace(wire=without(world.wire, message)), None
             if world.granter or message[0] != "ask":
-                yield from getattr(self, "to_" + message[0])(world._replace(wire=without(world.wire, message)),
-                                                             *message[1:])
+                yield from getattr(self, "to_" + message[0])(
+                    world._replace(wire=without(world.wire, message)), *message[1:]
+                )
         if world.granter:
             if world.crashes:
                 yield "the granter crashes", world._replace(granter=False, crashes=world.crashes - 1), None
@@ -130,13 +144,22 @@
             yield "the granter starts", self.restarted(world, world.count, world.row), None
             if world.older and world.put_back:
                 count, row = world.older
-                yield "the granter starts on the copy", self.restarted(world, count, row)._replace(
-                    put_back=world.put_back - 1, older=(), doubtful=True), None
+                yield (
+                    "the granter starts on the copy",
+                    self.restarted(world, count, row)._replace(put_back=world.put_back - 1, older=(), doubtful=True),
+                    None,
+                )
         if world.crashes:
             for n, side in enumerate(world.sides):
                 if side.up:
-                    yield f"{NAMES[n]} crashes", given_up(self.put(world._replace(
-                        crashes=world.crashes - 1), n, Side(False, 0, 0, 1, 0, side.life)), n), None
+                    yield (
+                        f"{NAMES[n]} crashes",
+                        given_up(
+                            self.put(world._replace(crashes=world.crashes - 1), n, Side(False, 0, 0, 1, 0, side.life)),
+                            n,
+                        ),
+                        None,
+                    )
 
     def restarted(self, world, count, row):
         granter = Granter({PIECE: self.task}, 0, count, {PIECE: Row(*row[:2], 0)} if row else {}, ())
@@ -170,28 +193,43 @@
         if side.asking > 0:
             holder, held = self.holder_of(side, name)
             [(_, token, _)] = holder.due(0)
-            yield f"{name} asks", self.put(world, n, side._replace(asking=0))._replace(
-                wire=added(given_up(world, n).wire, ("ask", n, token, True))), None
+            yield (
+                f"{name} asks",
+                self.put(world, n, side._replace(asking=0))._replace(
+                    wire=added(given_up(world, n).wire, ("ask", n, token, True))
+                ),
+                None,
+            )
         holder, _ = self.holder_of(side, name)
         if not side.act and holder.may_begin(PIECE, 0) is not None:
             yield f"{name} checks, and is about to act", self.put(world, n, side._replace(act=side.token)), None
         if side.act:
-            yield f"{name} acts", self.put(world, n, side._replace(act=0))._replace(
-                wire=added(world.wire, ("act", n, side.act, side.life))), None
+            yield (
+                f"{name} acts",
+                self.put(world, n, side._replace(act=0))._replace(
+                    wire=added(world.wire, ("act", n, side.act, side.life))
+                ),
+                None,
+            )
 
     def to_ask(self, world, n, token, present):
         granter, owner = self.granter_of(world), owner_of(n, world.sides[n].life)
         said = granter.ask(PIECE, owner, token, 0)
         after = self.with_granter(world, granter)
         if not isinstance(said, Granted):
-            yield f"the granter refuses {NAMES[n]}", after._replace(
-                wire=added(after.wire, ("busy", n, 0, present))), None
+            yield (
+                f"the granter refuses {NAMES[n]}",
+                after._replace(wire=added(after.wire, ("busy", n, 0, present))),
+                None,
+            )
             return
         broken = None
         if not world.doubtful and any(t == said.token and by != owner for t, by in world.told):
             broken = f"token {said.token} is told to two owners"
-        after = after._replace(told=added(after.told, (said.token, owner)) if self.watched else (),
-                               wire=added(after.wire, ("granted", n, said.token, present)))
+        after = after._replace(
+            told=added(after.told, (said.token, owner)) if self.watched else (),
+            wire=added(after.wire, ("granted", n, said.token, present)),
+        )
         yield f"the granter grants {said.token} to {NAMES[n]}", after, broken
 
     def to_busy(self, world, n, _, present):
@@ -209,8 +247,13 @@
         if self.bug == "span counted from the answer":
             held.asked_at = 0
         holder.granted(PIECE, 1, token, 0)
-        yield f"{NAMES[n]} hears of token {token}", self.put(world, n, side._replace(
-            token=held.token if held.until > 0 else 0, left=max(0, held.until), asking=1)), None
+        yield (
+            f"{NAMES[n]} hears of token {token}",
+            self.put(
+                world, n, side._replace(token=held.token if held.until > 0 else 0, left=max(0, held.until), asking=1)
+            ),
+            None,
+        )
 
     def to_act(self, world, n, token, life):
         fence, broken, owner = Fence(), None, owner_of(n, life)
@@ -241,18 +284,24 @@
 
     @staticmethod
     def put(world, n, side):
-        return world._replace(sides=(*world.sides[:n], side, *world.sides[n + 1:]))
+        return world._replace(sides=(*world.sides[:n], side, *world.sides[n + 1 :]))
 
     def alike(self, world):
         """The one that stands for all states in which managers with clocks of one rate have changed their names."""
-        rates = self.rates[:len(world.sides)]
-        return min(renamed(world, names) for names in itertools.permutations(range(len(rates)))
-                   if all(rates[n] == rates[to] for n, to in enumerate(names)))
+        rates = self.rates[: len(world.sides)]
+        return min(
+            renamed(world, names)
+            for names in itertools.permutations(range(len(rates)))
+            if all(rates[n] == rates[to] for n, to in enumerate(names))
+        )
 
     def good(self, world):
         """Somebody holds it under a token that the resource takes."""
-        return any(self.believes(side, NAMES[n]) and (not world.fence or side.token > world.fence[0] or (
-            side.token, owner_of(n, side.life)) == world.fence) for n, side in enumerate(world.sides))
+        return any(
+            self.believes(side, NAMES[n])
+            and (not world.fence or side.token > world.fence[0] or (side.token, owner_of(n, side.life)) == world.fence)
+            for n, side in enumerate(world.sides)
+        )
 
 
 def owner_of(n, life):
@@ -261,23 +310,27 @@
 
 def renamed(world, names):
     """The same state with manager n called names[n]."""
+
     def owner(by):
         return NAMES[names[NAMES.index(by[0])]] + by[1:]
+
     sides = [None] * len(names)
     for n, side in enumerate(world.sides):
         sides[names[n]] = side
     older = world.older and (world.older[0], (owner(world.older[1][0]), world.older[1][1]))
     return world._replace(
-        sides=tuple(sides), row=(owner(world.row[0]), *world.row[1:]) if world.row else (),
-        fence=(world.fence[0], owner(world.fence[1])) if world.fence else (), older=older,
+        sides=tuple(sides),
+        row=(owner(world.row[0]), *world.row[1:]) if world.row else (),
+        fence=(world.fence[0], owner(world.fence[1])) if world.fence else (),
+        older=older,
         told=tuple(sorted((token, owner(by)) for token, by in world.told)),
-        wire=tuple(sorted((kind, names[n], *rest) for kind, n, *rest in world.wire)))
+        wire=tuple(sorted((kind, names[n], *rest) for kind, n, *rest in world.wire)),
+    )
 
 
 def given_up(world, n):
     """No answer that is still on its way is to the present asking of this manager any more."""
-    return world._replace(wire=tuple(sorted((*m[:3], False) if m[1] == n and m[0] != "act" else m
-                                            for m in world.wire)))
+    return world._replace(wire=tuple(sorted((*m[:3], False) if m[1] == n and m[0] != "act" else m for m in world.wire)))
 
 
 def compressed(world):
@@ -290,8 +343,11 @@
     to = {0: 0, **{token: n + 1 for n, token in enumerate(sorted(kept))}}
     told = tuple(sorted((to[t], owner) for t, owner in world.told if t in kept))
     return world._replace(
-        sides=tuple(s._replace(token=to[s.token], act=to[s.act]) for s in world.sides), count=to[world.count],
+        sides=tuple(s._replace(token=to[s.token], act=to[s.act]) for s in world.sides),
+        count=to[world.count],
         row=(world.row[0], to[world.row[1]], world.row[2]) if world.row else (),
-        fence=(to[world.fence[0]], world.fence[1]) if world.fence else (), told=told,
+        fence=(to[world.fence[0]], world.fence[1]) if world.fence else (),
+        told=told,
         wire=tuple(sorted((*m[:2], to[m[2]], m[3]) for m in world.wire)),
-        older=(to[world.older[0]], (world.older[1][0], to[world.older[1][1]])) if world.older else ())
+        older=(to[world.older[0]], (world.older[1][0], to[world.older[1][1]])) if world.older else (),
+    )
--- a/flaxscale/explore/search.py
+++ b/flaxscale/explore/search.py
@@ -15,14 +15,15 @@
 
 The bound on states is the caller's. A search that reaches it raises TooMany: it says nothing of what it did not see.
 """
+
 import collections
 from typing import NamedTuple
 
 
 class Found(NamedTuple):
-    states: int                 # that were met
-    trace: list | None          # what happens, step by step, until the invariant breaks, which stands last
-    stuck: list | None = None   # the same to the nearest state from which no course comes to a good one
+    states: int  # that were met
+    trace: list | None  # what happens, step by step, until the invariant breaks, which stands last
+    stuck: list | None = None  # the same to the nearest state from which no course comes to a good one
 
 
 class TooMany(RuntimeError):
@@ -61,8 +62,11 @@
                 reached.add(n)
                 todo.append(n)
     lost = next((n for n in range(len(states)) if n not in reached), None)
-    return Found(len(states), None, None if lost is None else [
-        *path(came, lost), "no course from here comes to an end that is good"])
+    return Found(
+        len(states),
+        None,
+        None if lost is None else [*path(came, lost), "no course from here comes to an end that is good"],
+    )
 
 
 def path(came, at):
@@ -90,6 +94,7 @@
 
 # Small change of machines: states keep their parts as sorted tuples
 
+
 def without(items, item):
     items = list(items)
     items.remove(item)
--- a/flaxscale/explore/takeover.py
+++ b/flaxscale/explore/takeover.py
@@ -7,6 +7,7 @@
   a viewing that another manager has taken over is ended by nobody else's order;
   an epoch of a session was granted to one manager only.
 """
+
 from typing import NamedTuple
 
 from ..members.adopt import Fence, Session, plan
@@ -14,23 +15,24 @@
 from .search import added, without
 
 MANAGERS, KEYS = ("a", "b", "c"), ("v", "w")
-CRASHES = 1                         # at most so many in one course
+CRASHES = 1  # at most so many in one course
 
 
 class World(NamedTuple):
-    fence: tuple            # ((key, owner, epoch)), sorted; a key that is ended is not there
-    held: tuple             # ((manager, key, epoch)), sorted: what each believes it holds
-    dead: tuple             # ((manager, the one it thinks dead, whether it acted on it)), sorted
-    wire: tuple             # messages on their way, sorted
-    down: tuple             # managers that crashed
-    granted: tuple          # ((key, epoch, manager)): all claims ever granted
+    fence: tuple  # ((key, owner, epoch)), sorted; a key that is ended is not there
+    held: tuple  # ((manager, key, epoch)), sorted: what each believes it holds
+    dead: tuple  # ((manager, the one it thinks dead, whether it acted on it)), sorted
+    wire: tuple  # messages on their way, sorted
+    down: tuple  # managers that crashed
+    granted: tuple  # ((key, epoch, manager)): all claims ever granted
     opinions: int
 
 
 def start(keys):
     owners = {"v": "a", "w": "b"}
-    return World(tuple((k, owners[k], 0) for k in keys), tuple(sorted((owners[k], k, 0) for k in keys)), (), (), (),
-                 (), 0)
+    return World(
+        tuple((k, owners[k], 0) for k in keys), tuple(sorted((owners[k], k, 0) for k in keys)), (), (), (), (), 0
+    )
 
 
 def fence_of(world):
@@ -52,11 +54,14 @@
         thinks = {d for who, d, _ in world.dead if who == m}
         for other in MANAGERS:
             if other != m and other not in thinks and world.opinions < 0:
-                yield (f"{m} hears that {other} is dead",
-                       world._replace(dead=added(world.dead, (m, other, False)), opinions=world.opinions + 1), None)
+                yield (
+                    f"{m} hears that {other} is dead",
+                    world._replace(dead=added(world.dead, (m, other, False)), opinions=world.opinions + 1),
+                    None,
+                )
         for _, other, acted in [d for d in world.dead if d[0] == m]:
             alive = [x for x in MANAGERS if x == m or x not in thinks]
-            if acted:           # each opinion is acted on once, as the program does
+            if acted:  # each opinion is acted on once, as the program does
                 continue
             claims = [("claim", m, c.key, c.epoch) for c in plan(sessions, other, m, alive).claims]
             wire = added(world.wire, *claims)
@@ -66,12 +71,19 @@
             yield f"{m} hears that {item[1]} lives", world._replace(dead=without(world.dead, item)), None
         for who, key, epoch in world.held:
             if who == m and ("end", m, key, epoch) not in world.wire:
-                yield (f"{m} orders the end of {key}, its client left",
-                       world._replace(wire=added(world.wire, ("end", m, key, epoch)),
-                                      held=without(world.held, (m, key, epoch))), None)
+                yield (
+                    f"{m} orders the end of {key}, its client left",
+                    world._replace(
+                        wire=added(world.wire, ("end", m, key, epoch)), held=without(world.held, (m, key, epoch))
+                    ),
+                    None,
+                )
         if len(world.down) < CRASHES:
-            yield (f"{m} crashes", world._replace(
-                down=added(world.down, m), held=tuple(h for h in world.held if h[0] != m)), None)
+            yield (
+                f"{m} crashes",
+                world._replace(down=added(world.down, m), held=tuple(h for h in world.held if h[0] != m)),
+                None,
+            )
     for message in world.wire:
         # One that is lost is one that never comes to be delivered: a state in which it stays on its way for ever.
         yield from delivered(world._replace(wire=without(world.wire, message)), message, bug)
@@ -95,8 +107,9 @@
             broken = f"two managers hold {key} under epoch {epoch}: {manager} and {min(others)}"
         after = world._replace(fence=packed(fence), granted=added(world.granted, (key, epoch, manager)))
         if manager not in world.down:
-            after = after._replace(held=added([h for h in after.held if h[:2] != (manager, key)],
-                                              (manager, key, epoch)))
+            after = after._replace(
+                held=added([h for h in after.held if h[:2] != (manager, key)], (manager, key, epoch))
+            )
         yield f"the box grants {manager}'s claim to {key} under {epoch}", after, broken or judged(after)
         return
     if bug != "orders are not fenced" and not fence.obeys(key, epoch, manager):
--- a/flaxscale/front/audit.py
+++ b/flaxscale/front/audit.py
@@ -1,4 +1,5 @@
 """One manager's stamps and account on its sockets: what is in force, what was done under it. Files and a timer only."""
+
 import asyncio
 import importlib.metadata
 
@@ -10,7 +11,7 @@
 from ..serve.clock import now
 from ..store.log import StoreError
 
-WRITE_S = 0.05              # rows of this long are written together
+WRITE_S = 0.05  # rows of this long are written together
 FIELD = "Flaxscale-Stamp"
 
 
@@ -43,10 +44,17 @@
         """Something that actions go by may have changed."""
         front, watch = self.front, self.front.watch
         view = ",".join(front.members.alive())
-        number, new = self.stamps.take(Stamp(
-            BUILD, front.mark, front.book.version, (str(watch.follower.epoch), watch.follower.version or 0)
-            if watch is not None else None, front.peaks.watch.follower.version if front.peaks.watch else None,
-            f"{xxhash.xxh3_64_intdigest(view.encode()):016x}", watch.follower.floor if watch is not None else 0))
+        number, new = self.stamps.take(
+            Stamp(
+                BUILD,
+                front.mark,
+                front.book.version,
+                (str(watch.follower.epoch), watch.follower.version or 0) if watch is not None else None,
+                front.peaks.watch.follower.version if front.peaks.watch else None,
+                f"{xxhash.xxh3_64_intdigest(view.encode()):016x}",
+                watch.follower.floor if watch is not None else 0,
+            )
+        )
         if new:
             self.put(Stamped(number, self.stamps.current, now()))
             front.lines.info("stamp", number=number, **msgspec.structs.asdict(self.stamps.current))
@@ -72,10 +80,12 @@
 
     def state(self):
         kept = self.account
-        return {"stamp": self.stamps.number, **(msgspec.structs.asdict(self.stamps.current) if self.stamps.current
-                                                else {}),
-                "account": "off" if kept is None else "failed" if kept.failed else "kept",
-                "rows_lost": kept.lost if kept else 0}
+        return {
+            "stamp": self.stamps.number,
+            **(msgspec.structs.asdict(self.stamps.current) if self.stamps.current else {}),
+            "account": "off" if kept is None else "failed" if kept.failed else "kept",
+            "rows_lost": kept.lost if kept else 0,
+        }
 
     def stop(self):
         if self.timer is not None:
--- a/flaxscale/front/boxes.py
+++ b/flaxscale/front/boxes.py
@@ -3,6 +3,7 @@
 Wire between front and box (docs/signalling.md): a set-up is the client's own POST with an Idempotency-Key that
 names it before it is sent; /manager/notes is an event stream; /manager/orders ends set-ups and sets rungs.
 """
+
 import asyncio
 
 import msgspec
@@ -14,14 +15,15 @@
 from ..serve.clock import now
 from ..signalling import load
 
-GATHER_S = 0.05                 # orders to one box wait so long for others
-ORDERS_S = 2.0                  # orders left unanswered so long are sent again
-FLOOR = "flaxscale-floor"       # in a refusal: epoch;floor under which nothing may be done there
-RAN = "flaxscale-ran"           # "no" in an answer: the set-up never ran and never will
+GATHER_S = 0.05  # orders to one box wait so long for others
+ORDERS_S = 2.0  # orders left unanswered so long are sent again
+FLOOR = "flaxscale-floor"  # in a refusal: epoch;floor under which nothing may be done there
+RAN = "flaxscale-ran"  # "no" in an answer: the set-up never ran and never will
 
 
 class NoteEvent(msgspec.Struct):
     """What a box tells of one of our viewings there."""
+
     key: str
     link: float | None = None
     uplink: float | None = None
@@ -30,8 +32,8 @@
 
 class OverEvent(msgspec.Struct):
     key: str
-    how: str                    # left, lost, moved: another manager has it now
-    to: str = ""                # which
+    how: str  # left, lost, moved: another manager has it now
+    to: str = ""  # which
 
 
 class OrdersAnswer(msgspec.Struct):
@@ -56,10 +58,10 @@
         if site.front.fleet_token:
             self.who.append(("Authorization", f"Bearer {site.front.fleet_token}"))
         self.places, self.watches, self.streams = {}, {}, {}
-        self.playing, self.boots = {}, {}       # box: {key: viewing}; key: the start of the box that plays it
-        self.epochs = {}            # key: the epoch under which we hold it, where it was taken over
+        self.playing, self.boots = {}, {}  # box: {key: viewing}; key: the start of the box that plays it
+        self.epochs = {}  # key: the epoch under which we hold it, where it was taken over
         self.owed, self.orders_out = Owed(sense.seed), {}
-        self.pushing = {}           # box: the wake-up that will send its orders
+        self.pushing = {}  # box: the wake-up that will send its orders
 
     def rule(self, sense):
         """Goes by these settings from now on."""
@@ -82,10 +84,13 @@
                 return
             figures = load.decode(result.headers.get(load.FIELD))
             whole = result.status == 200 and all(name in figures for name in self.load_names)
-            done(How.OK if whole else How.ERROR, now() - began,
-                 tuple(figures[name] for name in self.load_names) if whole else ())
-        self.pool.send(place.host, place.port, "GET", "/manager/load",
-                       self.who, b"", came, self.dial_s)
+            done(
+                How.OK if whole else How.ERROR,
+                now() - began,
+                tuple(figures[name] for name in self.load_names) if whole else (),
+            )
+
+        self.pool.send(place.host, place.port, "GET", "/manager/load", self.who, b"", came, self.dial_s)
 
     # The list
 
@@ -130,6 +135,7 @@
                 done(How.RESET if result.sent else How.UNREACHED, took, None, ())
                 return
             done(self.how_of(result), took, result, self.notes_of(result.headers))
+
         return self.pool.send(place.host, place.port, "POST", target, [*headers, field, *self.who], body, came)
 
     def answered_under(self, box, boot, field, answer):
@@ -239,11 +245,23 @@
                         self.epochs.pop(key, None)
                         self.owner.ended_there(key)
             self.push(box)
+
         self.orders_out[box] = self.pool.send(
-            place.host, place.port, "POST", "/manager/orders",
+            place.host,
+            place.port,
+            "POST",
+            "/manager/orders",
             [("Content-Type", "application/json"), field, *self.who],
-            msgspec.json.encode({"end": ends, "rungs": rungs, "epochs": {
-                key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs}}), came, ORDERS_S)
+            msgspec.json.encode(
+                {
+                    "end": ends,
+                    "rungs": rungs,
+                    "epochs": {key: self.epochs[key] for key in (*ends, *rungs) if key in self.epochs},
+                }
+            ),
+            came,
+            ORDERS_S,
+        )
 
     def fenced(self, box, body):
         """Orders that the box refused: another manager took the viewing over. It is let go, not ended."""
@@ -268,9 +286,14 @@
             return
         watch.opening(self.keys(box))
         self.streams[box] = stream = wire.EventStream(
-            place.host, place.port, "/manager/notes", self.who,
-            lambda: None, lambda event: self.heard(box, event),
-            lambda refused, detail: self.stream_closed(box, refused, detail))
+            place.host,
+            place.port,
+            "/manager/notes",
+            self.who,
+            lambda: None,
+            lambda event: self.heard(box, event),
+            lambda refused, detail: self.stream_closed(box, refused, detail),
+        )
         stream.start(self.dial_s)
 
     def stream_closed(self, box, refused, detail):
@@ -280,8 +303,9 @@
         self.log.info("stream closed", box=box, refused=refused, detail=detail, lost=len(lost))
         self.lose(box, lost, "its process does not run" if refused else "its stream ended and the list says gone")
         if box in self.places:
-            asyncio.get_running_loop().call_later(max(0.0, (watch.retry_at - now()) / 10_000) + 0.001,
-                                                  self.keep_stream, box)
+            asyncio.get_running_loop().call_later(
+                max(0.0, (watch.retry_at - now()) / 10_000) + 0.001, self.keep_stream, box
+            )
 
     def close_stream(self, box):
         if stream := self.streams.pop(box, None):
--- a/flaxscale/front/duties.py
+++ b/flaxscale/front/duties.py
@@ -1,6 +1,7 @@
 """What one manager does for the whole fleet under leases, on its sockets. Who may, when and under which token leases/
 says; what a duty decides stands in leases/duties.py and where its matter lies (catalogue.plan, members.adopt).
 """
+
 import asyncio
 import json
 import sys
@@ -16,9 +17,9 @@
 from .members import Outdated, Sessions
 
 TICK_S = 0.2
-ACT_S = 5.0                     # an act that the service does not answer by then may have been done
+ACT_S = 5.0  # an act that the service does not answer by then may have been done
 STATE_S = 1.0
-FIELD = "Flaxscale-Lease"       # piece;token;owner with what is done at a box under a lease
+FIELD = "Flaxscale-Lease"  # piece;token;owner with what is done at a box under a lease
 COPIES, MOVES, ROOM = 3, 50, 1_000_000  # of the planner's proposal; titles that a box can hold
 
 
@@ -33,8 +34,12 @@
 
     def start(self):
         """Only where the site has duties, a catalogue's service grants them, and managers talk."""
-        self.on = bool(self.tasks) and self.front.watch is not None and self.front.members.shell is not None and (
-            not self.front.older)
+        self.on = (
+            bool(self.tasks)
+            and self.front.watch is not None
+            and self.front.members.shell is not None
+            and (not self.front.older)
+        )
         if self.on:
             self.front.watch.duties = self
             self.source(self.front.watch.up)
@@ -62,8 +67,10 @@
     def fits(self):
         board = self.front.fleet.board
         floor = board.floor()
-        return [Fit(row.name, row.full, row.slow, row.behind or row.version < floor, not row.up)
-                for row in board.living(self.front.members.alive())]
+        return [
+            Fit(row.name, row.full, row.slow, row.behind or row.version < floor, not row.up)
+            for row in board.living(self.front.members.alive())
+        ]
 
     def tick(self):
         self.timer = asyncio.get_running_loop().call_later(TICK_S, self.tick)
@@ -85,13 +92,17 @@
     async def say(self, time):
         await self.give(self.holder.give(time, self.turns.under_way))
         if asked := self.holder.due(time):
-            await self.front.watch.say(owner=self.owner, seen=self.holder.seen, leases=[
-                pb.LeaseAsk(piece=piece, token=token, number=number) for piece, token, number in asked])
+            await self.front.watch.say(
+                owner=self.owner,
+                seen=self.holder.seen,
+                leases=[pb.LeaseAsk(piece=piece, token=token, number=number) for piece, token, number in asked],
+            )
 
     async def give(self, rows):
         if rows:
-            await self.front.watch.say(owner=self.owner, leases=[
-                pb.LeaseAsk(piece=piece, token=token) for piece, token in rows])
+            await self.front.watch.say(
+                owner=self.owner, leases=[pb.LeaseAsk(piece=piece, token=token) for piece, token in rows]
+            )
 
     def source(self, up):
         self.holder.source(up, len(self.front.members.alive()), now())
@@ -145,8 +156,10 @@
         self.acts[number] = came
         self.counts["acts"] += 1
         try:
-            if not await self.front.watch.say(owner=self.owner, acts=[pb.LeaseAct(
-                    piece=piece, token=lease.token, number=number, what=json.dumps(what).encode())]):
+            if not await self.front.watch.say(
+                owner=self.owner,
+                acts=[pb.LeaseAct(piece=piece, token=lease.token, number=number, what=json.dumps(what).encode())],
+            ):
                 raise OSError("no way to the service")
             async with asyncio.timeout(ACT_S):
                 told = await came
@@ -168,9 +181,11 @@
     async def do_reports(self, piece):
         """The fleet's state in few words: who answers, what each holds and owes, what each account spans."""
         rows = await self.gather()
-        await self.act(piece, members={name: row and {k: v for k, v in row.items() if k != "demand"}
-                                       for name, row in rows.items()},
-                       silent=sorted(name for name, row in rows.items() if row is None))
+        await self.act(
+            piece,
+            members={name: row and {k: v for k, v in row.items() if k != "demand"} for name, row in rows.items()},
+            silent=sorted(name for name, row in rows.items() if row is None),
+        )
 
     async def do_copies(self, piece):
         """A proposal of copies for what plays now; an operator may take it. Another process solves it."""
@@ -183,23 +198,43 @@
             await self.act(piece, demand=0, add=[], drop=[])
             return
         question = {
-            "boxes": [(id, fleet.kb_per_weight * (row.weight or 1), row.cell % fleet.racks, ROOM)
-                      for id, row in places.items()],
+            "boxes": [
+                (id, fleet.kb_per_weight * (row.weight or 1), row.cell % fleet.racks, ROOM)
+                for id, row in places.items()
+            ],
             "uplinks": {str(rack): fleet.uplink_kb for rack in range(fleet.racks)},
-            "demand": demand, "value": {}, "moves": MOVES, "copies": COPIES}
-        held = {name: [b for b, s in t.holders if s == "holding"] for name, t in follower.titles.items()
-                if name in demand}
+            "demand": demand,
+            "value": {},
+            "moves": MOVES,
+            "copies": COPIES,
+        }
+        held = {
+            name: [b for b, s in t.holders if s == "holding"] for name, t in follower.titles.items() if name in demand
+        }
         step = self.tasks["copies"].step / 10_000
         made = msgspec.json.decode(await self.solved(msgspec.json.encode([question, held, step / 2]), step))
-        await self.act(piece, demand=round(sum(asked.values())), titles=len(demand), add=made[0][:MOVES],
-                       drop=made[1][:MOVES], before=made[2], after=made[3])
+        await self.act(
+            piece,
+            demand=round(sum(asked.values())),
+            titles=len(demand),
+            add=made[0][:MOVES],
+            drop=made[1][:MOVES],
+            before=made[2],
+            after=made[3],
+        )
 
     @staticmethod
     async def solved(asked, within):
         """What the planner's own process says, its last line; OSError where it says nothing in time."""
         child = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flaxscale", "solve", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.DEVNULL)
+            sys.executable,
+            "-m",
+            "flaxscale",
+            "solve",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
         try:
             async with asyncio.timeout(within):
                 said, _ = await child.communicate(asked)
@@ -213,6 +248,7 @@
 
     async def gather(self):
         """{manager: its account of itself, None where it does not answer in time}."""
+
         async def one(name):
             if name == self.front.name:
                 return self.account()
@@ -220,6 +256,7 @@
                 return msgspec.json.decode((await self.front.fleet.call(name, "/fleet/duty", STATE_S)).body)
             except (OSError, msgspec.MsgspecError):
                 return None
+
         names = self.front.members.alive()
         return dict(zip(names, await asyncio.gather(*(one(name) for name in names))))
 
@@ -233,10 +270,16 @@
                 demand[vw.offer.title] += kb[0]
         behind = round(front.site.fleet.behind_s * 10_000)
         stragglers = front.fleet.board.stragglers(front.members.alive(), front.fleet.suspects(), behind, now())
-        return {"viewings": len(front.viewings), "owed": front.boxes.owed.count(), "boxes": len(front.book.rows),
-                "version": front.watch.follower.version, "stragglers": [[s.name, s.why] for s in stragglers],
-                "rows_lost": account.lost if account else None, "stamp": front.audit.stamps.number,
-                "demand": dict(demand)}
+        return {
+            "viewings": len(front.viewings),
+            "owed": front.boxes.owed.count(),
+            "boxes": len(front.book.rows),
+            "version": front.watch.follower.version,
+            "stragglers": [[s.name, s.why] for s in stragglers],
+            "rows_lost": account.lost if account else None,
+            "stamp": front.audit.stamps.number,
+            "demand": dict(demand),
+        }
 
     async def do_orphans(self, piece):
         """Sessions of a box that no living manager has, and that nobody took over: of one that none of us knew, say.
@@ -255,13 +298,26 @@
             lease = self.lease(piece)
             self.counts["acts"] += 1
             self.front.lines.info("orphans", box=box, owner=owner, count=len(keys), token=lease.token)
-            await members.claim(box, place, owner, Sessions(found.boot, [r for r in found.sessions if r.key in keys]),
-                                len(alive), owed, [(FIELD, f"{piece};{lease.token};{self.owner}")])
+            await members.claim(
+                box,
+                place,
+                owner,
+                Sessions(found.boot, [r for r in found.sessions if r.key in keys]),
+                len(alive),
+                owed,
+                [(FIELD, f"{piece};{lease.token};{self.owner}")],
+            )
 
     def state(self):
         time = now()
-        return {"on": self.on, **self.counts, "seen": self.holder.seen, "holds": {
-            piece: {"token": held.token, "left_s": (held.until - time) / 10_000}
-            for piece, held in sorted(self.holder.wanted.items()) if self.holder.holds(piece, time)},
-            "refused": {piece: list(row) for piece, row in sorted(self.holder.refused.items())}}
-
+        return {
+            "on": self.on,
+            **self.counts,
+            "seen": self.holder.seen,
+            "holds": {
+                piece: {"token": held.token, "left_s": (held.until - time) / 10_000}
+                for piece, held in sorted(self.holder.wanted.items())
+                if self.holder.holds(piece, time)
+            },
+            "refused": {piece: list(row) for piece, row in sorted(self.holder.refused.items())},
+        }
--- a/flaxscale/front/fleet.py
+++ b/flaxscale/front/fleet.py
@@ -2,6 +2,7 @@
 out and coming back, and what it gives others. Paths under /fleet: catalogue and digest for managers (signed with a
 member's key), account for operators. Only where managers talk and a catalogue service spreads versions.
 """
+
 import asyncio
 import contextlib
 from urllib.parse import parse_qsl
@@ -22,26 +23,32 @@
 from .boxes import FLOOR
 
 TICK_S = 0.25
-STEADY = 10_000                 # up again for so long before anything new is taken
-FETCH_S = 20.0                  # a transfer that is not over by then is given up
+STEADY = 10_000  # up again for so long before anything new is taken
+FETCH_S = 20.0  # a transfer that is not over by then is given up
 DIGEST_S = 1.0
-TELLERS = 2                     # managers that tell a box which none may have a stream to
-WITNESSES = 2                   # other managers that are asked what a version amounts to
-SLICE = 1_000                   # titles encoded between two turns of the loop
-TELL_S = 0.5                    # boxes hear of a new floor within this
+TELLERS = 2  # managers that tell a box which none may have a stream to
+WITNESSES = 2  # other managers that are asked what a version amounts to
+SLICE = 1_000  # titles encoded between two turns of the loop
+TELL_S = 0.5  # boxes hear of a new floor within this
 SIGNED = "flaxscale-signed"
 
 
 class FrontFleet:
     def __init__(self, front):
         self.front, self.on = front, False
-        self.board, self.up, self.giver = Board(front.name, front.boot), BringUp(front.name, front.sense.seed), Giver(
-            now())
-        self.lies = False           # the lab's: damages what it hands over
-        self.shut = None            # since when nothing new is taken
+        self.board, self.up, self.giver = (
+            Board(front.name, front.boot),
+            BringUp(front.name, front.sense.seed),
+            Giver(now()),
+        )
+        self.lies = False  # the lab's: damages what it hands over
+        self.shut = None  # since when nothing new is taken
         self.told_floor, self.left_epoch, self.level_since, self.epoch = 0, None, None, None
-        self.timer, self.jobs, self.counts = None, set(), dict.fromkeys(
-            ("nudges", "brought_up", "copies_refused", "sent_on", "shut_out", "refused_by_boxes"), 0)
+        self.timer, self.jobs, self.counts = (
+            None,
+            set(),
+            dict.fromkeys(("nudges", "brought_up", "copies_refused", "sent_on", "shut_out", "refused_by_boxes"), 0),
+        )
 
     # Life
 
@@ -65,13 +72,22 @@
 
     def renew(self):
         front = self.front
-        more = {"list_version": front.book.version or 0, "settings": front.mark,
-                "full": full(len(front.viewings), front.site.front.held_most, front.gate.rate is not None),
-                "slow": front.still.slow(now())}
+        more = {
+            "list_version": front.book.version or 0,
+            "settings": front.mark,
+            "full": full(len(front.viewings), front.site.front.held_most, front.gate.rate is not None),
+            "slow": front.still.slow(now()),
+        }
         if self.on:
             f = front.watch.follower
-            more |= {"epoch": f.epoch or "", "version": f.version or 0, "floor": max(f.floor, self.told_floor),
-                     "digest": f.sum, "up": front.watch.up, "refused": front.watch.refused}
+            more |= {
+                "epoch": f.epoch or "",
+                "version": f.version or 0,
+                "floor": max(f.floor, self.told_floor),
+                "digest": f.sum,
+                "up": front.watch.up,
+                "refused": front.watch.refused,
+            }
         self.board.mine(**more)
 
     def rides(self, members):
@@ -98,8 +114,9 @@
         return self.front.members.alive()
 
     def suspects(self):
-        return [m.name for m in self.front.members.shell.swim.members.values()
-                if m.state in (State.SUSPECT, State.DEAD)]
+        return [
+            m.name for m in self.front.members.shell.swim.members.values() if m.state in (State.SUSPECT, State.DEAD)
+        ]
 
     # Being behind
 
@@ -112,8 +129,15 @@
         newest = self.board.look(alive, time)
         self.mind_floor(time)
         since = self.board.behind_since
-        givers = [row.name for row in self.board.living(alive) if row.name != self.front.name and newest is not None
-                  and row.at() == newest] if since is not None else ()
+        givers = (
+            [
+                row.name
+                for row in self.board.living(alive)
+                if row.name != self.front.name and newest is not None and row.at() == newest
+            ]
+            if since is not None
+            else ()
+        )
         step = self.up.look(time, since, self.board.count_behind(alive), givers)
         if step.nudge:
             self.counts["nudges"] += 1
@@ -131,8 +155,14 @@
             raise OSError(f"{name} is not known")
         host, _, port = serves.rpartition(":")
         result = await self.front.boxes.pool.ask(
-            host, int(port), "GET", target, [(SIGNED, members_wire.sign(target, self.front.members.keys[0]))], b"",
-            seconds)
+            host,
+            int(port),
+            "GET",
+            target,
+            [(SIGNED, members_wire.sign(target, self.front.members.keys[0]))],
+            b"",
+            seconds,
+        )
         if result.status != 200:
             raise OSError(f"status {result.status}")
         return result
@@ -142,8 +172,9 @@
         follower, lines, good, lied = self.front.watch.follower, self.front.lines, False, False
         try:
             since = follower.version if follower.epoch == newest.epoch else -1
-            result = await self.call(peer, f"/fleet/catalogue?epoch={newest.epoch}&since={since}&from="
-                                     f"{self.front.name}", FETCH_S)
+            result = await self.call(
+                peer, f"/fleet/catalogue?epoch={newest.epoch}&since={since}&from={self.front.name}", FETCH_S
+            )
             told_by = await self.witnesses(peer, newest.epoch, handing.version_of(result.body))
             epoch, messages = handing.taken(result.body, follower, newest.epoch, told_by)
             self.front.watch.handed(epoch, messages)
@@ -161,11 +192,14 @@
 
     async def witnesses(self, giver, epoch, version):
         """{name: digest} of others that hold a version, by the members' rows or asked for."""
-        rows = [row for row in self.board.living(self.alive()) if row.name not in (giver, self.front.name)
-                and row.epoch == epoch]
+        rows = [
+            row
+            for row in self.board.living(self.alive())
+            if row.name not in (giver, self.front.name) and row.epoch == epoch
+        ]
         told_by = {row.name: row.digest for row in rows if row.version == version and row.digest}
-        able = sorted(row.name for row in rows if row.name not in told_by)     # it may know it by now, or still
-        for name in able[:max(0, WITNESSES - len(told_by))]:
+        able = sorted(row.name for row in rows if row.name not in told_by)  # it may know it by now, or still
+        for name in able[: max(0, WITNESSES - len(told_by))]:
             with contextlib.suppress(OSError, ValueError):
                 result = await self.call(name, f"/fleet/digest?epoch={epoch}&version={version}", DIGEST_S)
                 told_by[name] = msgspec.json.decode(result.body, type=int)
@@ -187,7 +221,7 @@
         if epoch == f.epoch:
             self.told_floor = max(self.told_floor, int(floor))
         elif f.epoch:
-            self.left_epoch = f.epoch       # that box has left this epoch behind
+            self.left_epoch = f.epoch  # that box has left this epoch behind
         self.mind_floor(now())
 
     def under(self):
@@ -208,17 +242,22 @@
                 self.shut, f = time, self.front.watch.follower
                 self.counts["shut_out"] += 1
                 self.front.audit.did("shut", f"{f.epoch};{f.version}")
-                self.front.lines.warning("under the floor: nothing new is taken", version=f.version,
-                                         floor=self.floor(), viewings=len(self.front.viewings))
+                self.front.lines.warning(
+                    "under the floor: nothing new is taken",
+                    version=f.version,
+                    floor=self.floor(),
+                    viewings=len(self.front.viewings),
+                )
                 if len(self.alive()) > 1:
-                    self.front.members.leave()      # others claim what plays here
+                    self.front.members.leave()  # others claim what plays here
             return
         if self.shut is None:
             return
         self.level_since = self.level_since or time
         if time - self.level_since >= STEADY:
-            self.front.lines.info("over the floor again", version=self.front.watch.follower.version,
-                                  after=time - self.shut)
+            self.front.lines.info(
+                "over the floor again", version=self.front.watch.follower.version, after=time - self.shut
+            )
             self.shut = self.level_since = None
             self.front.audit.did("open", "")
             self.front.members.back()
@@ -253,8 +292,9 @@
             return
         self.counts["sent_on"] += 1
         if at := self.front.members.another(viewer):
-            raise Refusal(307, "this manager goes by too old a version", [
-                ("Location", f"http://{at}{exchange.request.target}")])
+            raise Refusal(
+                307, "this manager goes by too old a version", [("Location", f"http://{at}{exchange.request.target}")]
+            )
         raise Refusal(503, "this manager goes by too old a version, and knows of no other", [("Retry-After", "1")])
 
     # What others ask
@@ -268,8 +308,9 @@
             return
         if self.front.members.shell is None:
             raise Refusal(404, "managers don't talk here")
-        if not members_wire.signed(exchange.request.target, exchange.request.headers.get(SIGNED),
-                                   self.front.members.keys):
+        if not members_wire.signed(
+            exchange.request.target, exchange.request.headers.get(SIGNED), self.front.members.keys
+        ):
             raise Refusal(401, "managers sign with a member's key")
         if what == "try":
             exchange.respond(200, [("Content-Type", "application/json")], self.front.tries.asked(args))
@@ -277,8 +318,9 @@
         if what == "duty":
             if not self.front.duties.on:
                 raise Refusal(404, "no duties are on here")
-            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(
-                self.front.duties.account()))
+            exchange.respond(
+                200, [("Content-Type", "application/json")], msgspec.json.encode(self.front.duties.account())
+            )
             return
         if what in ("owed", "owes"):
             try:
@@ -311,10 +353,10 @@
                     await asyncio.sleep(0)
                 made = b"".join(parts)
             if self.lies:
-                made = made[:len(made) // 2] + bytes([made[len(made) // 2] ^ 0x01]) + made[len(made) // 2 + 1:]
+                made = made[: len(made) // 2] + bytes([made[len(made) // 2] ^ 0x01]) + made[len(made) // 2 + 1 :]
             self.front.lines.info("copy given", to=args.get("from", "")[:40], since=since, bytes=len(made))
             exchange.respond(200, [("Content-Type", "application/msgpack")], made)
-        finally:                        # it counts as out for as long as its bytes may take
+        finally:  # it counts as out for as long as its bytes may take
             size = len(made or b"")
             asyncio.get_running_loop().call_later(size / BYTES, self.giver.done, size)
 
@@ -324,8 +366,11 @@
             raise Refusal(404, "this manager keeps no account")
         since = int(args["since"]) if args.get("since", "").isdigit() else 0
         rows = rows_of_account(account, since)
-        exchange.respond(200, [("Content-Type", "application/x-ndjson")],
-                         b"".join(msgspec.json.encode(plain(row)) + b"\n" for row in rows))
+        exchange.respond(
+            200,
+            [("Content-Type", "application/x-ndjson")],
+            b"".join(msgspec.json.encode(plain(row)) + b"\n" for row in rows),
+        )
 
     # What is said of it
 
@@ -334,12 +379,25 @@
             return {"on": False}
         time, alive = now(), self.alive()
         behind = round(self.front.site.fleet.behind_s * 10_000)
-        return {"on": True, "shut_out_for_s": None if self.shut is None else (time - self.shut) / 10_000,
-                "floor": self.floor(), "newest": self.board.newest(alive),
-                **self.counts, "given": self.giver.given, "giving_refused": self.giver.refused,
-                "rows": {row.name: {**row._asdict(), "heard_s_ago": 0 if row.name == self.front.name else (
-                    time - self.board.heard_at.get(row.name, time)) / 10_000}
-                    for row in [self.board.me, *self.board.rows.values()]},
-                "stragglers": [{**s._asdict(), "since_s": (time - s.since) / 10_000} for s in
-                               self.board.stragglers(alive, self.suspects(), behind, time)]}
-
+        return {
+            "on": True,
+            "shut_out_for_s": None if self.shut is None else (time - self.shut) / 10_000,
+            "floor": self.floor(),
+            "newest": self.board.newest(alive),
+            **self.counts,
+            "given": self.giver.given,
+            "giving_refused": self.giver.refused,
+            "rows": {
+                row.name: {
+                    **row._asdict(),
+                    "heard_s_ago": 0
+                    if row.name == self.front.name
+                    else (time - self.board.heard_at.get(row.name, time)) / 10_000,
+                }
+                for row in [self.board.me, *self.board.rows.values()]
+            },
+            "stragglers": [
+                {**s._asdict(), "since_s": (time - s.since) / 10_000}
+                for s in self.board.stragglers(alive, self.suspects(), behind, time)
+            ],
+        }
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -3,6 +3,7 @@
 This is the runner's port. Which box, which rung, when to try again, when to give up and what to answer is the
 module's; what is read and written here has no choice in it.
 """
+
 import asyncio
 import json
 import secrets
@@ -43,26 +44,46 @@
 from .steps import Steps
 from .tries import FrontTries
 
-AGAIN = 300_000             # a viewer of the same title within half a minute comes again
-LAG_S = 0.025               # a timer rings so often, to see how late it is
-LINGER_S = 1.0              # a manager that leaves still sends requests on for so long: balancers hear of it late
-FRESH_S = 0.2               # a connection that was just let in has so long for its first request
-PATCH_S = 5.0               # a PATCH that the box leaves unanswered so long is given up
+AGAIN = 300_000  # a viewer of the same title within half a minute comes again
+LAG_S = 0.025  # a timer rings so often, to see how late it is
+LINGER_S = 1.0  # a manager that leaves still sends requests on for so long: balancers hear of it late
+FRESH_S = 0.2  # a connection that was just let in has so long for its first request
+PATCH_S = 5.0  # a PATCH that the box leaves unanswered so long is given up
 
 
 class Viewing:
     """A viewing as the sockets have it."""
-    __slots__ = ("id", "offer", "askers", "name", "key", "call", "came", "box", "path", "place", "tries",
-                 "plays", "done", "asked_at", "taken_at", "began", "slot_wait", "cookie", "mark")
+
+    __slots__ = (
+        "id",
+        "offer",
+        "askers",
+        "name",
+        "key",
+        "call",
+        "came",
+        "box",
+        "path",
+        "place",
+        "tries",
+        "plays",
+        "done",
+        "asked_at",
+        "taken_at",
+        "began",
+        "slot_wait",
+        "cookie",
+        "mark",
+    )
 
     def __init__(self, id, offer, exchange, manager):
         self.id, self.offer, self.askers = id, offer, [exchange] if exchange is not None else []
         self.name, self.cookie = f"{manager}.{id:x}-{secrets.token_urlsafe(12)}", ""
-        self.mark = ""          # of its client's key, where it gave one
+        self.mark = ""  # of its client's key, where it gave one
         self.key = self.call = self.came = self.box = self.path = self.place = None
         self.tries, self.plays, self.done, self.began = 0, False, False, None
         self.asked_at = self.taken_at = now()
-        self.slot_wait = 0      # what the module's slot kept it waiting, less what the timer was late
+        self.slot_wait = 0  # what the module's slot kept it waiting, less what the timer was late
 
 
 def mark_of(site):
@@ -71,8 +92,22 @@
 
 
 class Front:
-    def __init__(self, sense, log, list_address=None, state=None, tap=None, catalogue_address=None, members=None,
-                 reread=None, leave=None, via=None, files=Files, older=False, steps=None):
+    def __init__(
+        self,
+        sense,
+        log,
+        list_address=None,
+        state=None,
+        tap=None,
+        catalogue_address=None,
+        members=None,
+        reread=None,
+        leave=None,
+        via=None,
+        files=Files,
+        older=False,
+        steps=None,
+    ):
         """members: seeds of other managers, as [HOST:PORT]; None: no talk between managers.
 
         via: as FrontMembers has it. files: makes the disk's side of a folder. older: nothing is said of versions.
@@ -88,38 +123,54 @@
         self.boxes = Boxes(self, sense, self.name, self.boot, log)
         fleet = self.site.fleet
         self.book = BoxBook(sense.kinds, sense.zones, fleet.cells, sense.terms.rules.warm_within)
-        self.follower = ListFollower(list_address, self.name, self.book, state, self.listed,
-                                     log) if list_address else None
+        self.follower = (
+            ListFollower(list_address, self.name, self.book, state, self.listed, log) if list_address else None
+        )
         self.watch, self.view = None, FileView(self.site)
         if catalogue_address:
             from ..catalogued.watch import CatalogueWatch  # gRPC is slow to load and most tests need none
+
             kept = files(f"{state}/catalogue-{self.name}", lasting=False) if state else None
-            self.watch = CatalogueWatch(catalogue_address, self.name, "manager", self.title_news, log, kept,
-                                        self.check_titles, self.seats_in_use)
+            self.watch = CatalogueWatch(
+                catalogue_address,
+                self.name,
+                "manager",
+                self.title_news,
+                log,
+                kept,
+                self.check_titles,
+                self.seats_in_use,
+            )
             self.view = LiveView(sense, self.watch.follower)
-        self.peaks = FrontPeaks(self, catalogue_address,
-                                files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address
-                                else None)
+        self.peaks = FrontPeaks(
+            self,
+            catalogue_address,
+            files(f"{state}/peaks-{self.name}", lasting=False) if state and catalogue_address else None,
+        )
         self.fleet, self.older, self.steps = FrontFleet(self), older, steps or Steps()
         self.tries, self.lent, self.duties = FrontTries(self), FrontLent(self), FrontDuties(self)
-        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None,
-                                    via)
+        self.members = FrontMembers(self, self.site.front.member_keys, members or (), members is not None, via)
         self.journal = FrontJournal(self, files(f"{state}/keys-{self.name}") if state else None)
         self.audit = FrontAudit(self, files(f"{state}/account-{self.name}", lasting=False) if state else None)
         self.gate = Gate(sense.seed, self.site.front.gate)
         self.still = Still(now(), round(LAG_S * 10_000))
         row = self.site.front
         self.keys = KeyBook(round(row.keep_answers_ms * 10))
-        self.server = Server(self.handle, Limits(row.head_bytes, 64, 2048, row.body_bytes),
-                             Times(round(row.head_ms * 10), round(row.body_ms * 10), round(row.idle_ms * 10)),
-                             row.connections, may_be_gone=lambda: self.still.older(now()) > 0)
+        self.server = Server(
+            self.handle,
+            Limits(row.head_bytes, 64, 2048, row.body_bytes),
+            Times(round(row.head_ms * 10), round(row.body_ms * 10), round(row.idle_ms * 10)),
+            row.connections,
+            may_be_gone=lambda: self.still.older(now()) > 0,
+        )
         self.viewings, self.names, self.by_key, self.seen = {}, {}, {}, {}
-        self.early = set()          # set-ups that are out, and over by their box's stream
-        self.ones = {}              # (viewer, title): the viewing's id, where one each is the site's rule
+        self.early = set()  # set-ups that are out, and over by their box's stream
+        self.ones = {}  # (viewer, title): the viewing's id, where one each is the site's rule
         self.ids, self.timer, self.lag_timer = 0, None, None
         self.loop = self.address = None
-        self.counts = dict.fromkeys(("taken", "plays", "blocked", "aborted", "left", "refused", "joined",
-                                     "turned_away"), 0)
+        self.counts = dict.fromkeys(
+            ("taken", "plays", "blocked", "aborted", "left", "refused", "joined", "turned_away"), 0
+        )
         self.housekeeping = None
 
     # Settings
@@ -156,12 +207,21 @@
     def refusals(self, site):
         names = list(self.sense.rows)
         in_use = Counter(names[held.ask.package] for held in self.runner.held.values())
-        found = refusals(self.site, site, self.sense.zone_name, self.sense.me, in_use, self.book.rows.values(),
-                         self.runner.manager.counts_back / 10)
-        if self.watch is not None:      # a catalogue may name packages that no viewing is in yet
+        found = refusals(
+            self.site,
+            site,
+            self.sense.zone_name,
+            self.sense.me,
+            in_use,
+            self.book.rows.values(),
+            self.runner.manager.counts_back / 10,
+        )
+        if self.watch is not None:  # a catalogue may name packages that no viewing is in yet
             told = {name for t in self.watch.follower.titles.values() for name in (t.view, t.push) if name}
-            found += [(f"packages.{name}", "the package kept while the catalogue has titles of it")
-                      for name in sorted(told - set(site.packages))]
+            found += [
+                (f"packages.{name}", "the package kept while the catalogue has titles of it")
+                for name in sorted(told - set(site.packages))
+            ]
         return found
 
     # Life
@@ -216,9 +276,10 @@
         if hand_over:
             self.members.leave()
             lingers = self.loop.time() + LINGER_S
-            while self.loop.time() < until and (self.loop.time() < lingers or any(
-                    vw.plays for vw in self.viewings.values())):
-                await asyncio.sleep(0.01)       # each goes as its box says that it is another's
+            while self.loop.time() < until and (
+                self.loop.time() < lingers or any(vw.plays for vw in self.viewings.values())
+            ):
+                await asyncio.sleep(0.01)  # each goes as its box says that it is another's
             self.server.stop_listening()
             # Who was let in at the last moment has its first request on the way, and is sent on too.
             fresh = self.loop.time() + FRESH_S
@@ -265,7 +326,7 @@
         except Refusal as no:
             self.counts["refused"] += 1
             exchange.respond(*no.answer())
-        except Exception as fault:      # one request's fault is that request's alone
+        except Exception as fault:  # one request's fault is that request's alone
             self.lines.error("fault", error=f"{type(fault).__name__}: {fault}", target=exchange.request.target[:100])
             exchange.refuse(500, "An error of ours")
 
@@ -293,15 +354,19 @@
     def drain(self, exchange):
         """An operators' order to leave service, for us or for another: members.orders has what comes of it."""
         self.check_operator(exchange, "only SIGTERM drains it")
-        if exchange.request.method == "GET":        # whom an order may name
+        if exchange.request.method == "GET":  # whom an order may name
             lives = {name: self.members.member(name).boot for name in self.members.alive() if name != self.name}
-            exchange.respond(200, [("Content-Type", "application/json")], json.dumps(
-                {"manager": self.name, "lives": {self.name: self.boot, **lives}}).encode())
+            exchange.respond(
+                200,
+                [("Content-Type", "application/json")],
+                json.dumps({"manager": self.name, "lives": {self.name: self.boot, **lives}}).encode(),
+            )
             return
         args = dict(parse_qsl(exchange.request.target.partition("?")[2]))
         named = args.get("manager", "")
-        to_do = orders.drain(named, args.get("life", ""), self.name, self.boot, self.server.stopping,
-                             self.members.member(named))
+        to_do = orders.drain(
+            named, args.get("life", ""), self.name, self.boot, self.server.stopping, self.members.member(named)
+        )
         told = {"manager": named or self.name, "viewings": len(self.viewings), "others": len(self.members.alive()) - 1}
         match to_do:
             case orders.Leave(again):
@@ -312,11 +377,13 @@
                     self.lines.info("drain asked for", viewings=len(self.viewings))
                     self.leave()
             case orders.SendOn(serves):
-                raise Refusal(307, f"{named} is asked itself", [("Location",
-                                                                 f"http://{serves}{exchange.request.target}")])
+                raise Refusal(
+                    307, f"{named} is asked itself", [("Location", f"http://{serves}{exchange.request.target}")]
+                )
             case orders.Over(why):
-                exchange.respond(200, [("Content-Type", "application/json")],
-                                 json.dumps({"manager": named, "over": why}).encode())
+                exchange.respond(
+                    200, [("Content-Type", "application/json")], json.dumps({"manager": named, "over": why}).encode()
+                )
             case orders.Unknown():
                 raise Refusal(404, f"no manager {named[:60]!r} is known here")
 
@@ -338,15 +405,23 @@
             return
         stated = args.get("viewer") or headers.get("flaxscale-viewer")
         time, client = now(), stated or self.address_of(exchange)
-        left = self.sense.patience(self.sense.packages[package], fields.wait_of(headers.get("prefer"))) - (
-            time - exchange.arrived) - self.still.older(exchange.arrived)
+        left = (
+            self.sense.patience(self.sense.packages[package], fields.wait_of(headers.get("prefer")))
+            - (time - exchange.arrived)
+            - self.still.older(exchange.arrived)
+        )
         again = time - self.seen.get((self.viewer_id(stated, exchange), title), -AGAIN) < AGAIN
         worth = self.site.packages[package].value
         if no := self.gate.ask(time, client, left, again, title, worth):
             self.counts["turned_away"] += 1
-            raise Refusal(503, "this manager is behind" if no.why in ("behind", "late") else "too many tries",
-                          [("Retry-After", str(max(1, fields.seconds_up(no.hold_off))))], fate="blocked",
-                          hold_off_ms=no.hold_off / 10, why=no.why)
+            raise Refusal(
+                503,
+                "this manager is behind" if no.why in ("behind", "late") else "too many tries",
+                [("Retry-After", str(max(1, fields.seconds_up(no.hold_off))))],
+                fate="blocked",
+                hold_off_ms=no.hold_off / 10,
+                why=no.why,
+            )
 
     def address_of(self, exchange):
         peer = exchange.line.transport.get_extra_info("peername") or ("",)
@@ -364,8 +439,9 @@
             raise Refusal(404, f"no title {offer.title[:60]!r} to {'push' if offer.sends else 'watch'}")
         if self.server.stopping:
             if at := self.members.another(offer.viewer or offer.ufrag):
-                raise Refusal(307, "this manager is leaving service", [
-                    ("Location", f"http://{at}{exchange.request.target}")])
+                raise Refusal(
+                    307, "this manager is leaving service", [("Location", f"http://{at}{exchange.request.target}")]
+                )
             raise Refusal(503, "this manager is leaving service", [("Retry-After", "1")])
         self.fleet.turn_away(exchange, offer.viewer or offer.ufrag)
         if len(self.viewings) >= self.site.front.held_most:
@@ -385,8 +461,9 @@
         self.seen[viewer, offer.title] = time
         self.counts["taken"] += 1
         vw.asked_at = exchange.arrived
-        patience = self.sense.patience(number, offer.wait) - (time - exchange.arrived) - self.still.older(
-            exchange.arrived)
+        patience = (
+            self.sense.patience(number, offer.wait) - (time - exchange.arrived) - self.still.older(exchange.arrived)
+        )
         rungs = len(self.site.ladder.kb) - 1
         vw.cookie = cookie_out(vw.name, offer, viewer, rungs if offer.top is None else min(offer.top, rungs))
         if news := self.view.news(offer.title):
@@ -399,10 +476,22 @@
             """age: of its first try at another manager, whose patience goes on; one that is over begins anew."""
             left = due - now()
             left = left - age if age < left else left
-            self.runner.asked(face.Asked(
-                vw.id, number, row.title, viewer, max(0, left),
-                rungs if offer.top is None else min(offer.top, rungs), row.first_cell, row.cells,
-                round(offer.length * 10_000) if offer.length else 0, False, again))
+            self.runner.asked(
+                face.Asked(
+                    vw.id,
+                    number,
+                    row.title,
+                    viewer,
+                    max(0, left),
+                    rungs if offer.top is None else min(offer.top, rungs),
+                    row.first_cell,
+                    row.cells,
+                    round(offer.length * 10_000) if offer.length else 0,
+                    False,
+                    again,
+                )
+            )
+
         one = offer.key is None and self.one_each(offer)
         if one and not self.in_place(vw, (viewer, offer.title)):
             return
@@ -475,8 +564,17 @@
         askers, held.offer, held.mark = vw.askers, vw.offer, vw.mark
         vw.askers = []
         self.dismiss(vw)
-        reply = 201, [("Content-Type", endpoint.SDP), ("Location", f"/session/{held.name}"), ("Etag", stood.etag),
-                      ("Accept-Patch", endpoint.FRAGMENT), *endpoint.CORS], stood.body.encode()
+        reply = (
+            201,
+            [
+                ("Content-Type", endpoint.SDP),
+                ("Location", f"/session/{held.name}"),
+                ("Etag", stood.etag),
+                ("Accept-Patch", endpoint.FRAGMENT),
+                *endpoint.CORS,
+            ],
+            stood.body.encode(),
+        )
         if at is not None:
             self.keys.begin(at, xxhash.xxh3_64_intdigest(held.offer.body), held.id)
             self.keys.answered(held.id, reply, now())
@@ -493,8 +591,11 @@
         path, _, query = exchange.request.target.partition("?")
         asked = query.removeprefix("asked=").split(".") if query.startswith("asked=") else []
         if at := self.members.present(want.name, asked):
-            raise Refusal(307, "another manager has this session", [
-                ("Location", f"http://{at}{path}?asked={'.'.join([*asked, self.name])}")])
+            raise Refusal(
+                307,
+                "another manager has this session",
+                [("Location", f"http://{at}{path}?asked={'.'.join([*asked, self.name])}")],
+            )
         if self.members.jobs:
             raise Refusal(503, "sessions are just being taken over", [("Retry-After", "1")])
         raise Refusal(404, "no such session plays here")
@@ -516,13 +617,24 @@
                     return
                 exchange.refuse(502, "The video server failed", result.detail)
                 return
-            keep = [(name.title(), result.headers[name]) for name in ("etag", "content-type", "accept-patch")
-                    if name in result.headers]
+            keep = [
+                (name.title(), result.headers[name])
+                for name in ("etag", "content-type", "accept-patch")
+                if name in result.headers
+            ]
             exchange.respond(result.status, [*keep, *endpoint.CORS], result.body)
+
         host, port = vw.place
-        call = self.boxes.pool.send(host, port, "PATCH", vw.path,
-                                    [("Content-Type", endpoint.FRAGMENT), ("If-Match", want.match),
-                                     *self.boxes.who], want.body, came, PATCH_S)
+        call = self.boxes.pool.send(
+            host,
+            port,
+            "PATCH",
+            vw.path,
+            [("Content-Type", endpoint.FRAGMENT), ("If-Match", want.match), *self.boxes.who],
+            want.body,
+            came,
+            PATCH_S,
+        )
         exchange.gone = call.cancel
 
     # The runner's port
@@ -550,15 +662,26 @@
         if not self.tries.may_go(vw, place):
             self.never_sent(id, nth, key, How.LACKING)
             return
-        headers = [("Content-Type", endpoint.SDP), ("Idempotency-Key", f'"{key}"'),
-                   ("Flaxscale-Rung", str(rung)), ("Flaxscale-Patience", str(left // 10)),
-                   ("Flaxscale-Cookie", vw.cookie), *self.tries.fields(vw, place)]
+        headers = [
+            ("Content-Type", endpoint.SDP),
+            ("Idempotency-Key", f'"{key}"'),
+            ("Flaxscale-Rung", str(rung)),
+            ("Flaxscale-Patience", str(left // 10)),
+            ("Flaxscale-Cookie", vw.cookie),
+            *self.tries.fields(vw, place),
+        ]
         if offer.trace:
             headers.append(("traceparent", offer.trace))
         title = offer.title if offer.title.isalnum() else quote(offer.title, safe="")
-        vw.call = self.boxes.set_up(server, f"/{'whip' if offer.sends else 'whep'}/{title}", key, headers,
-                                    offer.body, lambda *what: self.came(vw, nth, server, place, key, *what))
-        if vw.call is None:         # the list has just dropped it
+        vw.call = self.boxes.set_up(
+            server,
+            f"/{'whip' if offer.sends else 'whep'}/{title}",
+            key,
+            headers,
+            offer.body,
+            lambda *what: self.came(vw, nth, server, place, key, *what),
+        )
+        if vw.call is None:  # the list has just dropped it
             self.never_sent(id, nth, key, How.UNREACHED)
         self.steps.at("sent")
 
@@ -571,7 +694,7 @@
         vw.call = None
         if how is not None:
             if how in (How.RESET, How.ERROR):
-                self.boxes.end(server, key)         # it may have run: whatever stands there is ended
+                self.boxes.end(server, key)  # it may have run: whatever stands there is ended
             self.not_out(key)
             self.lines.info("tune-in failed", viewing=vw.id, nth=nth, box=server, how=how.value, took=took)
             if vw.done:
@@ -579,7 +702,7 @@
             self.runner.ended(vw.id, nth, how, took)
             return
         self.steps.at("begun")
-        if key in self.early:       # over, or another's, before its own answer was read
+        if key in self.early:  # over, or another's, before its own answer was read
             self.not_out(key)
             if vw.done:
                 self.dismiss(vw)
@@ -623,11 +746,20 @@
             self.keys.answered(id, None, now())
             reply = self.turned_away(answer) if answer.fate is not Fate.LEFT else None
             vw.done = True
-            if vw.call is None:     # else it is kept until its tune-in is called off or comes back
+            if vw.call is None:  # else it is kept until its tune-in is called off or comes back
                 self.dismiss(vw)
-        self.lines.info("answered", viewing=id, fate=answer.fate.value, box=answer.server, rung=answer.rung,
-                      tries=vw.tries, after=now() - vw.asked_at, slot_wait=vw.slot_wait, overdue=answer.overdue,
-                        trace=vw.offer.trace)
+        self.lines.info(
+            "answered",
+            viewing=id,
+            fate=answer.fate.value,
+            box=answer.server,
+            rung=answer.rung,
+            tries=vw.tries,
+            after=now() - vw.asked_at,
+            slot_wait=vw.slot_wait,
+            overdue=answer.overdue,
+            trace=vw.offer.trace,
+        )
         if vw.offer is not None and answer.fate is not Fate.LEFT:
             self.gate.answered(now() - vw.taken_at)
         askers, vw.askers = vw.askers, []
@@ -637,6 +769,7 @@
                 if reply is not None:
                     exchange.respond(*reply)
             self.steps.at("answered")
+
         if not (vw.plays and self.journal.put_down(vw, reply, say)):
             say()
 
@@ -652,8 +785,9 @@
     def turned_away(self, answer):
         if answer.fate is Fate.BLOCKED:
             rows = [("Retry-After", str(max(1, fields.seconds_up(answer.hold_off))))] if answer.hold_off else []
-            no = Refusal(503, "nothing that holds this title has room", rows,
-                         fate="blocked", hold_off_ms=answer.hold_off / 10)
+            no = Refusal(
+                503, "nothing that holds this title has room", rows, fate="blocked", hold_off_ms=answer.hold_off / 10
+            )
         elif answer.overdue or answer.how in (How.TIMEOUT, How.CANCELLED, None):
             no = Refusal(504, "no video server answered in time", fate="aborted")
         else:
@@ -691,7 +825,7 @@
                 self.boxes.end(box, key)
         if any(not key.startswith(life) for key in keys):
             self.members.listed([box])
-        else:                       # a box that answers nothing may still say by its stream that it has none
+        else:  # a box that answers nothing may still say by its stream that it has none
             self.members.said(box)
 
     def seat_of(self, cookie):
@@ -727,7 +861,7 @@
 
     def adopted(self, box, place, key, epoch, row, cookie, boot, orphan):
         """A box granted a claim: the viewing plays on, under this manager."""
-        if key in self.boxes.keys(box):     # claimed twice: for its client, and as what a dead one left
+        if key in self.boxes.keys(box):  # claimed twice: for its client, and as what a dead one left
             self.boxes.epochs[key] = max(epoch, self.boxes.epochs.get(key, 0))
             return
         entry, package = self.entry(cookie.title, cookie.sends)
@@ -742,8 +876,12 @@
             self.runner.catalogued([news])
         self.boxes.plays(box, key, vw.id, boot, epoch)
         self.boxes.keep_stream(box)
-        self.runner.handed_over(ask_of(vw.id, cookie, self.sense.packages[package], entry.title, entry,
-                                       len(self.site.ladder.kb) - 1), box, row.rung, round(row.age_ms * 10))
+        self.runner.handed_over(
+            ask_of(vw.id, cookie, self.sense.packages[package], entry.title, entry, len(self.site.ladder.kb) - 1),
+            box,
+            row.rung,
+            round(row.age_ms * 10),
+        )
         self.journal.restore(vw)
         self.lines.info("took over", viewing=vw.id, box=box, key=key, epoch=epoch)
 
@@ -799,14 +937,18 @@
                 if package is not None and package not in self.sense.packages:
                     raise ValueError(f"title {title.name[:60]!r}: this manager knows no package {package[:60]!r}")
             if title.top >= rungs:
-                raise ValueError(f"title {title.name[:60]!r}: rung {title.top}, this manager's ladder ends at "
-                                 f"{rungs - 1}")
+                raise ValueError(
+                    f"title {title.name[:60]!r}: rung {title.top}, this manager's ladder ends at {rungs - 1}"
+                )
 
     def seats_in_use(self):
         names = {title_id(name): name for name in self.view.told}
         rows = list(self.sense.rows.items())
-        return {(names[title], rows[p][0]): n for (title, p), n in self.runner.manager.seats.items()
-                if rows[p][1].seats and title in names}
+        return {
+            (names[title], rows[p][0]): n
+            for (title, p), n in self.runner.manager.seats.items()
+            if rows[p][1].seats and title in names
+        }
 
     def holders(self, title):
         """Boxes that hold a title, as far as this manager knows."""
@@ -815,15 +957,25 @@
             return found.may_take() if found else ()
         entry = self.view.look(title, now())
         cells = self.site.fleet.cells
-        return [id for id, srv in self.runner.manager.servers.items()
-                if entry and (srv.row.cell - entry.first_cell) % cells < entry.cells]
+        return [
+            id
+            for id, srv in self.runner.manager.servers.items()
+            if entry and (srv.row.cell - entry.first_cell) % cells < entry.cells
+        ]
 
     def catalogue_state(self):
         if self.watch is None:
             return {"from": "site file", "titles": len(self.view.entries)}
         follower, age = self.watch.follower, self.watch.age_s()
-        return {"from": "service", "up": self.watch.up, "epoch": follower.epoch, "version": follower.version,
-                "titles": len(follower.titles), "heard_s_ago": age, "told_module": len(self.view.told)}
+        return {
+            "from": "service",
+            "up": self.watch.up,
+            "epoch": follower.epoch,
+            "version": follower.version,
+            "titles": len(follower.titles),
+            "heard_s_ago": age,
+            "told_module": len(self.view.told),
+        }
 
     def settings(self):
         return {"site": self.site.name, "mark": self.mark, **self.load_counts}
@@ -833,18 +985,37 @@
         for id, row in self.book.rows.items():
             srv = self.runner.manager.servers.get(id)
             watch = self.boxes.watches.get(id)
-            boxes[id] = {"address": row.address, "state": row.state, "cell": row.cell,
-                         "viewings": len(srv.viewings) if srv else 0,
-                         "use": round(srv.use(), 3) if srv else None,
-                         "stream": watch.state.value if watch else "off"}
+            boxes[id] = {
+                "address": row.address,
+                "state": row.state,
+                "cell": row.cell,
+                "viewings": len(srv.viewings) if srv else 0,
+                "use": round(srv.use(), 3) if srv else None,
+                "stream": watch.state.value if watch else "off",
+            }
         age = None if self.book.told_at is None else (now() - self.book.told_at) / 10_000
-        return json.dumps({"manager": self.name, "boot": self.boot, "list_version": self.book.version,
-                           "list_heard_s_ago": age, "viewings": len(self.viewings), "counts": self.counts,
-                           "gone_at_door": self.server.gone_at_door,
-                           "settings": self.settings(),
-                           "owed": self.boxes.owed.count(), "faults": self.runner.faults,
-                           "overdue": self.runner.overdue, "catalogue": self.catalogue_state(),
-                           "peaks": self.peaks.state(), "members": self.members.state(), "gate": self.gate.state(),
-                           "audit": self.audit.state(), "fleet": self.fleet.state(),
-                           "first_tries": self.tries.counts, "lent": self.lent.counts, "duties": self.duties.state(),
-                           "boxes": boxes}).encode()
+        return json.dumps(
+            {
+                "manager": self.name,
+                "boot": self.boot,
+                "list_version": self.book.version,
+                "list_heard_s_ago": age,
+                "viewings": len(self.viewings),
+                "counts": self.counts,
+                "gone_at_door": self.server.gone_at_door,
+                "settings": self.settings(),
+                "owed": self.boxes.owed.count(),
+                "faults": self.runner.faults,
+                "overdue": self.runner.overdue,
+                "catalogue": self.catalogue_state(),
+                "peaks": self.peaks.state(),
+                "members": self.members.state(),
+                "gate": self.gate.state(),
+                "audit": self.audit.state(),
+                "fleet": self.fleet.state(),
+                "first_tries": self.tries.counts,
+                "lent": self.lent.counts,
+                "duties": self.duties.state(),
+                "boxes": boxes,
+            }
+        ).encode()
--- a/flaxscale/front/journal.py
+++ b/flaxscale/front/journal.py
@@ -1,4 +1,5 @@
 """The journal of keys at one manager: answers under a key leave when they are durable, many with one sync."""
+
 import asyncio
 import time
 
@@ -8,7 +9,7 @@
 from ..serve.clock import now
 from ..store.log import StoreError
 
-COMMIT_S = 0.002            # keys of answers within this are made durable with one sync
+COMMIT_S = 0.002  # keys of answers within this are made durable with one sync
 
 
 class FrontJournal:
@@ -30,9 +31,21 @@
             return False
         viewer, title, key = keys.by_id[vw.id]
         status, headers, body = reply
-        self.write(lambda: self.kept.put(Played(
-            vw.name, viewer, title, key, xxhash.xxh3_64_intdigest(vw.offer.body), time.time() + keys.keep / 10_000,
-            status, list(headers), body)))
+        self.write(
+            lambda: self.kept.put(
+                Played(
+                    vw.name,
+                    viewer,
+                    title,
+                    key,
+                    xxhash.xxh3_64_intdigest(vw.offer.body),
+                    time.time() + keys.keep / 10_000,
+                    status,
+                    list(headers),
+                    body,
+                )
+            )
+        )
         self.unsaid.append(say)
         self.soon()
         return True
@@ -47,8 +60,9 @@
         """What an earlier life answered for a viewing that was taken up again."""
         if self.kept is not None and (row := self.kept.rows.get(vw.name)):
             left = round((row.until - time.time()) * 10_000)
-            self.front.keys.restore((row.viewer, row.title, row.key), row.print, vw.id,
-                                    (row.status, row.headers, row.body), now() + left)
+            self.front.keys.restore(
+                (row.viewer, row.title, row.key), row.print, vw.id, (row.status, row.headers, row.body), now() + left
+            )
 
     def write(self, act):
         try:
--- a/flaxscale/front/lent.py
+++ b/flaxscale/front/lent.py
@@ -1,4 +1,5 @@
 """Ends owed to boxes that do not answer, on one manager's sockets: told to a few others, asked for when one is dead."""
+
 import asyncio
 
 import msgspec
@@ -35,9 +36,12 @@
     async def tell(self, box, keys):
         front = self.front
         ends = ",".join(f"{key}:{front.boxes.epochs.get(key, 0)}" for key in keys)
-        took = await asyncio.gather(*(
-            self.ask(name, f"/fleet/owed?by={front.name}&box={box}&ends={ends}", TELL_S)
-            for name in lent.keepers(box, front.members.alive(), front.name)))
+        took = await asyncio.gather(
+            *(
+                self.ask(name, f"/fleet/owed?by={front.name}&box={box}&ends={ends}", TELL_S)
+                for name in lent.keepers(box, front.members.alive(), front.name)
+            )
+        )
         if any(answer is not None for answer in took):
             self.counts["told"] += len(keys)
         else:
@@ -48,8 +52,9 @@
         front = self.front
         names = lent.keepers(box, front.members.alive(), manager)
         found = self.book.of(manager, box, now()) if front.name in names else {}
-        for answer in await asyncio.gather(*(self.ask(name, f"/fleet/owes?of={manager}&box={box}", ASK_S)
-                                             for name in names if name != front.name)):
+        for answer in await asyncio.gather(
+            *(self.ask(name, f"/fleet/owes?of={manager}&box={box}", ASK_S) for name in names if name != front.name)
+        ):
             if answer is None:
                 self.counts["not_heard"] += 1
             else:
@@ -71,7 +76,7 @@
         if what == "owes":
             return msgspec.json.encode(self.book.of(args.get("of", ""), box, now()))
         ends = {}
-        for row in args.get("ends", "").split(",")[:lent.BATCH]:
+        for row in args.get("ends", "").split(",")[: lent.BATCH]:
             key, _, epoch = row.rpartition(":")
             if not key or not epoch.isdecimal():
                 raise ValueError(f"an end that can't be read: {row[:60]!r}")
--- a/flaxscale/front/listing.py
+++ b/flaxscale/front/listing.py
@@ -1,4 +1,5 @@
 """Follows the box list's stream, keeps the last list on disk, and starts from that one. Sockets and files only."""
+
 import asyncio
 import os
 import pathlib
@@ -29,8 +30,15 @@
         if self.stopped:
             return
         since = [("Last-Event-ID", str(self.book.version))] if self.book.version is not None else []
-        self.stream = EventStream(self.host, self.port, "/boxes", [("Flaxscale-Manager", self.name), *since],
-                                  lambda: self.log.info("list followed"), self.heard, self.closed)
+        self.stream = EventStream(
+            self.host,
+            self.port,
+            "/boxes",
+            [("Flaxscale-Manager", self.name), *since],
+            lambda: self.log.info("list followed"),
+            self.heard,
+            self.closed,
+        )
         self.stream.start(2.0)
 
     def heard(self, event):
@@ -45,7 +53,7 @@
         if told is not None:
             try:
                 self.told(*told)
-            except Exception:       # taken in part: nothing but a full one tells where we are
+            except Exception:  # taken in part: nothing but a full one tells where we are
                 self.book.version = None
                 raise
             if self.file and self.saving is None:
--- a/flaxscale/front/members.py
+++ b/flaxscale/front/members.py
@@ -1,4 +1,5 @@
 """Take-over on sockets: sessions of a manager that died, left or was restarted are asked for at boxes and claimed."""
+
 import asyncio
 import base64
 from collections import OrderedDict
@@ -16,27 +17,36 @@
 from .boxes import FLOOR
 
 ASK_S, PAUSE_S = 1.0, PAUSE / 10_000
-ASKED_MOST = 32                 # boxes that are asked at a time
+ASKED_MOST = 32  # boxes that are asked at a time
 GONE_MOST = 10_000
-YOUNG_MS = 3000                 # a session without media is no orphan before this
+YOUNG_MS = 3000  # a session without media is no orphan before this
 SHAPE = 1
 
 
 class Cookie(msgspec.Struct, array_like=True):
     """What is put down with a session at its box, for whoever takes the viewing over."""
+
     shape: int
     name: str
     title: str
     sends: bool
     viewer: int
     top: int
-    hint: int                   # expected length, tenths of a millisecond; 0: none
+    hint: int  # expected length, tenths of a millisecond; 0: none
     trace: str
 
 
 def cookie_out(name, offer, viewer, top):
-    made = Cookie(SHAPE, name, offer.title, offer.sends, viewer, top,
-                  round(offer.length * 10_000) if offer.length else 0, offer.trace or "")
+    made = Cookie(
+        SHAPE,
+        name,
+        offer.title,
+        offer.sends,
+        viewer,
+        top,
+        round(offer.length * 10_000) if offer.length else 0,
+        offer.trace or "",
+    )
     return base64.urlsafe_b64encode(msgspec.msgpack.encode(made)).decode()
 
 
@@ -47,6 +57,7 @@
 
 class SessionRow(msgspec.Struct):
     """One session as a box tells it."""
+
     key: str
     owner: str
     epoch: int
@@ -98,14 +109,24 @@
         self.book = SeatBook(now(), round(front.site.fleet.lease_ms * 10))
         self.ration, self.asking = Ration(now()), asyncio.Semaphore(ASKED_MOST)
         self.told, self.timer = None, None
-        self.gone_to = OrderedDict()        # viewings that another manager took from us
-        self.claiming, self.lost_again = set(), set()   # claims that are out; what of them is over again
+        self.gone_to = OrderedDict()  # viewings that another manager took from us
+        self.claiming, self.lost_again = set(), set()  # claims that are out; what of them is over again
 
     async def start(self, host, port, serves):
         front = self.front
         if self.on:
-            self.shell = MemberShell(front.name, "%s:%d" % serves, front.boot, front.sense.seed, self.keys,
-                                     front.lines, self.changed, self.word, self.via, front.fleet)
+            self.shell = MemberShell(
+                front.name,
+                "%s:%d" % serves,
+                front.boot,
+                front.sense.seed,
+                self.keys,
+                front.lines,
+                self.changed,
+                self.word,
+                self.via,
+                front.fleet,
+            )
             self.address = await self.shell.start(host, port, self.seeds)
             return self.address
         return None
@@ -185,7 +206,7 @@
     def take_over(self, manager, boxes=None):
         """Asks boxes, all that are listed where none are named, for that manager's sessions; one job each at a time."""
         if self.front.fleet.shut is not None:
-            return                  # what is under the floor takes nothing over
+            return  # what is under the floor takes nothing over
         for box in list(self.front.boxes.places) if boxes is None else boxes:
             if (box, manager) not in self.jobs:
                 job = asyncio.get_running_loop().create_task(self.from_box(box, manager))
@@ -215,12 +236,14 @@
                         self.front.steps.at("asking")
                     found, owed = await asyncio.gather(
                         self.call(place, "GET", f"/manager/sessions?of={manager}", None, Sessions),
-                        lent.of(manager, box))
+                        lent.of(manager, box),
+                    )
                     pause = course.came(await self.claim(box, place, manager, found, course.rank, owed))
             except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
                 pause = course.failed()
-                self.front.lines.info("sessions not heard", box=box, of=manager, detail=str(bad)[:200],
-                                      tries=course.failures)
+                self.front.lines.info(
+                    "sessions not heard", box=box, of=manager, detail=str(bad)[:200], tries=course.failures
+                )
             if pause is None:
                 return
             await asyncio.sleep(pause / 10_000)
@@ -228,15 +251,20 @@
     def may_take(self, manager):
         """It is not back, when it takes its own up again, and we are in service, and stay: who leaves with it would
         claim what the others, who have asked already for what is ours, never look for again."""
-        swim = self.shell.swim if self.shell is not None else None      # None: a list came before its socket was open
+        swim = self.shell.swim if self.shell is not None else None  # None: a list came before its socket was open
         leaving = swim is not None and swim.me.state is State.LEFT
         return self.still_away(manager) and self.front.fleet.shut is None and not leaving
 
     async def call(self, place, method, target, body, kind, more=(), within=ASK_S):
         result = await self.front.boxes.pool.ask(
-            place.host, place.port, method, target,
+            place.host,
+            place.port,
+            method,
+            target,
             [("Content-Type", "application/json"), *more, *self.front.boxes.who],
-            msgspec.json.encode(body) if body is not None else b"", within)
+            msgspec.json.encode(body) if body is not None else b"",
+            within,
+        )
         if FLOOR in result.headers:
             raise UnderFloor(result.headers)
         if OUTDATED in result.headers:
@@ -253,10 +281,14 @@
         front, own = self.front, manager == self.front.name
         rows, cookies, whole = {}, {}, True
         for row in found.sessions:
-            if row.key in front.boxes.keys(box) or front.is_out(row.key) or row.key.startswith(
-                    f"{front.name}.{front.boot}.") or row.key in self.claiming or row.key in front.boxes.owed.keys(
-                    box):
-                continue            # of this very life, or soon to be; or its client has ended it
+            if (
+                row.key in front.boxes.keys(box)
+                or front.is_out(row.key)
+                or row.key.startswith(f"{front.name}.{front.boot}.")
+                or row.key in self.claiming
+                or row.key in front.boxes.owed.keys(box)
+            ):
+                continue  # of this very life, or soon to be; or its client has ended it
             try:
                 cookies[row.key] = cookie_in(row.cookie)
             except ValueError as bad:
@@ -264,8 +296,9 @@
                 whole = False
                 continue
             rows[row.key] = row
-        sessions = [Session(r.key, r.owner, r.epoch, cookies[r.key].name, r.media or r.age_ms < YOUNG_MS)
-                    for r in rows.values()]
+        sessions = [
+            Session(r.key, r.owner, r.epoch, cookies[r.key].name, r.media or r.age_ms < YOUNG_MS) for r in rows.values()
+        ]
         made = plan(sessions, manager, front.name, [front.name] if own else self.takers(), rank, owed)
         wanted = sorted(made.claims, key=lambda c: (c.key in made.ends, -front.value_of(cookies[c.key])))
         later = False
@@ -274,7 +307,7 @@
             may = self.ration.take(now(), len(wanted), room)
             if not may:
                 if room <= 0:
-                    break           # the next in the order takes them
+                    break  # the next in the order takes them
                 await asyncio.sleep(self.ration.wait() / 10_000)
                 continue
             claims, unknown = self.to_claim(box, wanted[:may], own, rows, cookies)
@@ -294,8 +327,15 @@
                     self.book.settled(key)
             self.taken += len(granted)
             self.refused += len(claims) - len(granted)
-            front.lines.info("taken over", box=box, of=manager, count=len(granted), rank=rank,
-                             refused=len(claims) - len(granted), left=len(wanted))
+            front.lines.info(
+                "taken over",
+                box=box,
+                of=manager,
+                count=len(granted),
+                rank=rank,
+                refused=len(claims) - len(granted),
+                left=len(wanted),
+            )
         if own and whole and not later and not wanted:
             self.said(box)
         self.reserve()
@@ -304,18 +344,18 @@
     def to_claim(self, box, wanted, own, rows, cookies):
         """({key: epoch} to claim now, whether something of it may be claimed only later)."""
         front, claims, later = self.front, {}, False
-        for c in wanted:            # who watches first, and what is worth most, where there is little room
+        for c in wanted:  # who watches first, and what is worth most, where there is little room
             seat = front.seat_of(cookies[c.key])
             if seat is None:
-                later = True        # its title is not known yet, or not any more
+                later = True  # its title is not known yet, or not any more
             elif front.has_seat(seat, own):
                 claims[c.key] = c.epoch
                 self.book.claim(c.key, seat)
-                self.reserve()      # each is asked for with those before it counted
-            elif own:               # over what seats allow by now, and it bears our name
+                self.reserve()  # each is asked for with those before it counted
+            elif own:  # over what seats allow by now, and it bears our name
                 self.book.claim(c.key, seat)
                 front.let_end(box, c.key, rows[c.key].epoch, "no seat")
-            else:                   # the lease ends it, unless we only don't know yet what we have ourselves
+            else:  # the lease ends it, unless we only don't know yet what we have ourselves
                 later = later or bool(self.book.reserved(now()).boxes)
         return claims, later
 
@@ -332,20 +372,22 @@
                     for key in claims:
                         audit.did("claim", key, box)
                     field = audit.field(box, place.boot)
-                    said = await self.call(place, "POST", "/manager/adopt", {"claims": claims}, Granted,
-                                           [field, *under])
+                    said = await self.call(
+                        place, "POST", "/manager/adopt", {"claims": claims}, Granted, [field, *under]
+                    )
                     audit.stamps.heard(box, place.boot, field[1])
                     good = [key for key in said.granted if key in claims]
-                    for key in self.lost_again.intersection(good):      # refused there where it is another's
+                    for key in self.lost_again.intersection(good):  # refused there where it is another's
                         self.front.let_end(box, key, claims[key], "over meanwhile")
                     return [key for key in good if key not in self.lost_again]
-                except UnderFloor as no:    # the box granted none of it
+                except UnderFloor as no:  # the box granted none of it
                     self.front.boxes.answered_under(box, place.boot, field[1], no)
                     if self.front.fleet.shut is not None:
                         return []
                 except (OSError, asyncio.TimeoutError, msgspec.MsgspecError) as bad:
-                    self.front.lines.info("claims not answered", box=box, count=len(claims), tries=n + 1,
-                                          detail=str(bad)[:200])
+                    self.front.lines.info(
+                        "claims not answered", box=box, count=len(claims), tries=n + 1, detail=str(bad)[:200]
+                    )
                     if box not in self.front.boxes.places:
                         break
                 await asyncio.sleep(PAUSE_S)
@@ -363,11 +405,26 @@
     def state(self):
         if self.shell is None:
             return {"on": False, "taken_over": self.taken, "not_heard_yet": len(self.book.reserved(now()).boxes)}
-        members = {m.name: {"state": m.state.name.lower(), "incarnation": m.incarnation, "address": m.address,
-                            "serves": m.serves, "boot": m.boot} for m in self.shell.swim.members.values()}
-        return {"on": True, "alive": self.alive(), "members": members, "taken_over": self.taken,
-                "claims_refused": self.refused, "not_heard_yet": len(self.book.reserved(now()).boxes),
-                "stood_still": self.shell.swim.stood, "messages_refused": self.shell.refused}
+        members = {
+            m.name: {
+                "state": m.state.name.lower(),
+                "incarnation": m.incarnation,
+                "address": m.address,
+                "serves": m.serves,
+                "boot": m.boot,
+            }
+            for m in self.shell.swim.members.values()
+        }
+        return {
+            "on": True,
+            "alive": self.alive(),
+            "members": members,
+            "taken_over": self.taken,
+            "claims_refused": self.refused,
+            "not_heard_yet": len(self.book.reserved(now()).boxes),
+            "stood_still": self.shell.swim.stood,
+            "messages_refused": self.shell.refused,
+        }
 
     def leave(self):
         if self.shell:
@@ -391,5 +448,6 @@
 
 def ask_of(id, cookie, package, title, row, top):
     """What the module is told of a viewing that plays already."""
-    return face.Asked(id, package, title, cookie.viewer, 0, min(cookie.top, top), row.first_cell, row.cells,
-                      cookie.hint, False, False)
+    return face.Asked(
+        id, package, title, cookie.viewer, 0, min(cookie.top, top), row.first_cell, row.cells, cookie.hint, False, False
+    )
--- a/flaxscale/front/peaks.py
+++ b/flaxscale/front/peaks.py
@@ -1,4 +1,5 @@
 """Announced peaks at one manager on sockets: the keeper, its clock, and what the module is told each second."""
+
 import asyncio
 import time
 
@@ -9,7 +10,7 @@
 from ..serve.clock import now
 
 EVERY_S = 1.0
-TELL_EVERY = 2                  # of these, what was seen come is told to the service
+TELL_EVERY = 2  # of these, what was seen come is told to the service
 
 
 class FrontPeaks:
@@ -18,11 +19,13 @@
         self.front, self.site, self.axis = front, site, Axis()
         self.room_kb, self.timer, self.turns, self.telling, self.told = rates_of(site), None, 0, None, None
         self.stated = [row.announcement() for row in site.peaks]
-        self.keeper = RoomKeeper(self.stated, Surroundings(
-            self.room_of, front.holders, site.fleet.racks, site.fleet.uplink_kb), self.now())
+        self.keeper = RoomKeeper(
+            self.stated, Surroundings(self.room_of, front.holders, site.fleet.racks, site.fleet.uplink_kb), self.now()
+        )
         self.watch, self.kept_kb = None, 0.0
         if address:
             from ..catalogued.peakwatch import PeakWatch  # gRPC is slow to load and most tests need none
+
             self.watch = PeakWatch(address, front.name, self.changed, self.heard_clock, front.lines, files, self.check)
 
     def rule(self, site):
@@ -78,32 +81,54 @@
         self.kept_kb = sum(rooms.values())
         told = rooms, titles, packages
         if told != self.told or rooms:
-            runner.kept(rooms, {title_id(t): rung for t, rung in titles.items()},
-                        {self.front.sense.packages[p]: rung for p, rung in packages.items()})
+            runner.kept(
+                rooms,
+                {title_id(t): rung for t, rung in titles.items()},
+                {self.front.sense.packages[p]: rung for p, rung in packages.items()},
+            )
         if bool(rooms) != bool(self.told and self.told[0]):
-            self.front.lines.info("room kept", kb=round(self.kept_kb), boxes=len(rooms),
-                                  peaks=sorted(self.keeper.kept), given_up=round(self.keeper.given_up))
+            self.front.lines.info(
+                "room kept",
+                kb=round(self.kept_kb),
+                boxes=len(rooms),
+                peaks=sorted(self.keeper.kept),
+                given_up=round(self.keeper.given_up),
+            )
         self.told = told if rooms or titles or packages else None
         self.turns += 1
         if self.watch and self.turns % TELL_EVERY == 0 and (self.telling is None or self.telling.done()):
-            seen = [(p.name, self.keeper.come[p.name], max(0.0, self.keeper.due(p, s)),
-                     self.keeper.kept.get(p.name, 0.0)) for p in self.keeper.peaks
-                    if p.start_s - p.lead_s <= s < p.end_s + 10]
+            seen = [
+                (p.name, self.keeper.come[p.name], max(0.0, self.keeper.due(p, s)), self.keeper.kept.get(p.name, 0.0))
+                for p in self.keeper.peaks
+                if p.start_s - p.lead_s <= s < p.end_s + 10
+            ]
             self.telling = asyncio.ensure_future(self.watch.tell(seen))
 
     def state(self):
         s = self.now()
         version, up = (self.watch.follower.version, self.watch.up) if self.watch else (None, False)
-        return {"version": version, "up": up, "kept_kb": round(self.kept_kb),
-                "given_up_kb": round(self.keeper.given_up), "peaks": {
-                    p.name: {"starts_in_s": round(p.start_s - s, 1), "ends_in_s": round(p.end_s - s, 1),
-                             "came": self.keeper.come[p.name], "due": round(max(0.0, self.keeper.due(p, s)), 1),
-                             "kept_kb": round(self.keeper.kept.get(p.name, 0.0))} for p in self.keeper.peaks}}
+        return {
+            "version": version,
+            "up": up,
+            "kept_kb": round(self.kept_kb),
+            "given_up_kb": round(self.keeper.given_up),
+            "peaks": {
+                p.name: {
+                    "starts_in_s": round(p.start_s - s, 1),
+                    "ends_in_s": round(p.end_s - s, 1),
+                    "came": self.keeper.come[p.name],
+                    "due": round(max(0.0, self.keeper.due(p, s)), 1),
+                    "kept_kb": round(self.keeper.kept.get(p.name, 0.0)),
+                }
+                for p in self.keeper.peaks
+            },
+        }
 
     async def stop(self):
         if self.timer is not None:
             self.timer.cancel()
         if self.watch:
             from ..catalogued.streams import ended
+
             await ended(self.telling)
             await self.watch.stop()
--- a/flaxscale/front/steps.py
+++ b/flaxscale/front/steps.py
@@ -2,12 +2,13 @@
 
 A process that ends itself at a named step dies at that step each time, which a signal from outside can't promise.
 """
+
 import os
 import signal
 
 STEPS = ("taken", "told", "sent", "begun", "kept", "answered")
-ACTING = ("acting",)           # between the check of a lease and the act under it
-TAKING = ("asking", "claiming", "granted", "adopted")       # sessions of a dead manager's, box by box
+ACTING = ("acting",)  # between the check of a lease and the act under it
+TAKING = ("asking", "claiming", "granted", "adopted")  # sessions of a dead manager's, box by box
 ACTS = {"kill": signal.SIGKILL, "stop": signal.SIGSTOP}
 
 
--- a/flaxscale/front/tries.py
+++ b/flaxscale/front/tries.py
@@ -1,4 +1,5 @@
 """First tries on one manager's sockets: who is told of a client's key, who is asked, what boxes say became of it."""
+
 import asyncio
 import contextlib
 
@@ -17,13 +18,15 @@
 
 class Stood(SessionRow):
     """A set-up that stands at a box under a client's key."""
-    print: str                  # of the offer's body
+
+    print: str  # of the offer's body
     etag: str
     body: str
 
 
 class Taken(msgspec.Struct):
     """A box's answer: stood; out: it is still worked on; neither: it can't begin there any more."""
+
     boot: str
     stood: Stood | None = None
     out: bool = False
@@ -32,7 +35,7 @@
 class FrontTries:
     def __init__(self, front):
         self.front, self.book, self.jobs = front, tries.TryBook(), {}
-        self.looks, self.turns = Looks(), {}    # viewing id: a Future of its turn
+        self.looks, self.turns = Looks(), {}  # viewing id: a Future of its turn
         self.counts = dict.fromkeys(("looked_up", "found", "joined", "not_heard", "waited"), 0)
 
     def stop(self):
@@ -112,7 +115,8 @@
         front = self.front
         try:
             result = await front.fleet.call(
-                name, f"/fleet/try?mark={mark}&by={front.name}&boot={front.boot}", KEEPERS_S)
+                name, f"/fleet/try?mark={mark}&by={front.name}&boot={front.boot}", KEEPERS_S
+            )
             return msgspec.json.decode(result.body, type=tuple[str, int] | None)
         except (OSError, msgspec.MsgspecError):
             self.counts["not_heard"] += 1
@@ -127,13 +131,18 @@
         front, unsafe, said = self.front, self.unsafe(vw), {}
         ask_now = tries.Ask(tuple(box for box in front.holders(vw.offer.title) if box in front.boxes.places))
         while isinstance(ask_now, tries.Ask):
-            for box, answer in zip(ask_now.boxes, await asyncio.gather(
-                    *(self.ask_box(box, vw) for box in ask_now.boxes))):
+            for box, answer in zip(
+                ask_now.boxes, await asyncio.gather(*(self.ask_box(box, vw) for box in ask_now.boxes))
+            ):
                 said[box] = answer
             # One that we are just ending ourselves is over.
-            ask_now = tries.settle({box: a and tries.Said(
-                a.stood is not None and a.stood.key not in front.boxes.owed.keys(box), a.out)
-                for box, a in said.items()}, unsafe)
+            ask_now = tries.settle(
+                {
+                    box: a and tries.Said(a.stood is not None and a.stood.key not in front.boxes.owed.keys(box), a.out)
+                    for box, a in said.items()
+                },
+                unsafe,
+            )
             if isinstance(ask_now, tries.Join):
                 await self.settle(vw, due, ask, age, ask_now.box, said[ask_now.box].stood)
                 return
@@ -151,8 +160,9 @@
         if place is None:
             return None
         with contextlib.suppress(OSError, asyncio.TimeoutError, msgspec.MsgspecError):
-            return await self.front.members.call(place, "POST", "/manager/tries", {"mark": vw.mark}, Taken,
-                                                 within=BOX_S)
+            return await self.front.members.call(
+                place, "POST", "/manager/tries", {"mark": vw.mark}, Taken, within=BOX_S
+            )
         return None
 
     async def settle(self, vw, due, ask, age, box, stood):
@@ -177,8 +187,9 @@
             return
         held = front.names.get(cookie_in(stood.cookie).name) if same else None
         if held is None:
-            front.answer_early(vw, Refusal(503, "an earlier try plays elsewhere", [("Retry-After", "1")],
-                                           fate="blocked"))
+            front.answer_early(
+                vw, Refusal(503, "an earlier try plays elsewhere", [("Retry-After", "1")], fate="blocked")
+            )
             return
         self.counts["joined"] += 1
         front.joined(vw, held, stood)
--- a/flaxscale/http1/client.py
+++ b/flaxscale/http1/client.py
@@ -1,4 +1,5 @@
 """The client's side of a connection: one request at a time, bytes in, response events out."""
+
 from typing import NamedTuple
 
 import httptools
@@ -6,7 +7,7 @@
 
 class Head(NamedTuple):
     status: int
-    headers: dict               # names in lower case
+    headers: dict  # names in lower case
 
 
 class Data(NamedTuple):
@@ -19,6 +20,7 @@
 
 class Broken(NamedTuple):
     """What came is no response, or only the beginning of one."""
+
     detail: str
 
 
@@ -46,7 +48,7 @@
     def feed(self, data):
         if self.dead:
             return []
-        if not self.open:       # bytes that nobody asked for: the connection can't be trusted any more
+        if not self.open:  # bytes that nobody asked for: the connection can't be trusted any more
             self.dead = True
             return [Broken("bytes after the response")]
         try:
@@ -91,7 +93,7 @@
         self.events.append(Data(data))
 
     def on_message_complete(self):
-        if self.status < 200:           # 100 and its like come before the response (RFC 9110, 15.2)
+        if self.status < 200:  # 100 and its like come before the response (RFC 9110, 15.2)
             self.headers, self.status = {}, 0
             return
         self.open = False
--- a/flaxscale/http1/fields.py
+++ b/flaxscale/http1/fields.py
@@ -1,4 +1,5 @@
 """Header fields that signalling reads: Prefer (RFC 7240), Accept (RFC 9110, 12.5.1), bearer tokens (RFC 6750)."""
+
 import hmac
 import re
 
--- a/flaxscale/http1/problem.py
+++ b/flaxscale/http1/problem.py
@@ -1,4 +1,5 @@
 """Problem details (RFC 9457)."""
+
 import json
 
 KIND = "application/problem+json"
--- a/flaxscale/http1/server.py
+++ b/flaxscale/http1/server.py
@@ -1,22 +1,48 @@
 """The server's side of a connection: bytes in, requests and refusals out (RFC 9112, RFC 9110)."""
+
 from typing import NamedTuple
 
 import httptools
 
 REASONS = {
-    100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 304: "Not Modified",
-    307: "Temporary Redirect", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
-    405: "Method Not Allowed", 406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 410: "Gone",
-    412: "Precondition Failed", 413: "Content Too Large", 414: "URI Too Long", 415: "Unsupported Media Type",
-    417: "Expectation Failed", 422: "Unprocessable Content", 428: "Precondition Required",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
-    505: "HTTP Version Not Supported"}
+    100: "Continue",
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    204: "No Content",
+    304: "Not Modified",
+    307: "Temporary Redirect",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    406: "Not Acceptable",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    414: "URI Too Long",
+    415: "Unsupported Media Type",
+    417: "Expectation Failed",
+    422: "Unprocessable Content",
+    428: "Precondition Required",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
 
 
 class Limits(NamedTuple):
     """What one request may be. Bytes and counts."""
-    head: int = 8192            # request line and header fields together
+
+    head: int = 8192  # request line and header fields together
     fields: int = 64
     target: int = 2048
     body: int = 65536
@@ -24,8 +50,8 @@
 
 class Request(NamedTuple):
     method: str
-    target: str                 # as sent: path and query
-    headers: dict               # names in lower case; a field that came twice is joined by ", " (RFC 9110, 5.3)
+    target: str  # as sent: path and query
+    headers: dict  # names in lower case; a field that came twice is joined by ", " (RFC 9110, 5.3)
     body: bytes
     keep_alive: bool
 
@@ -36,6 +62,7 @@
 
 class Refused(NamedTuple):
     """The bytes are no request that we take. The connection can't go on after it."""
+
     status: int
     detail: str
 
@@ -61,7 +88,7 @@
         if self.fault:
             return []
         if self.phase == "head":
-            self.raw += len(data)       # a head that never ends must not gather in the parser
+            self.raw += len(data)  # a head that never ends must not gather in the parser
         try:
             self.parser.feed_data(data)
             if self.phase == "head" and self.raw > self.limits.head:
@@ -75,7 +102,7 @@
             if not self.events:
                 self.events.append(self.fault)
         except httptools.HttpParserError as bad:
-            if self.fault is None:      # raised in a callback, ours comes wrapped and is noted already
+            if self.fault is None:  # raised in a callback, ours comes wrapped and is noted already
                 self.fault = Refused(400, f"not HTTP/1.1: {str(bad)[:120]}")
                 self.events.append(self.fault)
         events, self.events = self.events, []
@@ -128,8 +155,15 @@
 
     def on_message_complete(self):
         self.phase = "idle"
-        self.events.append(Request(self.parser.get_method().decode("ascii"), self.url.decode("latin-1"),
-                                   self.headers, b"".join(self.body), self.parser.should_keep_alive()))
+        self.events.append(
+            Request(
+                self.parser.get_method().decode("ascii"),
+                self.url.decode("latin-1"),
+                self.headers,
+                b"".join(self.body),
+                self.parser.should_keep_alive(),
+            )
+        )
 
 
 def response(status, headers=(), body=b"", keep_alive=True, date=None, head_only=False):
--- a/flaxscale/http1/sse.py
+++ b/flaxscale/http1/sse.py
@@ -1,4 +1,5 @@
 """Server-sent events (the HTML standard, 9.2) without I/O: one encoder, one incremental reader."""
+
 from typing import NamedTuple
 
 
--- a/flaxscale/hunt/marks.py
+++ b/flaxscale/hunt/marks.py
@@ -4,6 +4,7 @@
 one time, and what came of viewings meanwhile, in sizes (powers of four), so that more of the same is no news. A mark is
 text.
 """
+
 from collections import Counter
 
 
@@ -17,7 +18,7 @@
     out = {f"{what} x{size(n)}" for what, n in counts.items() if n}
     for second, came in seconds:
         on = sorted({name_of(row) for row in troubles if row.at_s <= second <= row.at_s + row.for_s + 1})
-        pairs = [f"{a}+{b}" for n, a in enumerate(on) for b in on[n + 1:]] or on or ["quiet"]
+        pairs = [f"{a}+{b}" for n, a in enumerate(on) for b in on[n + 1 :]] or on or ["quiet"]
         out |= {f"{pair}: {what} x{size(n)}" for pair in pairs for what, n in came.items() if n}
     return frozenset(out)
 
--- a/flaxscale/hunt/search.py
+++ b/flaxscale/hunt/search.py
@@ -5,17 +5,19 @@
 healed; then the part of its service that the troubles took. Half of a generation is drawn anew, half changes a day that
 brought marks that none before it had, or is among the worst; plain=True draws all anew, as a measure for the rest.
 """
+
 from typing import NamedTuple
 
 from ..lab.chance import Dice
 
 GENERATION = 16
-KEPT, WORST = 200, 12           # days that are changed further; of them the worst
+KEPT, WORST = 200, 12  # days that are changed further; of them the worst
 SHAPE = 1
 
 
 class Outcome(NamedTuple):
     """breaks: [[kind, detail]], as text. back: whether the fleet came back (None: can't be told). loss: of service."""
+
     breaks: tuple
     back: bool | None
     loss: float
@@ -30,7 +32,7 @@
     seed: int
     troubles: list
     outcome: Outcome
-    new: int                    # marks that it was the first to reach
+    new: int  # marks that it was the first to reach
 
 
 class Hunt:
@@ -66,7 +68,7 @@
         self.played.append(made)
         if fresh or outcome.breaks:
             self.corpus.append(made)
-            if len(self.corpus) > KEPT:             # the oldest goes that is not among the worst
+            if len(self.corpus) > KEPT:  # the oldest goes that is not among the worst
                 worst = set(id(p) for p in sorted(self.corpus, key=lambda p: p.outcome.rank(), reverse=True)[:WORST])
                 self.corpus.remove(next(p for p in self.corpus if id(p) not in worst))
         return made
--- a/flaxscale/hunt/shrink.py
+++ b/flaxscale/hunt/shrink.py
@@ -4,6 +4,7 @@
 
 A generator: it yields a list, and is sent whether that still shows what was found. It returns the smallest that did.
 """
+
 import msgspec
 
 SHORT_S = 0.5
@@ -22,7 +23,7 @@
     while len(found) >= 2:
         size = -(-len(found) // parts)
         for at in range(0, len(found), size):
-            rest = found[:at] + found[at + size:]
+            rest = found[:at] + found[at + size :]
             if rest and (yield rest):
                 found, parts = rest, max(2, parts - 1)
                 break
@@ -37,7 +38,7 @@
     """Trouble n with half of whom it strikes, healed at once, half as long: as often as it still shows."""
     while True:
         for row in lesser(found[n]):
-            tried = [*found[:n], row, *found[n + 1:]]
+            tried = [*found[:n], row, *found[n + 1 :]]
             if (yield tried):
                 found = tried
                 break
@@ -47,8 +48,10 @@
 
 def lesser(row):
     """Troubles that are a little less than this one."""
+
     def but(**change):
         return msgspec.structs.replace(row, **change)
+
     for key in ("boxes", "managers"):
         some = getattr(row, key)
         if some and len(some) > 1:
@@ -59,7 +62,7 @@
         if len(names) > 1:
             half = len(names) // 2
             for part in (names[:half], names[half:]):
-                yield but(between=[*row.between[:side], part, *row.between[side + 1:]])
+                yield but(between=[*row.between[:side], part, *row.between[side + 1 :]])
     if row.heal_s:
         yield but(heal_s=0)
     if row.jitter:
--- a/flaxscale/interface.py
+++ b/flaxscale/interface.py
@@ -3,12 +3,14 @@
 Times are whole tenths of a millisecond: clock times where the name ends in _at, spans elsewhere.
 Ids (viewings, servers, titles, viewers) stay as the wire gives them.
 """
+
 from enum import Enum
 from typing import NamedTuple
 
 
 class How(Enum):
     """How a tune-in ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "full"
@@ -17,11 +19,12 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
-    LACKING = "lacking"         # the server does not hold the title, and nothing ran
+    LACKING = "lacking"  # the server does not hold the title, and nothing ran
 
 
 class State(Enum):
     """What the list says of a server."""
+
     GONE = "gone"
     READY = "ready"
     DRAINING = "draining"
@@ -29,6 +32,7 @@
 
 class ListKind(Enum):
     """What a listing holds."""
+
     FULL = "full"
     DELTA = "delta"
     CACHED = "cached"
@@ -36,6 +40,7 @@
 
 class NoteKind(Enum):
     """What a note on a playing viewing tells."""
+
     DELIVERED = "delivered"
     RUNG = "rung"
     LINK = "link"
@@ -45,36 +50,36 @@
 class Package(NamedTuple):
     join_target: int
     value: float
-    effect: str             # safe, keyed or unsafe
-    group: str              # keyed: all, zone or cell
+    effect: str  # safe, keyed or unsafe
+    group: str  # keyed: all, zone or cell
     repeat_window: int
     floor: int
     top: int
     scale: float
-    seats: int              # viewings of one title that a manager may hold; 0: any number
+    seats: int  # viewings of one title that a manager may hold; 0: any number
     live: bool
 
 
 class Ladder(NamedTuple):
-    kb: tuple               # rate of each rung, kB a second
-    worth: tuple            # what each rung earns
-    switch_cost: int        # a change of rung costs so much of the package's value
-    stall: float            # points lost for each point of the rate missing under 98 in 100
-    join: float             # what a further viewer of a live title adds, as a part of the rate
+    kb: tuple  # rate of each rung, kB a second
+    worth: tuple  # what each rung earns
+    switch_cost: int  # a change of rung costs so much of the package's value
+    stall: float  # points lost for each point of the rate missing under 98 in 100
+    join: float  # what a further viewer of a live title adds, as a part of the rate
 
 
 class FleetTerms(NamedTuple):
     cells: int
     racks: int
-    slots: tuple            # streams at most, by kind of machine
+    slots: tuple  # streams at most, by kind of machine
     kb_per_weight: float
     uplink_kb: float
-    guard: float            # servers answer full at this use of the link; 0: never
+    guard: float  # servers answer full at this use of the link; 0: never
     note_lag: int
-    note_every: int         # 0: no note tells of a link, or of an uplink
+    note_every: int  # 0: no note tells of a link, or of an uplink
     load_names: tuple
-    load_by_probe: bool = False     # load reports come with probes only
-    weighed: bool = True    # the list's weights tell sizes; else all are alike
+    load_by_probe: bool = False  # load reports come with probes only
+    weighed: bool = True  # the list's weights tell sizes; else all are alike
 
 
 class RuleTerms(NamedTuple):
@@ -84,7 +89,7 @@
     tip_multiple: float
     fall_span: int
     ask_within: int
-    further_free: float     # None where further tune-ins are not rationed
+    further_free: float  # None where further tune-ins are not rationed
     further_share: float
     further_span: int
 
@@ -110,6 +115,7 @@
 
 class Goal(NamedTuple):
     """What the site's service figure is made of."""
+
     whole: float
     worst_window: float
     worst_package: float
@@ -117,6 +123,7 @@
 
 class SiteTerms(NamedTuple):
     """What a manager is told of its site when it starts."""
+
     me: int
     peers: int
     zone: int
@@ -136,12 +143,13 @@
     cell: int
     zone: int
     weight: float
-    started_at: int         # 0: long ago
+    started_at: int  # 0: long ago
     state: State
 
 
 # Events
 
+
 class Listing(NamedTuple):
     kind: ListKind
     entries: tuple
@@ -156,42 +164,46 @@
     top: int
     first_cell: int
     cells: int
-    hint: int               # expected length; 0: none
+    hint: int  # expected length; 0: none
     moved: bool
     again: bool
 
 
 class Catalogued(NamedTuple):
     """What a title is from now on. A title that was never told goes by its request's cells in a row."""
+
     title: int
-    holders: frozenset | None   # servers that new set-ups may go to; None: forget what was told
-    low: int                    # rungs that exist for it, without a gap
+    holders: frozenset | None  # servers that new set-ups may go to; None: forget what was told
+    low: int  # rungs that exist for it, without a gap
     top: int
-    seats: tuple                # (package, seats) where they differ from the package's own
+    seats: tuple  # (package, seats) where they differ from the package's own
 
 
 class Kept(NamedTuple):
     """Room kept for viewings of these titles, from now until it is told anew."""
-    rooms: dict                 # server: kB a second of its link, what they use of it already included
-    titles: dict                # title: the rung that room is kept for
-    packages: dict              # the same for all titles of a package
+
+    rooms: dict  # server: kB a second of its link, what they use of it already included
+    titles: dict  # title: the rung that room is kept for
+    packages: dict  # the same for all titles of a package
 
 
 class Reserved(NamedTuple):
     """Seats that viewings may take which are not held yet, from now until it is told anew."""
-    seats: dict                 # (title, package): claims that are out there
-    servers: frozenset          # those that may play what an earlier life of this instance left, and did not say yet
+
+    seats: dict  # (title, package): claims that are out there
+    servers: frozenset  # those that may play what an earlier life of this instance left, and did not say yet
 
 
 class Changed(NamedTuple):
     """Other terms from now on. Packages, kinds and zones keep their numbers; new ones come after them."""
+
     terms: SiteTerms
 
 
 class HandedOver(NamedTuple):
     viewing: Asked
     server: int
-    age: int = 1 << 60      # how long it has played there; not told: long
+    age: int = 1 << 60  # how long it has played there; not told: long
 
 
 class Begun(NamedTuple):
@@ -216,7 +228,7 @@
     how: How
     took: int
     over: bool
-    load: tuple             # as FleetTerms.load_names; empty: none came
+    load: tuple  # as FleetTerms.load_names; empty: none came
 
 
 class Left(NamedTuple):
@@ -236,6 +248,7 @@
 
 class PeerSays(NamedTuple):
     """Another manager asks so much more (or less) of a server."""
+
     peer: int
     server: int
     kb: float
@@ -243,6 +256,7 @@
 
 # Actions
 
+
 class TuneIn(NamedTuple):
     id: int
     server: int
@@ -283,6 +297,7 @@
 
 class TellPeers(NamedTuple):
     """Tells all other managers that we ask so much more (or less) of a server."""
+
     server: int
     kb: float
 
--- a/flaxscale/jsonl/lines.py
+++ b/flaxscale/jsonl/lines.py
@@ -1,10 +1,11 @@
 """Bytes to whole lines, however they are cut, with a bound on what is kept of an unfinished one."""
 
-MOST = 16 * 1024            # the platform's bound on a message
+MOST = 16 * 1024  # the platform's bound on a message
 
 
 class Lines:
     """take() gives the lines that are whole; after `fault` nothing further is to be read from there."""
+
     __slots__ = "rest", "most", "fault"
 
     def __init__(self, most=MOST):
--- a/flaxscale/jsonl/messages.py
+++ b/flaxscale/jsonl/messages.py
@@ -1,4 +1,5 @@
 """Messages of the platform: what a line says, checked before anybody acts on it, and the lines that we send."""
+
 import math
 import re
 from typing import NamedTuple
@@ -11,13 +12,13 @@
 KEY = re.compile(r"[0-9a-f]{1,16}\Z")
 SERVER = re.compile(r"s-([0-9a-f]{8})\Z")
 FIGURE = re.compile(r"-?[0-9]{1,15}(\.[0-9]{1,15})?\Z")
-LEFT_MOST = 3_600_000       # ms that a viewer can say it waits
-COUNT_MOST = 65_535         # cells and rungs
+LEFT_MOST = 3_600_000  # ms that a viewer can say it waits
+COUNT_MOST = 65_535  # cells and rungs
 
 # Causes (ITU-T Q.850) as the platform gives them meaning.
 NORMAL, MOVED, FULL, CUT, FAILED, BAD, NEVER = 16, 31, 34, 41, 47, 100, 102
-BEFORE = {FULL: How.FULL, FAILED: How.ERROR, NEVER: How.MOOT}       # other causes: the set-up broke on its way
-AFTER = {NORMAL: How.OK, MOVED: How.CANCELLED}                      # other causes: what played was cut
+BEFORE = {FULL: How.FULL, FAILED: How.ERROR, NEVER: How.MOOT}  # other causes: the set-up broke on its way
+AFTER = {NORMAL: How.OK, MOVED: How.CANCELLED}  # other causes: what played was cut
 ANSWERS = ("accept", "end")
 
 
@@ -92,10 +93,11 @@
 
 class SetUp(NamedTuple):
     """A viewer's set-up, checked. package and key stand as they came, to be passed on unchanged."""
+
     call: str
     id: int
     package: str
-    left: float             # ms
+    left: float  # ms
     again: bool
     key: str
     title: int
@@ -103,7 +105,7 @@
     cells: int
     top: int
     viewer: int
-    at: int | None          # plays at this server already
+    at: int | None  # plays at this server already
     desc: str
 
 
@@ -128,13 +130,24 @@
     at = None
     if "at" in extras and (at := server_number(extras["at"])) < 0:
         raise Fault("extras.at: a server expected")
-    left = figure(fields.get("left", ""), "left") if at is None else 0      # what plays waits for no answer
+    left = figure(fields.get("left", ""), "left") if at is None else 0  # what plays waits for no answer
     if at is None and not 1 <= left <= LEFT_MOST:
         raise Fault(f"left: 1 to {LEFT_MOST} expected")
-    return SetUp(message.call, int(message.call, 16), package, left, extras.get("again") == "1", key, int(key, 16),
-                 count(extras["home"], "extras.home", 0, COUNT_MOST),
-                 count(extras["copies"], "extras.copies", 1, COUNT_MOST),
-                 count(extras["top"], "extras.top", 0, COUNT_MOST), int(extras["viewer"], 16), at, desc)
+    return SetUp(
+        message.call,
+        int(message.call, 16),
+        package,
+        left,
+        extras.get("again") == "1",
+        key,
+        int(key, 16),
+        count(extras["home"], "extras.home", 0, COUNT_MOST),
+        count(extras["copies"], "extras.copies", 1, COUNT_MOST),
+        count(extras["top"], "extras.top", 0, COUNT_MOST),
+        int(extras["viewer"], 16),
+        at,
+        desc,
+    )
 
 
 def line(op, call, fields=None, why=None, desc=None):
--- a/flaxscale/lab/accounts.py
+++ b/flaxscale/lab/accounts.py
@@ -1,4 +1,5 @@
 """A manager's own account as JSON lines, for a judge that shares no code with it."""
+
 import msgspec
 
 from ..audit.account import plain, rows_of
--- a/flaxscale/lab/changes.py
+++ b/flaxscale/lab/changes.py
@@ -1,4 +1,5 @@
 """The operator of a day with a live catalogue: begins it from the day's holders, then changes it all the time."""
+
 import asyncio
 
 from ..catalogue.state import HOLDING, LEAVING, PREPARING, Catalogue, Frame, Hold, Put, Refused, Rungs, Seats
@@ -8,8 +9,11 @@
 
 
 def frame_of(site):
-    return Frame({name: p.floor for name, p in site.packages.items()},
-                 frozenset(name for name, p in site.packages.items() if p.seats), len(site.ladder.kb))
+    return Frame(
+        {name: p.floor for name, p in site.packages.items()},
+        frozenset(name for name, p in site.packages.items() if p.seats),
+        len(site.ladder.kb),
+    )
 
 
 def first_titles(day):
@@ -73,7 +77,7 @@
         async with Client(self.address) as client:
             while (due := made / row.rate) < row.for_s:
                 await asyncio.sleep(max(0.0, began + due - loop.time()))
-                made, id = made + 1, new_id()       # asked again, it is made once
+                made, id = made + 1, new_id()  # asked again, it is made once
                 ops = self.next()
                 if not self.good(ops):
                     continue
