--- a/flaxscale/lab/day.py
+++ b/flaxscale/lab/day.py
@@ -4,6 +4,7 @@
 through one door. What the machine adds (scheduling, ports) differs between two runs: the same seed gives the same
 demand and the same troubles at the same times, and the rules must hold in every run; figures are those of a run.
 """
+
 import asyncio
 import json
 import math
@@ -55,8 +56,16 @@
     rungs = len(day.site.ladder.kb)
     top = rungs // 2 if dice.draw() < day.demand.small else None
     leaves = dice.draw() * row.patience_ms / 15_000 if dice.draw() < day.demand.leave else None
-    return Wish(0, title, False, viewer, row.patience_ms / 1000 * dice.between(day.demand.patience),
-                dice.between(day.demand.play_s), leaves, top)
+    return Wish(
+        0,
+        title,
+        False,
+        viewer,
+        row.patience_ms / 1000 * dice.between(day.demand.patience),
+        dice.between(day.demand.play_s),
+        leaves,
+        top,
+    )
 
 
 class DayRun:
@@ -71,11 +80,11 @@
         self.relay, self.member_ports = None, {}
         self.catalogue = self.changes = None
         self.tasks, self.count, self.up = set(), 0, set()
-        self.lies = ()              # managers whose copies are damaged
-        self.steps = {}             # manager: STEP:ACT, from its next start on
+        self.lies = ()  # managers whose copies are damaged
+        self.steps = {}  # manager: STEP:ACT, from its next start on
         self.stopping = False
-        self.down = Counter()       # of troubles that keep a box or a manager down
-        self.doors = defaultdict(asyncio.Lock)      # a box or a manager is killed or started, one after the other
+        self.down = Counter()  # of troubles that keep a box or a manager down
+        self.doors = defaultdict(asyncio.Lock)  # a box or a manager is killed or started, one after the other
 
     # Processes
 
@@ -84,34 +93,66 @@
         (self.out / "site.json").write_bytes(msgspec.json.encode(day.site))
         if by_relay(day):
             await self.start_relay()
-        self.list = await Process(["boxlist", str(self.out / "site.json"), "--late-ms", str(day.list_late_ms),
-                                   "--record", str(self.out / "boxlist.jsonl"), "--ready"],
-                                  self.out / "boxlist.log").start()
+        self.list = await Process(
+            [
+                "boxlist",
+                str(self.out / "site.json"),
+                "--late-ms",
+                str(day.list_late_ms),
+                "--record",
+                str(self.out / "boxlist.jsonl"),
+                "--ready",
+            ],
+            self.out / "boxlist.log",
+        ).start()
         self.list_address = "%s:%d" % self.list.address
         if self.relay:
             self.reached("list", self.list.address, self.list.address)
-            self.list.say(ways={m: {b[1:]: self.way(m, b) for b in self.parties["boxes"]}
-                                for m in self.parties["managers"]})
+            self.list.say(
+                ways={m: {b[1:]: self.way(m, b) for b in self.parties["boxes"]} for m in self.parties["managers"]}
+            )
         if day.catalogue:
             await self.start_catalogue()
         for first in range(0, len(day.boxes), START_AT_ONCE):
-            await asyncio.gather(*(self.start_box(n, not day.boxes[n].cold) for n in range(
-                first, min(first + START_AT_ONCE, len(day.boxes)))))
-        if day.members:                 # each begins with those before it
+            await asyncio.gather(
+                *(
+                    self.start_box(n, not day.boxes[n].cold)
+                    for n in range(first, min(first + START_AT_ONCE, len(day.boxes)))
+                )
+            )
+        if day.members:  # each begins with those before it
             for m in range(day.site.managers):
                 await self.start_front(m)
         else:
             await asyncio.gather(*(self.start_front(m) for m in range(day.site.managers)))
-        (self.out / "day.json").write_text(json.dumps({
-            "seed": self.seed, "length_s": day.length_s, "site": msgspec.to_builtins(day.site),
-            "after": msgspec.to_builtins(day.after),
-            "managers": {f"m{m}": list(p.address) for m, p in self.fronts.items()}}))
+        (self.out / "day.json").write_text(
+            json.dumps(
+                {
+                    "seed": self.seed,
+                    "length_s": day.length_s,
+                    "site": msgspec.to_builtins(day.site),
+                    "after": msgspec.to_builtins(day.after),
+                    "managers": {f"m{m}": list(p.address) for m, p in self.fronts.items()},
+                }
+            )
+        )
 
     async def start_catalogue(self, port=0):
         self.catalogue = await Process(
-            ["catalogue", "serve", str(self.out / "site.json"), "--store", str(self.out / "catalogue"), "--port",
-             str(port), "--record", str(self.out / "catalogue.jsonl"), "--ready"],
-            self.out / "catalogue.log").start()
+            [
+                "catalogue",
+                "serve",
+                str(self.out / "site.json"),
+                "--store",
+                str(self.out / "catalogue"),
+                "--port",
+                str(port),
+                "--record",
+                str(self.out / "catalogue.jsonl"),
+                "--ready",
+            ],
+            self.out / "catalogue.log",
+        ).start()
         self.reached("catalogue", self.catalogue.address)
         if not self.catalogue.ready["version"]:
             self.changes = Changes(self.day, self.seed, "%s:%d" % self.catalogue.address, self.lab)
@@ -122,15 +163,31 @@
     async def start_relay(self):
         self.parties = parties_of(self.day)
         (self.out / "pairs.json").write_text(json.dumps(all_ways(self.parties)))
-        self.relay = await Process(["relay", str(self.out / "pairs.json"), "--seed", str(self.seed), "--record",
-                                    str(self.out / "relay.jsonl"), "--ready"], self.out / "relay.log").start()
-        if self.day.members:            # each reaches the others by the relay from the first datagram on
+        self.relay = await Process(
+            [
+                "relay",
+                str(self.out / "pairs.json"),
+                "--seed",
+                str(self.seed),
+                "--record",
+                str(self.out / "relay.jsonl"),
+                "--ready",
+            ],
+            self.out / "relay.log",
+        ).start()
+        if self.day.members:  # each reaches the others by the relay from the first datagram on
             self.member_ports = {m: free_udp_port() for m in range(self.day.site.managers)}
             for m in range(self.day.site.managers):
                 self.reached(f"m{m}", ("127.0.0.1", 0), ("127.0.0.1", self.member_ports[m]))
-                (self.out / f"via-{m}.json").write_text(json.dumps({
-                    f"127.0.0.1:{port}": self.way(f"m{m}", f"m{o}")
-                    for o, port in self.member_ports.items() if o != m}))
+                (self.out / f"via-{m}.json").write_text(
+                    json.dumps(
+                        {
+                            f"127.0.0.1:{port}": self.way(f"m{m}", f"m{o}")
+                            for o, port in self.member_ports.items()
+                            if o != m
+                        }
+                    )
+                )
 
     def way(self, a, b):
         """The address by which one party reaches another."""
@@ -167,11 +224,15 @@
         if not self.day.peaks:
             return
         from ..proto import peaks_pb2 as pb
+
         began = time.time()
         async with Client("%s:%d" % self.catalogue.address) as client:
             for p in self.day.peaks:
-                reply = await client.call("Change", pb.ChangeRequest(
-                    announce=wire.peak_out(p.moved(began)), why="the day's"), stub=client.peaks)
+                reply = await client.call(
+                    "Change",
+                    pb.ChangeRequest(announce=wire.peak_out(p.moved(began)), why="the day's"),
+                    stub=client.peaks,
+                )
                 if reply.faults:
                     raise RuntimeError(f"the day's peak was refused: {reply.faults[0]}")
                 self.lab.put("announced", name=p.name, version=reply.version)
@@ -179,11 +240,14 @@
     async def raise_floor(self, row):
         """As an operator does; what the service answered is in the records."""
         from ..proto import catalogue_pb2 as pb
+
         async with Client("%s:%d" % self.catalogue.address) as client:
             try:
                 at = await client.call("Floor", pb.FloorRequest())
-                reply = await client.call("Floor", pb.FloorRequest(
-                    floor=max(1, at.version - int(row.value)), force=row.force, why="the day's"))
+                reply = await client.call(
+                    "Floor",
+                    pb.FloorRequest(floor=max(1, at.version - int(row.value)), force=row.force, why="the day's"),
+                )
             except ServiceError as bad:
                 self.lab.put("floor", refused=str(bad))
                 return
@@ -195,37 +259,89 @@
         if not self.relay:
             return talk_args(self.fronts, m)
         seeds = [f"127.0.0.1:{port}" for o, port in self.member_ports.items() if o != m and o in self.fronts]
-        return ["--member-port", str(self.member_ports[m]), "--via", str(self.out / f"via-{m}.json"),
-                *(arg for seed in seeds for arg in ("--member", seed))]
+        return [
+            "--member-port",
+            str(self.member_ports[m]),
+            "--via",
+            str(self.out / f"via-{m}.json"),
+            *(arg for seed in seeds for arg in ("--member", seed)),
+        ]
 
     def as_told(self, m):
         """The lab's own options: a step at which it dies or stops, a wrong clock, an older build."""
         clock = self.day.clocks.get(f"m{m}")
-        return [*(["--step", self.steps[m]] if m in self.steps else ()),
-                *(["--clock", f"{clock.step_s}:{clock.rate}"] if clock else ()),
-                *(["--older"] if f"m{m}" in self.day.older else ()), *(["--lies"] if m in self.lies else ())]
+        return [
+            *(["--step", self.steps[m]] if m in self.steps else ()),
+            *(["--clock", f"{clock.step_s}:{clock.rate}"] if clock else ()),
+            *(["--older"] if f"m{m}" in self.day.older else ()),
+            *(["--lies"] if m in self.lies else ()),
+        ]
 
     async def start_box(self, n, warm, port=0):
         row, starts = self.day.boxes[n], self.starts
         starts[n] = starts.get(n, 0) + 1
         up = self.day.site.rules.warm_within_ms * 2 if warm else 0
         self.boxes[n] = await Process(
-            ["box", str(self.out / "site.json"), *self.catalogue_of(f"b{n + 1}"),
-             "--id", str(n + 1), "--cell", str(row.cell), "--kind", row.kind,
-             "--zone", row.zone, "--weight", str(row.weight), "--link-kb", str(link_of(self.day, row)),
-             "--list", self.list_of(f"b{n + 1}"),
-             "--up-ms", str(up), "--seed", str(self.seed), "--port", str(port),
-             "--work-ms", str(self.day.work_ms), "--state", str(self.out / "boxes"),
-             "--record", str(self.out / f"box-{n + 1}-{starts[n]}.jsonl"), "--ready"],
-            self.out / f"box-{n + 1}.log").start()
+            [
+                "box",
+                str(self.out / "site.json"),
+                *self.catalogue_of(f"b{n + 1}"),
+                "--id",
+                str(n + 1),
+                "--cell",
+                str(row.cell),
+                "--kind",
+                row.kind,
+                "--zone",
+                row.zone,
+                "--weight",
+                str(row.weight),
+                "--link-kb",
+                str(link_of(self.day, row)),
+                "--list",
+                self.list_of(f"b{n + 1}"),
+                "--up-ms",
+                str(up),
+                "--seed",
+                str(self.seed),
+                "--port",
+                str(port),
+                "--work-ms",
+                str(self.day.work_ms),
+                "--state",
+                str(self.out / "boxes"),
+                "--record",
+                str(self.out / f"box-{n + 1}-{starts[n]}.jsonl"),
+                "--ready",
+            ],
+            self.out / f"box-{n + 1}.log",
+        ).start()
         self.reached(f"b{n + 1}", self.boxes[n].address)
 
     async def start_front(self, m, port=0):
         self.fronts[m] = await Process(
-            ["front", str(self.out / "site.json"), *self.catalogue_of(f"m{m}"), *self.as_told(m),
-             "--me", str(m), "--list", self.list_of(f"m{m}"), "--disk-fault", str(self.out / f"disk-{m}"), "--seed",
-             str(self.seed * 1000 + m + len(self.starts) * 7), "--state", str(self.out / "state"),
-             "--port", str(port), *self.with_members(m), "--ready"], self.out / f"front-{m}.log").start()
+            [
+                "front",
+                str(self.out / "site.json"),
+                *self.catalogue_of(f"m{m}"),
+                *self.as_told(m),
+                "--me",
+                str(m),
+                "--list",
+                self.list_of(f"m{m}"),
+                "--disk-fault",
+                str(self.out / f"disk-{m}"),
+                "--seed",
+                str(self.seed * 1000 + m + len(self.starts) * 7),
+                "--state",
+                str(self.out / "state"),
+                "--port",
+                str(port),
+                *self.with_members(m),
+                "--ready",
+            ],
+            self.out / f"front-{m}.log",
+        ).start()
         self.up.add(m)
 
     # Players
@@ -270,8 +386,18 @@
             m = managers[int(dice.draw() * len(managers))]
             self.count += 1
             key = key or (f"camera-{title}-{self.count}" if self.day.demand.keyed else None)
-            wish = Wish(self.count, title, True, f"camera-{title}", row.patience_ms / 1000,
-                        dice.between(self.day.demand.play_s), None, None, key, trace_of(self.seed, self.count))
+            wish = Wish(
+                self.count,
+                title,
+                True,
+                f"camera-{title}",
+                row.patience_ms / 1000,
+                dice.between(self.day.demand.play_s),
+                None,
+                None,
+                key,
+                trace_of(self.seed, self.count),
+            )
             seen = await self.player.ask(self.fronts[m].address, f"m{m}", wish)
             if seen.fate == "plays":
                 await self.player.hold(self.fronts[m].address, f"m{m}", wish, seen)
@@ -320,7 +446,7 @@
             await asyncio.sleep(row.for_s)
             for m in managers:
                 (self.out / f"disk-{m}").unlink()
-        elif row.what == "manager_restart":         # planned, one after another: each leaves, and comes back
+        elif row.what == "manager_restart":  # planned, one after another: each leaves, and comes back
             for m in managers:
                 if self.down["m", m]:
                     continue
@@ -400,6 +526,7 @@
                     await start(n)
                     if said:
                         self.lab.put(said, manager=f"m{n}")
+
         await asyncio.gather(*map(back, hit))
 
     def runs(self, kind, n):
@@ -416,15 +543,17 @@
             self.lab.put("begin")
             await self.announce()
             troubles = [asyncio.ensure_future(self.trouble(n, row)) for n, row in enumerate(self.day.troubles)]
-            pushes = [asyncio.ensure_future(self.push(title, Dice(self.seed, f"push-{title}")))
-                      for title in self.day.demand.pushes]
+            pushes = [
+                asyncio.ensure_future(self.push(title, Dice(self.seed, f"push-{title}")))
+                for title in self.day.demand.pushes
+            ]
             if self.changes and self.day.catalogue.rate:
                 pushes.append(asyncio.ensure_future(self.changes.run()))
             await self.crowd()
             for done in await asyncio.gather(*troubles, return_exceptions=True):
                 if isinstance(done, Exception):
                     raise done
-            if self.tasks:          # players still at it get their answers; long viewings are cut
+            if self.tasks:  # players still at it get their answers; long viewings are cut
                 most = max(p.patience_ms for p in self.day.site.packages.values()) / 1000
                 await asyncio.wait(set(self.tasks), timeout=most * max(self.day.demand.patience) + 0.5)
             self.stopping = True
--- a/flaxscale/lab/hunts.py
+++ b/flaxscale/lab/hunts.py
@@ -3,6 +3,7 @@
 A hunt that was stopped goes on where its log ends: days are chosen a generation at a time and taken in their order, so
 that neither a stop nor the number of processes changes which are played. Breaks found are shrunk and written as days.
 """
+
 import concurrent.futures
 import contextlib
 import json
@@ -32,11 +33,12 @@
 from ..store.log import Log
 from .shapes import Day, TroubleRow, faults
 
-BAD_DAY = "program"             # a kind of break: the program itself failed
+BAD_DAY = "program"  # a kind of break: the program itself failed
 
 
 class Kept(msgspec.Struct, array_like=True):
     """One play in the log."""
+
     shape: int
     number: int
     seed: int
@@ -49,6 +51,7 @@
 
 class Head(msgspec.Struct, array_like=True):
     """The log's first record: what was hunted, and how. Another hunt does not go on in its folder."""
+
     shape: int
     day: bytes
     seed: int
@@ -79,8 +82,12 @@
     """(status, what it said) of a day played by processes into the folder `out`."""
     file = folder / "day.jsonnet"
     file.write_bytes(msgspec.json.encode(day))
-    done = subprocess.run([sys.executable, "-m", "flaxscale", "day", str(file), "--seed", str(seed), "--out", str(out)],
-                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "flaxscale", "day", str(file), "--seed", str(seed), "--out", str(out)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
     return done.returncode, done.stdout
 
 
@@ -90,20 +97,28 @@
         return Outcome(((BAD_DAY, f"status {status}: {said[-300:]}"),), None, 0.0, frozenset())
     breaks = [(f"rule {b.rule}", b.detail) for b in check(out).breaks]
     breaks += [(f"promise {b.rule}", b.detail) for b in [*promises(out), *duties(out)]]
-    breaks += [(f"audit: {f.what}", f"{f.manager} {f.key}: {f.detail}") for f in audit_judge(out).bad()] if any(
-        out.glob("account-*.jsonl")) else []
+    breaks += (
+        [(f"audit: {f.what}", f"{f.manager} {f.key}: {f.detail}") for f in audit_judge(out).bad()]
+        if any(out.glob("account-*.jsonl"))
+        else []
+    )
     clients, lab = rows_of(out / "clients.jsonl"), rows_of(out / "lab.jsonl")
     began = next(r["at"] for r in lab if r["what"] == "begin")
     seen = [((r["at"] - began) // 10_000, r["fate"]) for r in clients if r["what"] == "seen"]
-    more = [((r["at"] - began) // 10_000, f"box {r['what']}") for file in out.glob("box-*.jsonl") for r in rows_of(file)
-            if r["what"] in ("adopted", "fenced", "fell", "floor")]
+    more = [
+        ((r["at"] - began) // 10_000, f"box {r['what']}")
+        for file in out.glob("box-*.jsonl")
+        for r in rows_of(file)
+        if r["what"] in ("adopted", "fenced", "fell", "floor")
+    ]
     seconds = by_second([*seen, *more])
     back = of_day(out)
     counts = sum((came for _, came in seconds), Counter())
     kinds = Counter()
     breaks = tuple((kind, text) for kind, text in breaks if not kinds.update([kind]) and kinds[kind] <= 3)
-    return Outcome(breaks, back and back.back, 0.0, marks_of(troubles, counts, seconds) | {
-        f"broke {kind}" for kind, _ in breaks})
+    return Outcome(
+        breaks, back and back.back, 0.0, marks_of(troubles, counts, seconds) | {f"broke {kind}" for kind, _ in breaks}
+    )
 
 
 class Hunting:
@@ -127,8 +142,7 @@
         self.resumed = len(self.kept)
 
     def jobs_of(self, rows):
-        return [(self.data, seed, msgspec.msgpack.encode(troubles), self.quiet.get(seed))
-                for _, seed, troubles in rows]
+        return [(self.data, seed, msgspec.msgpack.encode(troubles), self.quiet.get(seed)) for _, seed, troubles in rows]
 
     def run(self, budget, said=lambda played: None):
         """Plays until `budget` days were played in all, and yields nothing back; said(Played) after each."""
@@ -138,15 +152,26 @@
                 self.quiet = {seed: quiet_of(self.day, seed) for seed in seeds}
             while len(self.hunt.played) < budget:
                 rows = self.hunt.generation()
-                known, self.kept = self.kept[:len(rows)], self.kept[len(rows):]
-                new = rows[len(known):]
+                known, self.kept = self.kept[: len(rows)], self.kept[len(rows) :]
+                new = rows[len(known) :]
                 outcomes = [self.again(row, kept) for row, kept in zip(rows, known)]
                 # A generation is played whole, whatever the budget: the next one stands on all of it.
                 for row, outcome in zip(new, pool.map(self.play, self.jobs_of(new))):
                     number, seed, troubles = row
-                    self.log.append(msgspec.msgpack.encode(Kept(
-                        SHAPE, number, seed, troubles, list(outcome.breaks), outcome.back, outcome.loss,
-                        sorted(outcome.marks))))
+                    self.log.append(
+                        msgspec.msgpack.encode(
+                            Kept(
+                                SHAPE,
+                                number,
+                                seed,
+                                troubles,
+                                list(outcome.breaks),
+                                outcome.back,
+                                outcome.loss,
+                                sorted(outcome.marks),
+                            )
+                        )
+                    )
                     self.log.commit()
                     outcomes.append(outcome)
                 for row, outcome in zip(rows, outcomes):
@@ -160,7 +185,7 @@
 
     @contextlib.contextmanager
     def pool(self):
-        if self.sockets:                # each is a program of its own; threads wait for them
+        if self.sockets:  # each is a program of its own; threads wait for them
             with concurrent.futures.ThreadPoolExecutor(self.jobs) as pool:
                 yield pool
         else:
@@ -179,6 +204,7 @@
             if back is False:
                 return outcome.back is False
             return outcome.loss >= 0.8 * loss
+
         return test
 
     def smallest(self, found):
@@ -199,12 +225,19 @@
         plain = {f.name: f.default for f in msgspec.structs.fields(TroubleRow)}
         rows = [{k: v for k, v in row.items() if k not in plain or v != plain[k]} for row in rows]
         what = "; ".join(f"{kind}: {text}" for kind, text in found.outcome.breaks) or (
-            "does not come back" if found.outcome.back is False else
-            f"loses {found.outcome.loss:.1%} of what could be served")
-        lines = ["// " + line for line in (f"Play it with --seed {found.seed}. Found as play {found.number}:",
-                                           *what[:600].splitlines())]
-        lines += [f"(import {json.dumps(os.path.relpath(base, self.folder))}) + {{",
-                  f"  length_s: {self.day.length_s:g},", "  troubles: ["]
+            "does not come back"
+            if found.outcome.back is False
+            else f"loses {found.outcome.loss:.1%} of what could be served"
+        )
+        lines = [
+            "// " + line
+            for line in (f"Play it with --seed {found.seed}. Found as play {found.number}:", *what[:600].splitlines())
+        ]
+        lines += [
+            f"(import {json.dumps(os.path.relpath(base, self.folder))}) + {{",
+            f"  length_s: {self.day.length_s:g},",
+            "  troubles: [",
+        ]
         lines += [f"    {json.dumps(row)}," for row in rows]
         file.write_text("\n".join([*lines, "  ],", "}", ""]))
         return file
--- a/flaxscale/lab/players.py
+++ b/flaxscale/lab/players.py
@@ -1,4 +1,5 @@
 """WHEP players and WHIP pushers: they ask, hold, watch their media, leave, and record what they saw."""
+
 import asyncio
 import hashlib
 import secrets
@@ -15,13 +16,14 @@
 
 class Wish(NamedTuple):
     """One request that a player makes."""
+
     n: int
     title: str
     sends: bool
     viewer: str
-    patience: float             # seconds, after which it gives up
-    length: float               # seconds it would play
-    leaves: float | None        # seconds after which it goes, answered or not
+    patience: float  # seconds, after which it gives up
+    length: float  # seconds it would play
+    leaves: float | None  # seconds after which it goes, answered or not
     top: int | None = None
     key: str | None = None
     trace: str | None = None
@@ -29,9 +31,10 @@
 
 class Seen(NamedTuple):
     """What came of it."""
-    fate: str                   # plays, blocked, aborted, refused, gave_up, left, broken, unreached
+
+    fate: str  # plays, blocked, aborted, refused, gave_up, left, broken, unreached
     status: int
-    after: int                  # tenths of a millisecond
+    after: int  # tenths of a millisecond
     location: str | None
     body: bytes
     headers: dict
@@ -72,7 +75,7 @@
 
 
 def offer_of(wish):
-    if wish.key:                # asked again under its key it is the same offer
+    if wish.key:  # asked again under its key it is the same offer
         made = hashlib.sha256(wish.key.encode()).hexdigest()
         return sdp.offer(wish.sends, made[:8], made[8:32], FINGERPRINT, str(int(made[:6], 16)))
     return sdp.offer(wish.sends, secrets.token_hex(4), secrets.token_hex(12), FINGERPRINT, str(wish.n + 1))
@@ -90,11 +93,26 @@
         """One request and what was seen of it, bounded by the player's patience."""
         host, port = address
         began = now()
-        self.record.put("asked", n=wish.n, key=wish.key, manager=manager, title=wish.title, sends=wish.sends,
-                        trace=wish.trace, patience=round(wish.patience * 10_000))
+        self.record.put(
+            "asked",
+            n=wish.n,
+            key=wish.key,
+            manager=manager,
+            title=wish.title,
+            sends=wish.sends,
+            trace=wish.trace,
+            patience=round(wish.patience * 10_000),
+        )
         came = asyncio.get_running_loop().create_future()
-        call = self.pool.send(host, port, "POST", target_of(wish), headers_of(wish, self.token, say_wait),
-                              offer_of(wish), lambda result: came.done() or came.set_result(result))
+        call = self.pool.send(
+            host,
+            port,
+            "POST",
+            target_of(wish),
+            headers_of(wish, self.token, say_wait),
+            offer_of(wish),
+            lambda result: came.done() or came.set_result(result),
+        )
         limit = wish.patience if wish.leaves is None else min(wish.patience, wish.leaves)
         try:
             result = await within(limit, came)
@@ -108,16 +126,26 @@
                 left, leaves = wish.patience - used, wish.leaves and max(0.001, wish.leaves - used)
                 self.record.put("seen", n=wish.n, manager=manager, fate="sent_on", status=307, after=now() - began)
                 at = elsewhere(result)
-                share = wish.n % 1          # each manager on the way has a number of its own between two whole ones
+                share = wish.n % 1  # each manager on the way has a number of its own between two whole ones
                 if at is None or left <= 0 or share > 0.95:
                     return Seen("refused", 307, now() - began, None, b"", {})
-                return await self.ask(at, self.name_of(at), wish._replace(
-                    n=wish.n + (1 - share) / 2, patience=left, leaves=leaves), say_wait)
+                return await self.ask(
+                    at,
+                    self.name_of(at),
+                    wish._replace(n=wish.n + (1 - share) / 2, patience=left, leaves=leaves),
+                    say_wait,
+                )
             if isinstance(result, wire.Failed):
                 seen = Seen("broken" if result.sent else "unreached", 0, now() - began, None, b"", {})
             else:
-                seen = Seen(FATES.get(result.status, "refused"), result.status, now() - began,
-                            result.headers.get("location"), result.body, result.headers)
+                seen = Seen(
+                    FATES.get(result.status, "refused"),
+                    result.status,
+                    now() - began,
+                    result.headers.get("location"),
+                    result.body,
+                    result.headers,
+                )
         more = {"ufrag": sdp.candidate_of(seen.body)[2]} if seen.fate == "plays" else {}
         self.record.put("seen", n=wish.n, manager=manager, fate=seen.fate, status=seen.status, after=seen.after, **more)
         return seen
@@ -146,13 +174,22 @@
         except (OSError, asyncio.TimeoutError, ValueError):
             whole = False
         else:
-            if whole and (gone := await self.end_anywhere(address, seen.location)) and getattr(
-                    gone, "status", 0) == 200:
+            if (
+                whole
+                and (gone := await self.end_anywhere(address, seen.location))
+                and getattr(gone, "status", 0) == 200
+            ):
                 self.record.put("deleted", n=wish.n, trace=wish.trace)
             writer.transport.abort()
-        self.record.put("held", n=wish.n, manager=manager, whole=whole, seconds=len(rungs),
-                        rung=sum(rungs) / len(rungs) if rungs else None,
-                        share=sum(shares) / len(shares) if shares else None)
+        self.record.put(
+            "held",
+            n=wish.n,
+            manager=manager,
+            whole=whole,
+            seconds=len(rungs),
+            rung=sum(rungs) / len(rungs) if rungs else None,
+            share=sum(shares) / len(shares) if shares else None,
+        )
         return whole
 
     def name_of(self, address):
@@ -173,8 +210,9 @@
     async def end(self, address, location):
         came = asyncio.get_running_loop().create_future()
         headers = [("Authorization", f"Bearer {self.token}")] if self.token else []
-        call = self.pool.send(*address, "DELETE", location, headers, b"",
-                              lambda result: came.done() or came.set_result(result))
+        call = self.pool.send(
+            *address, "DELETE", location, headers, b"", lambda result: came.done() or came.set_result(result)
+        )
         try:
             return await within(2.0, came)
         except asyncio.TimeoutError:
--- a/flaxscale/lab/processes.py
+++ b/flaxscale/lab/processes.py
@@ -1,4 +1,5 @@
 """Processes of a day: started, spoken to by lines, stopped by their own id. Whoever starts one waits for it."""
+
 import asyncio
 import itertools
 import json
@@ -19,8 +20,15 @@
     async def start(self, within=20.0):
         with open(self.log, "ab") as err:
             self.child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "flaxscale", *self.args, stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, stderr=err, env={**os.environ, "PYTHONUNBUFFERED": "1"})
+                sys.executable,
+                "-m",
+                "flaxscale",
+                *self.args,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=err,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
         line = await limit.within(within, self.child.stdout.readline())
         if not line:
             await self.child.wait()
@@ -52,7 +60,7 @@
                 await self.kill()
 
 
-STEADY = 20_000, 32_000         # ports that no system here gives to sockets that ask for any
+STEADY = 20_000, 32_000  # ports that no system here gives to sockets that ask for any
 asked = itertools.count(os.getpid() * 97)
 
 
--- a/flaxscale/lab/records.py
+++ b/flaxscale/lab/records.py
@@ -1,4 +1,5 @@
 """What passed on sockets, one JSON line each, written so that a killed process has lost none of its lines."""
+
 import os
 
 import msgspec
--- a/flaxscale/lab/relay.py
+++ b/flaxscale/lab/relay.py
@@ -3,6 +3,7 @@
 For each pair (a, b) there is a port on which a reaches b: TCP as a pair of connections, datagrams from the port on
 which b reaches a, so that b's answer goes by the way from b to a. What a way does is ways.py's to say.
 """
+
 import asyncio
 import json
 import socket
@@ -14,9 +15,9 @@
 from .ways import CLEAR, Fault, Ways
 
 PIECE = 65_536
-BACKLOG = 256 * 1024        # bytes held for a side that reads slowly; then the other is read no more
+BACKLOG = 256 * 1024  # bytes held for a side that reads slowly; then the other is read no more
 DIAL_S = 5.0
-HELD_MOST = 1_000           # connections that wait, accepted, for a cut way to heal
+HELD_MOST = 1_000  # connections that wait, accepted, for a cut way to heal
 
 
 class Side(asyncio.Protocol):
@@ -64,7 +65,7 @@
                 return
             self.queue.pop(0)
             if "half" in state.kinds:
-                data = data[:len(data) // 2]
+                data = data[: len(data) // 2]
             self.relay.counts[self.way, "bytes out"] += len(data)
             self.other.transport.write(data)
             if "half" in state.kinds:
@@ -97,7 +98,7 @@
             self.transport.close()
             return False
         self.pass_on()
-        return True             # the other direction may still have something to say
+        return True  # the other direction may still have something to say
 
     def connection_lost(self, error):
         """It stays among the sides until the other has been told of its end, which a way may keep back."""
@@ -174,7 +175,7 @@
         back.transport.sendto(data, to)
 
     def error_received(self, error):
-        pass                    # nobody listens there now
+        pass  # nobody listens there now
 
 
 class Relay:
@@ -190,11 +191,12 @@
         """Returns {"a>b": port}; TCP and datagrams have the same number."""
         self.loop, self.host = asyncio.get_running_loop(), host
         for way in dict.fromkeys(way for a, b in self.pairs for way in ((a, b), (b, a))):
-            for tries in range(20):     # one number for both protocols: a free one for TCP may be taken for UDP
+            for tries in range(20):  # one number for both protocols: a free one for TCP may be taken for UDP
                 self.ports[way] = await self.listen(way, 0)
                 try:
                     _, self.datagrams[way] = await self.loop.create_datagram_endpoint(
-                        lambda way=way: Datagrams(self, way), local_addr=(host, self.ports[way]))
+                        lambda way=way: Datagrams(self, way), local_addr=(host, self.ports[way])
+                    )
                     break
                 except OSError:
                     self.listeners.pop(way).close()
@@ -204,7 +206,8 @@
 
     async def listen(self, way, port):
         self.listeners[way] = await self.loop.create_server(
-            lambda: Side(self, way), self.host, port, reuse_address=True, backlog=1024)
+            lambda: Side(self, way), self.host, port, reuse_address=True, backlog=1024
+        )
         return self.listeners[way].sockets[0].getsockname()[1]
 
     def accepted(self, side):
@@ -249,8 +252,10 @@
                     into[row["target"]] = host, int(port)
         elif "fault" in row:
             ways = [tuple(way) for way in row["ways"]]
-            self.changed(self.ways.put(row["fault"], Fault(row["kind"], row.get("value", 1.0), row.get("jitter", 0.0)),
-                                       ways), row)
+            self.changed(
+                self.ways.put(row["fault"], Fault(row["kind"], row.get("value", 1.0), row.get("jitter", 0.0)), ways),
+                row,
+            )
         elif "heal" in row:
             ways = row.get("ways")
             self.changed(self.ways.heal(row["heal"], ways and [tuple(way) for way in ways]), row)
@@ -260,9 +265,12 @@
             raise KeyError("target, fault, heal or count")
 
     def changed(self, ways, row):
-        self.record.put("ways", unreached=[f"{a}>{b}" for a, b in self.ways.unreached()],
-                        struck={f"{a}>{b}": sorted(state.kinds) for (a, b), state in self.ways.states.items()},
-                        **{key: row[key] for key in ("fault", "heal", "kind") if key in row})
+        self.record.put(
+            "ways",
+            unreached=[f"{a}>{b}" for a, b in self.ways.unreached()],
+            struck={f"{a}>{b}": sorted(state.kinds) for (a, b), state in self.ways.states.items()},
+            **{key: row[key] for key in ("fault", "heal", "kind") if key in row},
+        )
         for way in ways:
             state = self.ways.of(way)
             if "refuse" in state.kinds and way in self.listeners:
--- a/flaxscale/lab/service.py
+++ b/flaxscale/lab/service.py
@@ -1,4 +1,5 @@
 """The service figure of a played day, from what its players saw: value earned over value asked."""
+
 import json
 import pathlib
 
@@ -23,7 +24,7 @@
         if answer["fate"] != "plays" or answer["after"] > package.join_target_ms * 10:
             continue
         if played is None or played["rung"] is None:
-            earned += package.value * worth[0]       # it plays, the day ended before it told how
+            earned += package.value * worth[0]  # it plays, the day ended before it told how
             continue
         low = min(len(worth) - 2, int(played["rung"])) if len(worth) > 1 else 0
         part = played["rung"] - low
--- a/flaxscale/lab/shapes.py
+++ b/flaxscale/lab/shapes.py
@@ -1,4 +1,5 @@
 """The shape of a day's file: a site, a fleet, demand and troubles on a time line. Played on sockets here."""
+
 import msgspec
 
 from ..peaks.announce import Announcement
@@ -15,22 +16,22 @@
     kind: str
     zone: str = "one"
     weight: float = 1.0
-    link_kb: float | None = None        # none: what its weight says
-    cold: bool = False                  # it starts with the day
+    link_kb: float | None = None  # none: what its weight says
+    cold: bool = False  # it starts with the day
 
 
 class DemandRow(Struct, forbid_unknown_fields=True):
-    rate: float                         # new viewings a second
-    titles: dict[str, float]            # weight by title
-    pushes: list[str] = []              # titles that are pushed through the day
+    rate: float  # new viewings a second
+    titles: dict[str, float]  # weight by title
+    pushes: list[str] = []  # titles that are pushed through the day
     play_s: list[float] = msgspec.field(default_factory=lambda: [4.0, 9.0])
     patience: list[float] = msgspec.field(default_factory=lambda: [1.0, 1.0])  # times the package's
-    returns: float = 0.9                # come again after a break or a block
+    returns: float = 0.9  # come again after a break or a block
     back_s: list[float] = msgspec.field(default_factory=lambda: [0.5, 2.0])
     tries: int = 3
-    leave: float = 0.02                 # go before they are answered
-    small: float = 0.2                  # can use the lower half of the rungs only
-    keyed: float = 0                    # ask under an Idempotency-Key, and again under it where no answer came
+    leave: float = 0.02  # go before they are answered
+    small: float = 0.2  # can use the lower half of the rungs only
+    keyed: float = 0  # ask under an Idempotency-Key, and again under it where no answer came
 
 
 class TroubleRow(Struct, forbid_unknown_fields=True):
@@ -38,32 +39,34 @@
     what: str
     for_s: float = 0
     value: float = 1
-    share: float | None = None          # of the boxes or managers, drawn by the seed
+    share: float | None = None  # of the boxes or managers, drawn by the seed
     boxes: list[int] | None = None
     managers: list[int] | None = None
     titles: list[str] | None = None
     rack: int | None = None
     between: list[list[str]] | None = None  # way: groups between which the fault strikes: names of parties or of groups
-    kind: str = "cut"                   # way: of the fault (lab/ways.py); disk: full or slow
-    one_way: bool = False               # way: only from the first group to the second
-    jitter: float = 0                   # way, delay: up to so many ms more
-    heal_s: float = 0                   # way: its pairs heal one by one in this time, not all at once
-    disk: bool = True                   # manager_crash: it comes back with what its disk kept
-    force: bool = False                 # floor: whoever it shuts out; value: so many versions under the settled one
+    kind: str = "cut"  # way: of the fault (lab/ways.py); disk: full or slow
+    one_way: bool = False  # way: only from the first group to the second
+    jitter: float = 0  # way, delay: up to so many ms more
+    heal_s: float = 0  # way: its pairs heal one by one in this time, not all at once
+    disk: bool = True  # manager_crash: it comes back with what its disk kept
+    force: bool = False  # floor: whoever it shuts out; value: so many versions under the settled one
 
 
 class ClockRow(Struct, forbid_unknown_fields=True):
     """A manager's clock that is wrong."""
+
     step_s: float = 0
-    rate: float = 1.0                   # its seconds in one of ours
+    rate: float = 1.0  # its seconds in one of ours
 
 
 class ChangesRow(Struct, forbid_unknown_fields=True):
     """A live catalogue that changes through the day: holders come and go, renditions and seats change."""
-    rate: float = 0                     # change sets a second
+
+    rate: float = 0  # change sets a second
     from_s: float = 0
     for_s: float = 1e9
-    titles: list[str] | None = None     # all of the site's if left out
+    titles: list[str] | None = None  # all of the site's if left out
 
 
 class Day(Struct, forbid_unknown_fields=True):
@@ -73,17 +76,17 @@
     length_s: float
     troubles: list[TroubleRow] = []
     catalogue: ChangesRow | None = None
-    peaks: list[Announcement] = []                  # seconds of the day; put in service as it begins
-    holders: dict[str, list[int]] | None = None     # with a catalogue: numbers of boxes by title, not the cells
-    after: Site | None = None           # the settings of the trouble `settings`: loaded, then the first ones again
-    members: bool = False               # managers talk to each other and take over from those that die
-    settle_s: float = 2.0               # before the day begins
+    peaks: list[Announcement] = []  # seconds of the day; put in service as it begins
+    holders: dict[str, list[int]] | None = None  # with a catalogue: numbers of boxes by title, not the cells
+    after: Site | None = None  # the settings of the trouble `settings`: loaded, then the first ones again
+    members: bool = False  # managers talk to each other and take over from those that die
+    settle_s: float = 2.0  # before the day begins
     list_late_ms: float = 300
-    ways: bool = False                  # all processes reach each other by a relay; so they do where a trouble is a way
-    groups: dict[str, list[str]] = {}   # names for several parties: m0, b1, list, catalogue, managers, boxes
-    clocks: dict[str, ClockRow] = {}    # by manager, m0 ...
-    older: list[str] = []               # managers of an older build, which say nothing of their versions
-    lease_ms: float | None = None       # the site's fleet.lease_ms if left out
+    ways: bool = False  # all processes reach each other by a relay; so they do where a trouble is a way
+    groups: dict[str, list[str]] = {}  # names for several parties: m0, b1, list, catalogue, managers, boxes
+    clocks: dict[str, ClockRow] = {}  # by manager, m0 ...
+    older: list[str] = []  # managers of an older build, which say nothing of their versions
+    lease_ms: float | None = None  # the site's fleet.lease_ms if left out
     work_ms: float = 15
 
 
@@ -99,10 +102,25 @@
 
 
 BOX_TROUBLES = frozenset(vars(Trouble()))
-WHOLE = {"crash", "manager_crash", "manager_stall", "manager_restart", "catalogue_crash", "list_late", "list_frozen",
-         "crowd", "uplink", "settings", "way", "disk", "box_stall", "catalogue_stall", "floor"}
+WHOLE = {
+    "crash",
+    "manager_crash",
+    "manager_stall",
+    "manager_restart",
+    "catalogue_crash",
+    "list_late",
+    "list_frozen",
+    "crowd",
+    "uplink",
+    "settings",
+    "way",
+    "disk",
+    "box_stall",
+    "catalogue_stall",
+    "floor",
+}
 SOCKETS_ONLY = {"disk", "floor", "settings"}
-MODEL_WAYS = {"cut", "delay", "lose"}   # kinds that the model plays: the others are of connections; it has none
+MODEL_WAYS = {"cut", "delay", "lose"}  # kinds that the model plays: the others are of connections; it has none
 MOST_PROCESSES = 400
 
 
@@ -129,9 +147,11 @@
 
     site = day.site
     want(day.boxes, "boxes", "at least one box")
-    want(not sockets or len(day.boxes) + site.managers <= MOST_PROCESSES, "boxes",
-         f"at most {MOST_PROCESSES} processes with the managers; this day would start "
-         f"{len(day.boxes) + site.managers}")
+    want(
+        not sockets or len(day.boxes) + site.managers <= MOST_PROCESSES,
+        "boxes",
+        f"at most {MOST_PROCESSES} processes with the managers; this day would start {len(day.boxes) + site.managers}",
+    )
     want(day.length_s > 0, "length_s", "over 0")
     want(day.demand.rate > 0, "demand.rate", "over 0")
     for n, box in enumerate(day.boxes):
@@ -150,11 +170,17 @@
             want(title in site.titles, f"catalogue.titles.{title}", "a title of the site")
     for title, boxes in (day.holders or {}).items():
         want(title in site.titles, f"holders.{title}", "a title of the site")
-        want(boxes and all(0 <= b < len(day.boxes) for b in boxes), f"holders.{title}",
-             f"numbers of boxes, 0 to {len(day.boxes) - 1}")
+        want(
+            boxes and all(0 <= b < len(day.boxes) for b in boxes),
+            f"holders.{title}",
+            f"numbers of boxes, 0 to {len(day.boxes) - 1}",
+        )
     want(not day.holders or day.catalogue, "holders", "a catalogue too")
-    want(not day.members or (site.allowed.peers and site.front.member_keys), "members",
-         "allowed.peers true and front.member_keys in the site too")
+    want(
+        not day.members or (site.allowed.peers and site.front.member_keys),
+        "members",
+        "allowed.peers true and front.member_keys in the site too",
+    )
     want(not sockets or not day.peaks or day.catalogue, "peaks", "a catalogue too: its service is told of them")
     for name, detail in peak_faults(day.peaks, site.titles, len(site.ladder.kb), tuple(site.packages)):
         want(False, f"peaks.{name}", f"another figure ({detail})")
@@ -174,13 +200,22 @@
         want(row.what in BOX_TROUBLES | WHOLE, f"{at}.what", f"one of {', '.join(sorted(BOX_TROUBLES | WHOLE))}")
         want(0 <= row.at_s <= day.length_s, f"{at}.at_s", f"within the day, 0 to {day.length_s:g}")
         want(row.share is None or 0 < row.share <= 1, f"{at}.share", "over 0, at most 1")
-        want(row.boxes is None or all(0 <= b < len(day.boxes) for b in row.boxes), f"{at}.boxes",
-             f"numbers of boxes, 0 to {len(day.boxes) - 1}")
-        want(sockets is not False or row.what not in SOCKETS_ONLY, f"{at}.what",
-             f"a trouble that the model plays ({row.what!r} needs processes)")
+        want(
+            row.boxes is None or all(0 <= b < len(day.boxes) for b in row.boxes),
+            f"{at}.boxes",
+            f"numbers of boxes, 0 to {len(day.boxes) - 1}",
+        )
+        want(
+            sockets is not False or row.what not in SOCKETS_ONLY,
+            f"{at}.what",
+            f"a trouble that the model plays ({row.what!r} needs processes)",
+        )
         if row.what == "way":
-            want(sockets is not False or row.kind in MODEL_WAYS, f"{at}.kind",
-                 f"one of {', '.join(sorted(MODEL_WAYS))} in the model ({row.kind!r} needs processes)")
+            want(
+                sockets is not False or row.kind in MODEL_WAYS,
+                f"{at}.kind",
+                f"one of {', '.join(sorted(MODEL_WAYS))} in the model ({row.kind!r} needs processes)",
+            )
             want(row.kind in KINDS, f"{at}.kind", f"one of {', '.join(sorted(KINDS))}")
             want(row.kind not in CHANCES or 0 < row.value <= 1, f"{at}.value", "a share, over 0, at most 1")
             want(row.kind != "throttle" or row.value > 0, f"{at}.value", "kB a second, over 0")
@@ -192,8 +227,11 @@
         want(row.what not in ("catalogue_stall", "floor") or day.catalogue, f"{at}.what", "a catalogue too")
         want(row.what != "floor" or row.value >= 0, f"{at}.value", "0 or more")
         want(row.what != "disk" or row.kind in ("full", "slow"), f"{at}.kind", "full or slow")
-        want(row.managers is None or all(0 <= m < site.managers for m in row.managers), f"{at}.managers",
-             f"numbers of managers, 0 to {site.managers - 1}")
+        want(
+            row.managers is None or all(0 <= m < site.managers for m in row.managers),
+            f"{at}.managers",
+            f"numbers of managers, 0 to {site.managers - 1}",
+        )
     return out
 
 
--- a/flaxscale/lab/timeline.py
+++ b/flaxscale/lab/timeline.py
@@ -1,10 +1,26 @@
 """The time line of a day: faults and troubles as they came and went, beside what broke then. From the records alone."""
+
 import json
 import pathlib
 
-SHOWN = {"trouble", "kill", "back", "stall", "go_on", "box_stall", "box_go_on", "restart", "restarted", "fault", "heal",
-         "settings", "announced", "floor", "end"}
-NAMES = 4                   # ways and parties named in one line; the rest is counted
+SHOWN = {
+    "trouble",
+    "kill",
+    "back",
+    "stall",
+    "go_on",
+    "box_stall",
+    "box_go_on",
+    "restart",
+    "restarted",
+    "fault",
+    "heal",
+    "settings",
+    "announced",
+    "floor",
+    "end",
+}
+NAMES = 4  # ways and parties named in one line; the rest is counted
 
 
 def some(names):
--- a/flaxscale/lab/ways.py
+++ b/flaxscale/lab/ways.py
@@ -18,11 +18,12 @@
 | lose, duplicate | as ever: TCP makes them good | with the chance `value`, each |
 | reorder | as ever | with the chance `value` a datagram waits for the next one |
 """
+
 import math
 from typing import NamedTuple
 
 KINDS = frozenset({"cut", "refuse", "reset", "half", "half_open", "delay", "throttle", "lose", "duplicate", "reorder"})
-CHANCES = frozenset({"lose", "duplicate", "reorder"})       # their value is a share
+CHANCES = frozenset({"lose", "duplicate", "reorder"})  # their value is a share
 NOTHING_PASSES = frozenset({"cut", "refuse", "reset", "half"})
 
 
@@ -34,6 +35,7 @@
 
 class State(NamedTuple):
     """What a way does now."""
+
     kinds: frozenset = frozenset()
     delay_ms: float = 0.0
     jitter_ms: float = 0.0
@@ -59,14 +61,17 @@
 
 def parties(managers, boxes, catalogue):
     """Names of all parties of a day, by kind."""
-    return {"managers": tuple(f"m{m}" for m in range(managers)), "boxes": tuple(f"b{b + 1}" for b in range(boxes)),
-            "list": ("list",), "catalogue": ("catalogue",) if catalogue else ()}
+    return {
+        "managers": tuple(f"m{m}" for m in range(managers)),
+        "boxes": tuple(f"b{b + 1}" for b in range(boxes)),
+        "list": ("list",),
+        "catalogue": ("catalogue",) if catalogue else (),
+    }
 
 
 def all_ways(kinds):
     """Every way that processes of a day use, in both directions: [(from, to)]."""
-    pairs = [(m, other) for m in kinds["managers"]
-             for other in (*kinds["boxes"], *kinds["list"], *kinds["catalogue"])]
+    pairs = [(m, other) for m in kinds["managers"] for other in (*kinds["boxes"], *kinds["list"], *kinds["catalogue"])]
     pairs += [(b, to) for b in kinds["boxes"] for to in (*kinds["list"], *kinds["catalogue"])]
     pairs += [(m, o) for m in kinds["managers"] for o in kinds["managers"] if m < o]
     return [way for a, b in pairs for way in ((a, b), (b, a))]
@@ -95,7 +100,7 @@
         raise WayError(key, "two groups or more")
     sides = [named(names, kinds, groups, f"{key}.{n}") for n, names in enumerate(between)]
     real = set(all_ways(kinds))
-    ways = [(a, b) for n, one in enumerate(sides) for other in sides[n + 1:] for a in one for b in other]
+    ways = [(a, b) for n, one in enumerate(sides) for other in sides[n + 1 :] for a in one for b in other]
     ways = [way for a, b in ways for way in (((a, b),) if one_way else ((a, b), (b, a))) if way in real]
     if not ways:
         raise WayError(key, "groups between which a way leads")
@@ -104,7 +109,7 @@
 
 class Ways:
     def __init__(self):
-        self.faults, self.states = {}, {}       # way: {fault's number: Fault}; way: State, where one strikes
+        self.faults, self.states = {}, {}  # way: {fault's number: Fault}; way: State, where one strikes
 
     def put(self, number, fault, ways):
         """This fault strikes these ways from now on. Returns the ways whose state changed."""
@@ -141,13 +146,20 @@
 
 def made_of(faults):
     """What several faults of one way make together: delays add up, the tightest throttle holds, chances join."""
+
     def joined(kind):
         return 1 - math.prod(1 - fault.value for fault in faults if fault.kind == kind)
+
     delays = [fault for fault in faults if fault.kind == "delay"]
-    return State(frozenset(fault.kind for fault in faults), sum(fault.value for fault in delays),
-                 sum(fault.jitter for fault in delays),
-                 min((fault.value for fault in faults if fault.kind == "throttle"), default=math.inf),
-                 joined("lose"), joined("duplicate"), joined("reorder"))
+    return State(
+        frozenset(fault.kind for fault in faults),
+        sum(fault.value for fault in delays),
+        sum(fault.jitter for fault in delays),
+        min((fault.value for fault in faults if fault.kind == "throttle"), default=math.inf),
+        joined("lose"),
+        joined("duplicate"),
+        joined("reorder"),
+    )
 
 
 def in_pieces(ways, heal_s, dice):
--- a/flaxscale/leases/duties.py
+++ b/flaxscale/leases/duties.py
@@ -10,6 +10,7 @@
 
 Times are tenths of a millisecond.
 """
+
 from typing import NamedTuple
 
 from .terms import Task
@@ -21,30 +22,37 @@
     "reports": Task("reports", 100_000, 50_000, 20_000),
     "orphans": Task("orphans", 50_000, 50_000, 10_000, pieces=True),
 }
-COMPACT_OVER = 200              # records in the log that make a compaction worth its while
-ORPHAN_AFTER = 50_000           # a session without a living manager is left so long to those who may take it over
-RETRY = 10_000                  # a duty that failed is tried again after this
-REMEMBERED = 20_000             # such sessions that one sweeper remembers
+COMPACT_OVER = 200  # records in the log that make a compaction worth its while
+ORPHAN_AFTER = 50_000  # a session without a living manager is left so long to those who may take it over
+RETRY = 10_000  # a duty that failed is tried again after this
+REMEMBERED = 20_000  # such sessions that one sweeper remembers
 
 
 def task_with(name, period_s, span_s, step_s, drift):
     """A duty's Task with an operator's figures; 0: the usual one."""
     usual = DUTIES[name]
     given = [round(s * 10_000) for s in (period_s, span_s, step_s)]
-    return usual._replace(period=given[0] or usual.period, span=given[1] or usual.span, step=given[2] or usual.step,
-                          drift=drift)
+    return usual._replace(
+        period=given[0] or usual.period, span=given[1] or usual.span, step=given[2] or usual.step, drift=drift
+    )
 
 
 def tasks_of(rows, drift):
     """{name: Task} of what is on. rows: {name: DutyRow}."""
-    return {name: task_with(name, row.period_s, row.span_s, row.step_s, drift) for name, row in sorted(rows.items())
-            if row.on}
+    return {
+        name: task_with(name, row.period_s, row.span_s, row.step_s, drift)
+        for name, row in sorted(rows.items())
+        if row.on
+    }
 
 
 def pieces_of(tasks, boxes):
     """{piece: Task}: one a task, or one a box."""
-    return {piece: task for name, task in tasks.items()
-            for piece in ([f"{name}/{box}" for box in sorted(boxes)] if task.pieces else [name])}
+    return {
+        piece: task
+        for name, task in tasks.items()
+        for piece in ([f"{name}/{box}" for box in sorted(boxes)] if task.pieces else [name])
+    }
 
 
 class Orphan(NamedTuple):
@@ -57,7 +65,7 @@
     """One sweeper's view of a box: sessions whose manager does not live, and since when it sees them so."""
 
     def __init__(self):
-        self.since = {}             # (key, owner, epoch): when it was first seen so
+        self.since = {}  # (key, owner, epoch): when it was first seen so
 
     def look(self, sessions, alive, now):
         """sessions: [(key, owner, epoch)] of a box. Those to end now."""
--- a/flaxscale/leases/fence.py
+++ b/flaxscale/leases/fence.py
@@ -3,6 +3,7 @@
 What can't carry a fence is not given out as a lease: an act that leaves this program (a page for an operator), and one
 whose effect is no one thing that could keep a token (a word to all players).
 """
+
 import msgspec
 
 from ..store.shapes import decoded
@@ -22,7 +23,7 @@
 
     def __init__(self, kept=None):
         """kept: what dump() gave, or None. ValueError where it is neither."""
-        self.last = {} if kept is None else decoded(kept, Kept, SHAPE, "fence").last     # piece: (token, owner)
+        self.last = {} if kept is None else decoded(kept, Kept, SHAPE, "fence").last  # piece: (token, owner)
 
     def dump(self):
         return msgspec.msgpack.encode(Kept(SHAPE, self.last))
--- a/flaxscale/leases/granter.py
+++ b/flaxscale/leases/granter.py
@@ -13,6 +13,7 @@
 
 Times are tenths of a millisecond of the granter's steady clock.
 """
+
 from typing import NamedTuple
 
 import msgspec
@@ -20,33 +21,34 @@
 from ..store.shapes import decoded
 
 SHAPE = 1
-ERA_BITS = 20                   # tokens that one start may give out before it meets the next second's
-HISTORY = 1_000                 # grants and ends that are remembered to be shown
+ERA_BITS = 20  # tokens that one start may give out before it meets the next second's
+HISTORY = 1_000  # grants and ends that are remembered to be shown
 
 
 class Row(NamedTuple):
     """The last holder of a piece. owner: a manager in one life, "m3.1f2e"."""
+
     owner: str
     token: int
-    until: int                  # kept for it so long, by our clock
+    until: int  # kept for it so long, by our clock
 
 
 class Granted(NamedTuple):
     piece: str
     token: int
-    new: bool                   # to be made durable before it is told
+    new: bool  # to be made durable before it is told
 
 
 class Busy(NamedTuple):
     piece: str
-    owner: str                  # empty: nothing is granted yet after a start
+    owner: str  # empty: nothing is granted yet after a start
     token: int
-    left: int                   # until it is worth asking again
+    left: int  # until it is worth asking again
 
 
 class Event(NamedTuple):
     piece: str
-    what: str                   # granted, given, taken on
+    what: str  # granted, given, taken on
     owner: str
     token: int
 
@@ -54,12 +56,13 @@
 class Kept(msgspec.Struct, array_like=True):
     shape: int
     count: int
-    rows: dict[str, tuple[str, int]]            # piece: (owner, token)
+    rows: dict[str, tuple[str, int]]  # piece: (owner, token)
     past: list[tuple[str, str, str, int]]
 
 
 class Record(msgspec.Struct, array_like=True):
     """One change in the log."""
+
     shape: int
     count: int
     piece: str
@@ -125,7 +128,7 @@
         return row is not None and (row.owner, row.token) == (owner, token)
 
     def note(self, piece, what, owner, token):
-        self.past = [*self.past[-HISTORY + 1:], Event(piece, what, owner, token)]
+        self.past = [*self.past[-HISTORY + 1 :], Event(piece, what, owner, token)]
 
     # What is durable
 
@@ -142,8 +145,11 @@
         self.note(row.piece, row.what, row.owner, row.token)
 
     def dump(self):
-        return msgspec.msgpack.encode(Kept(SHAPE, self.count, {p: (r.owner, r.token) for p, r in self.rows.items()},
-                                           [tuple(e) for e in self.past]))
+        return msgspec.msgpack.encode(
+            Kept(
+                SHAPE, self.count, {p: (r.owner, r.token) for p, r in self.rows.items()}, [tuple(e) for e in self.past]
+            )
+        )
 
     def load(self, data, now):
         kept = decoded(data, Kept, SHAPE, "state of leases")
--- a/flaxscale/leases/holder.py
+++ b/flaxscale/leases/holder.py
@@ -6,25 +6,27 @@
 distributed locking" (2016); M. Burrows, "The Chubby lock service for loosely-coupled distributed systems" (OSDI 2006,
 2.4) has sequencers for it.
 """
+
 from typing import NamedTuple
 
 from ..chance import drawn
 from .terms import RENEWALS
 
-AGAIN = 5_000                   # an asking without an answer is given up
-DEAF = 15_000                   # asked for so long without a word: the way to the granter only seems to stand
-PAUSE, PAUSE_MOST = 2_500, 50_000       # between two askings for what is refused or not answered
-RUSH = 100                      # members that may come at once after an outage; beyond that they spread
+AGAIN = 5_000  # an asking without an answer is given up
+DEAF = 15_000  # asked for so long without a word: the way to the granter only seems to stand
+PAUSE, PAUSE_MOST = 2_500, 50_000  # between two askings for what is refused or not answered
+RUSH = 100  # members that may come at once after an outage; beyond that they spread
 
 
 class Lease(NamedTuple):
     piece: str
     token: int
-    until: int                  # no act after it
+    until: int  # no act after it
 
 
 class Wanted:
     """One piece that is ours to hold by the shares."""
+
     __slots__ = "task", "token", "until", "asked_at", "number", "next_at", "failed", "closing"
 
     def __init__(self, task, next_at):
@@ -35,9 +37,9 @@
 class Holder:
     def __init__(self, owner, seed, now):
         self.owner, self.seed, self.draws, self.number = owner, seed, 0, 0
-        self.wanted, self.up, self.refused = {}, False, {}      # refused: {piece: (owner, token, left)} as last told
-        self.seen = 0               # the highest token that anybody told us of
-        self.asked_since = None     # the first asking since the granter was last heard
+        self.wanted, self.up, self.refused = {}, False, {}  # refused: {piece: (owner, token, left)} as last told
+        self.seen = 0  # the highest token that anybody told us of
+        self.asked_since = None  # the first asking since the granter was last heard
 
     def chance(self):
         self.draws += 1
@@ -111,7 +113,7 @@
         self.seen, self.asked_since = max(self.seen, token), None
         held = self.wanted.get(piece)
         if held is None or held.asked_at is None or held.number != number:
-            return False                # of an asking that was given up: when it was asked is not known any more
+            return False  # of an asking that was given up: when it was asked is not known any more
         began, held.asked_at, held.failed = held.asked_at, None, 0
         fresh = not self.holds_one(held, now) or token != held.token
         held.token, held.until = token, began + held.task.usable()
--- a/flaxscale/leases/shares.py
+++ b/flaxscale/leases/shares.py
@@ -5,6 +5,7 @@
 M. Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018): a piece goes to the first in its own order of
 managers that has not its part yet, so that parts differ by one at most, and a death moves little but what the dead had.
 """
+
 import functools
 from typing import NamedTuple
 
@@ -13,11 +14,12 @@
 
 class Fit(NamedTuple):
     """A manager as the others know it."""
+
     name: str
-    full: bool = False          # its gate refuses for lag, or it holds what it may
-    slow: bool = False          # it answers late: half a part
-    under: bool = False         # under the floor of versions, or behind
-    away: bool = False          # it does not hear the service: nothing could be granted to it
+    full: bool = False  # its gate refuses for lag, or it holds what it may
+    slow: bool = False  # it answers late: half a part
+    under: bool = False  # under the floor of versions, or behind
+    away: bool = False  # it does not hear the service: nothing could be granted to it
 
 
 SLOW = 0.5
@@ -63,7 +65,7 @@
     room, out = parts_of(len(pieces), weights), {}
     whole = {name: room[name] for name in weights if room[name]}
     for piece in sorted(pieces, key=lambda p: xxhash.xxh3_64_intdigest(f"piece\0{p}".encode())):
-        name = max(whole, key=lambda name: weight(name, piece))     # the first in the piece's order that has room
+        name = max(whole, key=lambda name: weight(name, piece))  # the first in the piece's order that has room
         whole[name] -= 1
         if not whole[name]:
             del whole[name]
--- a/flaxscale/leases/terms.py
+++ b/flaxscale/leases/terms.py
@@ -4,18 +4,20 @@
 added by the granter's (C. Gray and D. Cheriton, "Leases: an efficient fault-tolerant mechanism for distributed file
 cache consistency", SOSP 1989, 5). A holder begins no step that may outlast it.
 """
+
 from typing import NamedTuple
 
-DRIFT = 0.01                    # clocks of two machines differ by at most so much of any span, if no other is stated
-RENEWALS = 3                    # in one span: two may get lost
+DRIFT = 0.01  # clocks of two machines differ by at most so much of any span, if no other is stated
+RENEWALS = 3  # in one span: two may get lost
 
 
 class Task(NamedTuple):
     """One kind of duty. pieces: it is shared out box by box, else one process does all of it."""
+
     name: str
-    period: int                 # it is done again so long after it was done
-    span: int                   # of a grant
-    step: int                   # what one act takes at most
+    period: int  # it is done again so long after it was done
+    span: int  # of a grant
+    step: int  # what one act takes at most
     drift: float = DRIFT
     pieces: bool = False
 
@@ -37,8 +39,10 @@
         least = (self.step + self.span / RENEWALS) / (1 - self.drift)
         if self.span < least:
             needed = self.step / (1 - self.drift - 1 / RENEWALS) if self.drift < 1 - 1 / RENEWALS else float("inf")
-            return (f"a span of {self.span / 10_000:g} s is too short for a step of {self.step / 10_000:g} s and a "
-                    f"drift of {self.drift:g}: {needed / 10_000:.2f} s at least")
+            return (
+                f"a span of {self.span / 10_000:g} s is too short for a step of {self.step / 10_000:g} s and a "
+                f"drift of {self.drift:g}: {needed / 10_000:.2f} s at least"
+            )
         return None
 
 
--- a/flaxscale/members/adopt.py
+++ b/flaxscale/members/adopt.py
@@ -9,6 +9,7 @@
 under which their manager holds the session; a box refuses those of an earlier one. So whoever was called dead and goes
 on learns at its first order that the viewing is another's, and lets it go without ending it.
 """
+
 from typing import NamedTuple
 
 import xxhash
@@ -29,7 +30,7 @@
     return 1 + sum(weight(manager, name) > mine for manager in alive) if me in alive else None
 
 
-HOPS = 4                        # managers that a client is sent through in search of its viewing
+HOPS = 4  # managers that a client is sent through in search of its viewing
 
 
 def whom(name, me, alive, gone_to, asked):
@@ -40,28 +41,35 @@
     if len(asked) + 1 >= HOPS:
         return None
     order = sorted(alive, key=lambda manager: weight(manager, name), reverse=True)
-    return next((manager for manager in (gone_to, name.partition(".")[0], *order)
-                 if manager in alive and manager != me and manager not in asked), None)
+    return next(
+        (
+            manager
+            for manager in (gone_to, name.partition(".")[0], *order)
+            if manager in alive and manager != me and manager not in asked
+        ),
+        None,
+    )
 
 
 class Session(NamedTuple):
     """A viewing as a box tells it to who takes over."""
+
     key: str
     owner: str
     epoch: int
-    name: str                   # by which its client calls it
-    used: bool                  # its media flow, or it is too young to tell
+    name: str  # by which its client calls it
+    used: bool  # its media flow, or it is too young to tell
 
 
 class Claim(NamedTuple):
     key: str
-    epoch: int                  # the new one
+    epoch: int  # the new one
 
 
 class Plan(NamedTuple):
-    claims: tuple               # Claims
-    ends: tuple                 # keys of sessions that nobody watches, or whose end was owed: they end
-    next: int | None            # the lowest rank at which something of the rest would be ours
+    claims: tuple  # Claims
+    ends: tuple  # keys of sessions that nobody watches, or whose end was owed: they end
+    next: int | None  # the lowest rank at which something of the rest would be ours
 
 
 def plan(sessions, dead, me, alive, rank=1, owed=None):
@@ -84,7 +92,7 @@
     return Plan(tuple(claims), tuple(ends), min(later, default=None))
 
 
-ROUND, PAUSE, TRIES = 8_000, 2_500, 16       # tenths of a millisecond; and askings that may fail
+ROUND, PAUSE, TRIES = 8_000, 2_500, 16  # tenths of a millisecond; and askings that may fail
 
 
 class Course:
@@ -112,7 +120,7 @@
     """A box's side: owner and epoch by session. Every session begins under its own manager, at epoch 0."""
 
     def __init__(self):
-        self.held = {}              # key: (owner, epoch)
+        self.held = {}  # key: (owner, epoch)
 
     def begin(self, key, owner):
         self.held.setdefault(key, (owner, 0))
--- a/flaxscale/members/orders.py
+++ b/flaxscale/members/orders.py
@@ -5,6 +5,7 @@
 what became of that life: it is ours, it lives and is asked itself, or it is over, and then nothing is left to do, since
 the others claim what a life left that went, was killed in the middle of its drain, or died of something else.
 """
+
 from typing import NamedTuple
 
 from .swim import State
@@ -12,16 +13,19 @@
 
 class Leave(NamedTuple):
     """It is meant for us: we leave. again: we are leaving already."""
+
     again: bool
 
 
 class SendOn(NamedTuple):
     """It is meant for another that lives."""
+
     serves: str
 
 
 class Over(NamedTuple):
     """That life has ended; why in words."""
+
     why: str
 
 
--- a/flaxscale/members/ration.py
+++ b/flaxscale/members/ration.py
@@ -10,10 +10,11 @@
 
 Times are tenths of a millisecond.
 """
+
 import heapq
 
-RATE, BURST = 2_000.0, 100      # claims a second, and at once; with its loop to itself a manager does some 3,200
-FULL = 0.95                     # of what it may hold
+RATE, BURST = 2_000.0, 100  # claims a second, and at once; with its loop to itself a manager does some 3,200
+FULL = 0.95  # of what it may hold
 
 
 def full(held, most, behind):
@@ -38,7 +39,7 @@
         return max(1, round(10_000 * (BURST / 4 - self.tokens) / RATE))
 
 
-LOOKS = 64                      # look-ups at boxes at a time
+LOOKS = 64  # look-ups at boxes at a time
 
 
 class Looks:
--- a/flaxscale/members/seats.py
+++ b/flaxscale/members/seats.py
@@ -13,15 +13,16 @@
 
 What can't be known: what plays at a box that no list names to us while it plays.
 """
+
 from collections import Counter
 from typing import NamedTuple
 
-DRIFT = 5_000               # clocks of two machines, and a box's timer under load, over one lease
+DRIFT = 5_000  # clocks of two machines, and a box's timer under load, over one lease
 
 
 class Reserved(NamedTuple):
-    seats: dict                 # (title, package): how many
-    boxes: frozenset            # that may have what an earlier life left
+    seats: dict  # (title, package): how many
+    boxes: frozenset  # that may have what an earlier life left
 
 
 class SeatBook:
--- a/flaxscale/members/shell.py
+++ b/flaxscale/members/shell.py
@@ -1,4 +1,5 @@
 """The members' protocol on a UDP socket: datagrams in and out, one timer, words gathered for a moment."""
+
 import asyncio
 import socket
 
@@ -6,8 +7,8 @@
 from . import wire
 from .swim import Swim
 
-GATHER_S = 0.02                 # words to peers wait so long for others
-WORDS = 60                      # in one datagram
+GATHER_S = 0.02  # words to peers wait so long for others
+WORDS = 60  # in one datagram
 
 
 class MemberShell(asyncio.DatagramProtocol):
@@ -22,7 +23,7 @@
         self.log, self.changed, self.word = log, changed, word
         self.swim, self.transport, self.timer, self.words, self.wording = None, None, None, {}, None
         self.refused = 0
-        self.muted = False              # tests: nothing comes or goes, as in a partition
+        self.muted = False  # tests: nothing comes or goes, as in a partition
 
     async def start(self, host, port, seeds):
         loop = asyncio.get_running_loop()
@@ -47,8 +48,13 @@
     def hear_changes(self):
         if changes := self.swim.taken_changes():
             for news in changes:
-                self.log.info("member", name=news.name, state=news.state.name.lower(), incarnation=news.incarnation,
-                              address=news.address)
+                self.log.info(
+                    "member",
+                    name=news.name,
+                    state=news.state.name.lower(),
+                    incarnation=news.incarnation,
+                    address=news.address,
+                )
             self.changed(changes)
         self.set_timer()
 
@@ -83,7 +89,7 @@
         self.hear_changes()
 
     def error_received(self, error):
-        pass                            # a port without a listener: the probe's time-out says the same
+        pass  # a port without a listener: the probe's time-out says the same
 
     # Words: what this manager asks of a box has changed
 
@@ -95,7 +101,7 @@
     def tell_now(self):
         self.wording, words, self.words = None, list(self.words.items()), {}
         for n in range(0, len(words), WORDS):
-            data = wire.encode_words(self.name, words[n:n + WORDS], self.keys[0])
+            data = wire.encode_words(self.name, words[n : n + WORDS], self.keys[0])
             for member in self.swim.probed():
                 self.put(member.address, data)
 
--- a/flaxscale/members/swim.py
+++ b/flaxscale/members/swim.py
@@ -11,29 +11,31 @@
 
 Times are tenths of a millisecond of the owner's steady clock. Chance by crc32 over seed and counter.
 """
+
 import math
 from enum import Enum
 from typing import NamedTuple
 
 from ..chance import drawn
 
-PERIOD = 5_000                  # one probe in each
-ACK_WAIT = 1_500                # then others are asked; the rest of the period is theirs
-ASKED = 3                       # others that are asked to probe (the paper's K)
-ASKED_MOST = 12                 # as many, where our own probes get lost
-SUSPECT_PERIODS = 3.0           # times log10 of the members, at least this many: until a suspect is dead
-TELLINGS = 2                    # times log2 of the members: how often a piece of news is told
-WARNERS = 6                     # members that tell a suspect of it in one period
-NEWS = 14                       # pieces of news in one message
-LOSSY, LATEST = 6.0, 0.1        # a suspicion lasts longer by so many times our own lost probes; weight of the last one
-VOUCHED = 2                     # as many count as lost, of a member that others only say lives
-UNSURE = 8                      # unanswered probes of one member that are remembered until it is heard, or dead
-STOOD = 2 * PERIOD              # a tick later than this: it was us who stood still
-FORGET = 600 * PERIOD           # the dead are known so long, so that old news of them is told from new
+PERIOD = 5_000  # one probe in each
+ACK_WAIT = 1_500  # then others are asked; the rest of the period is theirs
+ASKED = 3  # others that are asked to probe (the paper's K)
+ASKED_MOST = 12  # as many, where our own probes get lost
+SUSPECT_PERIODS = 3.0  # times log10 of the members, at least this many: until a suspect is dead
+TELLINGS = 2  # times log2 of the members: how often a piece of news is told
+WARNERS = 6  # members that tell a suspect of it in one period
+NEWS = 14  # pieces of news in one message
+LOSSY, LATEST = 6.0, 0.1  # a suspicion lasts longer by so many times our own lost probes; weight of the last one
+VOUCHED = 2  # as many count as lost, of a member that others only say lives
+UNSURE = 8  # unanswered probes of one member that are remembered until it is heard, or dead
+STOOD = 2 * PERIOD  # a tick later than this: it was us who stood still
+FORGET = 600 * PERIOD  # the dead are known so long, so that old news of them is told from new
 
 
 class State(Enum):
     """In the order in which news of one incarnation overrule each other."""
+
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
@@ -42,6 +44,7 @@
 
 class News(NamedTuple):
     """What is said of a member. boot: which start of its process. serves: where its clients ask."""
+
     name: str
     address: str
     state: State
@@ -52,12 +55,13 @@
 
 class Message(NamedTuple):
     """kind: ping, ask (probe `target` for me), ack. seq: of the sender's probe, or of the asker's."""
+
     kind: str
     seq: int
     sender: str
     target: str
     news: tuple
-    held: tuple = ()            # rows of versions.board, which ride along
+    held: tuple = ()  # rows of versions.board, which ride along
 
 
 class Member:
@@ -77,6 +81,7 @@
 
 class Probe:
     """One that is out. by: who asked us for it, if it is not ours: (address, their seq)."""
+
     __slots__ = "target", "sent_at", "asked", "by"
 
     def __init__(self, target, sent_at, by=None):
@@ -90,12 +95,12 @@
         self.name, self.seed, self.draws, self.seq = name, seed, 0, 0
         self.me = News(name, address, State.ALIVE, incarnation, boot, serves)
         self.members, self.order, self.probes = {}, [], {}
-        self.told, self.changes = {}, []        # told: {name: times that its news were told}
+        self.told, self.changes = {}, []  # told: {name: times that its news were told}
         self.next_at, self.ticked_at, self.seeds = now, now, ()
-        self.stood = 0                          # how often it stood still
-        self.lost = 0.0                         # share of our first probes that got lost, lately
-        self.unsure = {}                        # {name: unanswered ones}: lost, if it lives
-        self.vouched = {}                       # {name: of those, counted on the word of others}
+        self.stood = 0  # how often it stood still
+        self.lost = 0.0  # share of our first probes that got lost, lately
+        self.unsure = {}  # {name: unanswered ones}: lost, if it lives
+        self.vouched = {}  # {name: of those, counted on the word of others}
 
     def chance(self):
         self.draws += 1
@@ -122,8 +127,11 @@
 
     def suspicion(self):
         """Longer where our own probes get lost: the refutation may be lost as well."""
-        return round(PERIOD * max(SUSPECT_PERIODS, SUSPECT_PERIODS * math.log10(self.count() + 1))
-                     * (1 + LOSSY * max(0.0, self.lost - LATEST)))
+        return round(
+            PERIOD
+            * max(SUSPECT_PERIODS, SUSPECT_PERIODS * math.log10(self.count() + 1))
+            * (1 + LOSSY * max(0.0, self.lost - LATEST))
+        )
 
     def asked(self):
         """How many others are asked to probe: more where our own probes get lost, as the ones of others do then.
@@ -205,10 +213,12 @@
         if whole:
             return (self.me, *(m.news() for m in self.members.values()))
         most = TELLINGS * max(1, math.ceil(math.log2(self.count() + 1)))
-        out = [self.me]             # always: whoever hears us knows our address and incarnation
+        out = [self.me]  # always: whoever hears us knows our address and incarnation
+
         def turn(item):
             member = self.members.get(item[0])
             return member is None or member.state is State.ALIVE and not member.incarnation, item[1], item[0]
+
         for name, times in sorted(self.told.items(), key=turn):
             if len(out) >= NEWS:
                 break
@@ -253,7 +263,7 @@
                 target = self.members.get(probe.target)
                 if target is not None and self.lost > LATEST:
                     out.append((target.address, self.message("ping", seq, probe.target)))
-        span = self.suspicion()                 # once for all: with 300 members it is what a tick costs
+        span = self.suspicion()  # once for all: with 300 members it is what a tick costs
         for member in list(self.members.values()):
             if member.state is State.SUSPECT and now - member.since >= span:
                 self.learn(member.news()._replace(state=State.DEAD), now)
@@ -273,8 +283,11 @@
         With many members each tells now and then only; about WARNERS of them do in a period.
         """
         suspects, count = [m for m in self.members.values() if m.state is State.SUSPECT], self.count()
-        return [(m.address, self.message("ping", self.number(), m.name, m.news())) for m in suspects
-                if self.chance() * count < WARNERS]
+        return [
+            (m.address, self.message("ping", self.number(), m.name, m.news()))
+            for m in suspects
+            if self.chance() * count < WARNERS
+        ]
 
     def due(self):
         """When tick() is next needed."""
--- a/flaxscale/members/wire.py
+++ b/flaxscale/members/wire.py
@@ -2,6 +2,7 @@
 
 The first key signs; every key is taken, so that keys can be changed one manager at a time.
 """
+
 import hmac
 from hashlib import sha256
 
@@ -26,6 +27,7 @@
 
 class Held(msgspec.Struct, array_like=True):
     """A row of versions.board."""
+
     name: str
     boot: str
     count: int
@@ -48,8 +50,8 @@
     sender: str
     target: str
     news: list[Row]
-    words: list[tuple[int, float]] = []         # with kind "word": (box, change of asking in kB a second)
-    held: list[Held] = []                       # a build that does not know them passes over them
+    words: list[tuple[int, float]] = []  # with kind "word": (box, change of asking in kB a second)
+    held: list[Held] = []  # a build that does not know them passes over them
 
 
 class BadMessage(ValueError):
@@ -72,7 +74,7 @@
 def opened(data, keys):
     if len(data) < len(MARK) + TAG or not data.startswith(MARK):
         raise BadMessage("no message of a member")
-    tag, body = data[len(MARK):len(MARK) + TAG], data[len(MARK) + TAG:]
+    tag, body = data[len(MARK) : len(MARK) + TAG], data[len(MARK) + TAG :]
     if not any(hmac.compare_digest(tag, hmac.new(key, MARK + body, sha256).digest()[:TAG]) for key in keys):
         raise BadMessage("not signed with a key of ours")
     return body
@@ -83,8 +85,11 @@
     own, out = None, []
     for row in rows:
         if own is not None:
-            row = row._replace(digest=0, epoch=SAME if row.epoch == own.epoch else row.epoch,
-                               settings=SAME if row.settings == own.settings else row.settings)
+            row = row._replace(
+                digest=0,
+                epoch=SAME if row.epoch == own.epoch else row.epoch,
+                settings=SAME if row.settings == own.settings else row.settings,
+            )
         own = own or row
         out.append(Held(*row))
     return out
@@ -92,8 +97,13 @@
 
 def unpacked(held):
     rows = [BoardRow(*msgspec.structs.astuple(h)) for h in held]
-    return tuple(row._replace(epoch=rows[0].epoch if row.epoch == SAME else row.epoch,
-                              settings=rows[0].settings if row.settings == SAME else row.settings) for row in rows)
+    return tuple(
+        row._replace(
+            epoch=rows[0].epoch if row.epoch == SAME else row.epoch,
+            settings=rows[0].settings if row.settings == SAME else row.settings,
+        )
+        for row in rows
+    )
 
 
 def encode(message, key):
@@ -101,14 +111,15 @@
     rows = [Row(n.name, n.address, n.state.value, n.incarnation, n.boot, n.serves) for n in message.news]
     held = packed(message.held)
     while True:
-        data = seal(msgspec.msgpack.encode(Sent(message.kind, message.seq, message.sender, message.target, rows, [],
-                                                held)), key)
+        data = seal(
+            msgspec.msgpack.encode(Sent(message.kind, message.seq, message.sender, message.target, rows, [], held)), key
+        )
         if len(data) <= MOST or len(rows) <= 1 and not held:
             return data
         if held:
             held.pop()
         else:
-            rows = rows[:max(1, len(rows) * MOST // len(data))]
+            rows = rows[: max(1, len(rows) * MOST // len(data))]
 
 
 def encode_words(sender, words, key):
@@ -119,13 +130,15 @@
     """A Message, or ("word", sender, [(box, kB)]). BadMessage otherwise."""
     try:
         sent = msgspec.msgpack.decode(opened(data, keys), type=Sent)
-        news = tuple(News(r.name, r.address, STATES[r.state], r.incarnation, r.boot, r.serves) for r in sent.news
-                     if 0 <= r.state < len(STATES))
+        news = tuple(
+            News(r.name, r.address, STATES[r.state], r.incarnation, r.boot, r.serves)
+            for r in sent.news
+            if 0 <= r.state < len(STATES)
+        )
     except msgspec.MsgspecError as bad:
         raise BadMessage(f"can't be read: {bad}") from None
     if sent.kind == "word":
         return "word", sent.sender, sent.words
     if sent.kind not in ("ping", "ask", "ack"):
         raise BadMessage(f"the kind {sent.kind[:20]!r} is not known")
-    return Message(sent.kind, sent.seq, sent.sender, sent.target, news,
-                   unpacked(sent.held))
+    return Message(sent.kind, sent.seq, sent.sender, sent.target, news, unpacked(sent.held))
--- a/flaxscale/model/bound.py
+++ b/flaxscale/model/bound.py
@@ -9,17 +9,19 @@
 by its own u leaves a placement that fits and earns at least 0.98 times as much: so the bound is the relaxation's
 worth over 0.98 (KNEE).
 """
+
 from collections import Counter
 
 import numpy
 from scipy.optimize import linprog
 from scipy.sparse import coo_array
 
-KNEE = 0.98                     # of a viewing's rate: delivered at least this, nothing is lost
+KNEE = 0.98  # of a viewing's rate: delivered at least this, nothing is lost
 
 
 class Want:
     """Viewers of one title who can use the same rungs: how many, of what value each, and where it is held."""
+
     __slots__ = "title", "count", "value", "floor", "top", "scale", "boxes", "seats"
 
     def __init__(self, title, count, value, floor, top, scale, boxes, seats=0):
@@ -30,6 +32,7 @@
 
 class Room:
     """One box: kB a second of its link now, its rack, and the streams that it can hold."""
+
     __slots__ = "link_kb", "rack", "slots"
 
     def __init__(self, link_kb, rack, slots):
@@ -57,6 +60,7 @@
         rows.append(r)
         columns.append(column)
         values.append(value)
+
     for want in wants:
         held = [b for b in want.boxes if b in rooms]
         if not held:
@@ -78,7 +82,7 @@
                     put(row(slots, b, float(room.slots)), column, 1.0)
                     if want.seats:
                         put(row(seats, want.title, float(want.seats)), column, 1.0)
-                else:               # no more at a rung than at the one under it
+                else:  # no more at a rung than at the one under it
                     chain = len(limits)
                     limits.append(0.0)
                     put(chain, column, 1.0)
@@ -104,10 +108,21 @@
     wants = []
     for (title, number, top), count in sorted(counted.items(), key=str):
         package = packages[number]
-        wants.append(Want(title, count, package.value, package.floor,
-                          max(package.floor, min(package.top, top_rung, top_rung if top is None else top)),
-                          package.scale * (ladder.join if package.live else 1.0), play.holders(title),
-                          package.seats * site.managers))
-    rooms = {id: Room(h.box.link_now(now), h.place.rack, h.place.slots)
-             for id, h in fleet.boxes.items() if not h.dead and not h.box.trouble.hang}
+        wants.append(
+            Want(
+                title,
+                count,
+                package.value,
+                package.floor,
+                max(package.floor, min(package.top, top_rung, top_rung if top is None else top)),
+                package.scale * (ladder.join if package.live else 1.0),
+                play.holders(title),
+                package.seats * site.managers,
+            )
+        )
+    rooms = {
+        id: Room(h.box.link_now(now), h.place.rack, h.place.slots)
+        for id, h in fleet.boxes.items()
+        if not h.dead and not h.box.trouble.hang
+    }
     return most(wants, rooms, fleet.uplinks, ladder.kb, ladder.worth, ladder.stall)
--- a/flaxscale/model/duties.py
+++ b/flaxscale/model/duties.py
@@ -5,6 +5,7 @@
 still, ways to it are cut, managers die or are stopped between check and act, clocks run wrong. What a duty does is left
 out: an act is its token at the resource, which takes it or refuses it, and that is written down.
 """
+
 from ..leases import duties
 from ..leases.fence import Fence
 from ..leases.granter import Granted, Granter
@@ -12,10 +13,10 @@
 from ..leases.shares import Fit, eligible, share
 
 NET = 5
-TICK = 2_000                    # a manager looks at its leases so often, as front/duties.py does
-SYNC = 30                       # what is new is durable before it is told
-WORKS = 300                     # between the check of a lease and its act, at most
-DIAL = 10_000                   # a way to the service that is gone is tried again after this
+TICK = 2_000  # a manager looks at its leases so often, as front/duties.py does
+SYNC = 30  # what is new is durable before it is told
+WORKS = 300  # between the check of a lease and its act, at most
+DIAL = 10_000  # a way to the service that is gone is tried again after this
 SERVICE = "catalogue"
 
 
--- a/flaxscale/model/experiment.py
+++ b/flaxscale/model/experiment.py
@@ -1,4 +1,5 @@
 """Experiments in virtual time: many seeds in several processes, intervals, and paired comparisons."""
+
 import concurrent.futures
 import math
 import statistics
@@ -12,6 +13,7 @@
 
 class Interval(NamedTuple):
     """A mean and how far it may be off, at 95% by Student's t."""
+
     mean: float
     half: float
     count: int
@@ -48,15 +50,22 @@
     """The figures that experiments compare: each a share of what it is a part of."""
     fates, requests = totals["fates"], max(1, totals["requests"])
     first = max(1, totals["tune_ins"].get("first", 0))
-    return {"service": totals["service"], "plays": fates.get("plays", 0) / requests,
-            "blocked": fates.get("blocked", 0) / requests, "aborted": fates.get("aborted", 0) / requests,
-            "late": fates.get("late", 0) / requests, "unanswered": fates.get("unanswered", 0) / requests,
-            "tune_ins": (first + totals["tune_ins"].get("further", 0)) / first}
+    return {
+        "service": totals["service"],
+        "plays": fates.get("plays", 0) / requests,
+        "blocked": fates.get("blocked", 0) / requests,
+        "aborted": fates.get("aborted", 0) / requests,
+        "late": fates.get("late", 0) / requests,
+        "unanswered": fates.get("unanswered", 0) / requests,
+        "tune_ins": (first + totals["tune_ins"].get("further", 0)) / first,
+    }
 
 
 def compare(one_day, other_day):
     """{figure: Interval of one less other}, paired by seed: the same demand met both."""
     a, b = ({seed: figures(t) for seed, t in totals.items()} for totals in (one_day, other_day))
     seeds = sorted(a.keys() & b.keys())
-    return {name: interval(a[seed][name] - b[seed][name] for seed in seeds) for name in figures(
-        next(iter(one_day.values())))}
+    return {
+        name: interval(a[seed][name] - b[seed][name] for seed in seeds)
+        for name in figures(next(iter(one_day.values())))
+    }
--- a/flaxscale/model/fleet.py
+++ b/flaxscale/model/fleet.py
@@ -1,4 +1,5 @@
 """Boxes, their racks and the list in virtual time. What a box does is standins.box.Box, as on sockets."""
+
 from collections import defaultdict
 
 from .. import interface as face
@@ -14,7 +15,7 @@
     def __init__(self, fleet, place, started_at):
         self.fleet, self.place, self.dead, self.boot = fleet, place, False, 0
         self.cached, self.box = None, None
-        self.leases = Fence()           # it outlives the box's process: it is on its disk
+        self.leases = Fence()  # it outlives the box's process: it is on its disk
         self.start(started_at)
 
     def start(self, started_at):
@@ -57,8 +58,16 @@
         self.boxes, self.managers, self.late, self.frozen, self.version = {}, [], round(day.list_late_ms * 10), False, 0
         self.fell = 0
         for n, row in enumerate(day.boxes):
-            place = Place(n + 1, row.cell, row.cell % fleet.racks, row.zone, row.kind, row.weight, link_of(day, row),
-                          fleet.kinds[row.kind])
+            place = Place(
+                n + 1,
+                row.cell,
+                row.cell % fleet.racks,
+                row.zone,
+                row.kind,
+                row.weight,
+                link_of(day, row),
+                fleet.kinds[row.kind],
+            )
             started = world.now if row.cold else world.now - 3 * site.warm_within
             self.boxes[n + 1] = ModelBox(self, place, started)
         self.told = {id: self.row(box) for id, box in self.boxes.items()}
@@ -67,8 +76,15 @@
         place, age = box.place, self.world.now - box.box.started_at
         state = State.GONE if box.dead else State.DRAINING if box.box.trouble.drain else State.READY
         started = 0 if age >= self.site.warm_within else box.box.started_at
-        return face.Listed(place.id, self.sense.kinds[place.kind], place.cell, self.sense.zones[place.zone],
-                           place.weight, started, state)
+        return face.Listed(
+            place.id,
+            self.sense.kinds[place.kind],
+            place.cell,
+            self.sense.zones[place.zone],
+            place.weight,
+            started,
+            state,
+        )
 
     def changed(self, box):
         """The list hears of it, and tells every manager as late as it is."""
--- a/flaxscale/model/judge.py
+++ b/flaxscale/model/judge.py
@@ -4,6 +4,7 @@
 of the play's own calls. Rules 2 (for packages that are unsafe) and 6 need pushes and rations, which days of the model
 lack.
 """
+
 from collections import Counter, defaultdict
 
 import msgspec
@@ -16,11 +17,11 @@
 from .duties import SERVICE
 from .play import SECOND, Play
 
-SLACK = 500                     # as the checker of sockets has it
-BOUND_EVERY = 2                 # seconds between two at which the bound is worked out
-KNOWN = 80_000                  # a death is known and claimed within this, where nothing else is wrong
-ORPHANS = 50_000                # and what nobody holds is over so long after its lease
-SAID = 3                        # breaks of one kind that are told in words
+SLACK = 500  # as the checker of sockets has it
+BOUND_EVERY = 2  # seconds between two at which the bound is worked out
+KNOWN = 80_000  # a death is known and claimed within this, where nothing else is wrong
+ORPHANS = 50_000  # and what nobody holds is over so long after its lease
+SAID = 3  # breaks of one kind that are told in words
 
 
 class Judge:
@@ -28,7 +29,7 @@
 
     def __init__(self, play):
         self.play, self.breaks, self.out, self.answers = play, [], Counter(), Counter()
-        self.told = defaultdict(dict)           # manager: {box: since when it was told that it drains or is gone}
+        self.told = defaultdict(dict)  # manager: {box: since when it was told that it drains or is gone}
         self.grace = round(play.day.site.rules.drain_grace_ms * 10)
         play.tap = self.tap
         for manager in play.managers:
@@ -51,6 +52,7 @@
         def called(*args):
             before(*args)
             return was(*args)
+
         setattr(of, name, called)
 
     def arrives(self, manager, life, vw, key, server, rung, sent_at, boot):
@@ -66,8 +68,11 @@
             fall = round(self.play.day.site.rules.fall_ms * 10)
             known = [told for at, told in self.arrivals[holder.place.id] if at > self.play.world.now - fall]
             if 3 * sum(known) > 2 * len(known):
-                self.broke("rule 4", f"box {holder.place.id} pushed over while cold: {sum(known)} of {len(known)} "
-                           "set-ups from managers that had been told of its start")
+                self.broke(
+                    "rule 4",
+                    f"box {holder.place.id} pushed over while cold: {sum(known)} of {len(known)} "
+                    "set-ups from managers that had been told of its start",
+                )
 
     def told_one(self, manager, row):
         if manager.up and self.play.world.now >= manager.until:
@@ -111,8 +116,11 @@
     def set_up(self, manager, vw, nth, server, rung):
         since = self.told[manager.me].get(server)
         if since is not None and self.play.world.now > since + self.grace + SLACK:
-            self.broke("rule 3", f"m{manager.me} sets up at {server}, of which it was told "
-                       f"{(self.play.world.now - since) / 10_000:.1f} s before that it drains or is gone")
+            self.broke(
+                "rule 3",
+                f"m{manager.me} sets up at {server}, of which it was told "
+                f"{(self.play.world.now - since) / 10_000:.1f} s before that it drains or is gone",
+            )
 
     def score(self):
         """Each second: seats, by the sessions that play at boxes for a manager's present life."""
@@ -150,15 +158,29 @@
         """
         session, vw, now = holder.box.sessions.get(key), self.play.by_key.get(key), self.play.world.now
         lease, box = round(self.play.day.site.fleet.lease_ms * 10), f"b{holder.place.id}"
-        if (lease < KNOWN or not self.play.day.members or holder.dead or holder.boot != boot or session is None
-                or (session.manager, session.life) != (name, life) or vw is None or not vw.playing or vw.gone):
+        if (
+            lease < KNOWN
+            or not self.play.day.members
+            or holder.dead
+            or holder.boot != boot
+            or session is None
+            or (session.manager, session.life) != (name, life)
+            or vw is None
+            or not vw.playing
+            or vw.gone
+        ):
             return
         if self.play.day.site.packages[session.package].seats:
             return
         calm = now - lease - 2 * SECOND
-        able = [m.name for m in self.play.managers if self.since[m.me] < calm and holder.place.id in m.boxes()
-                and all(self.dirty.get(what, 0) < calm for what in ((m.name, box), (box, m.name), holder.place.id))
-                and len(m.viewings) < self.play.day.site.front.held_most // 2]
+        able = [
+            m.name
+            for m in self.play.managers
+            if self.since[m.me] < calm
+            and holder.place.id in m.boxes()
+            and all(self.dirty.get(what, 0) < calm for what in ((m.name, box), (box, m.name), holder.place.id))
+            and len(m.viewings) < self.play.day.site.front.held_most // 2
+        ]
         if able:
             self.broke("work in hand", f"a viewing of {name} was lost at {box}; {able} could have claimed it")
 
@@ -204,6 +226,7 @@
         if token < last[0] or token == last[0] and who != last[1]:
             out.append(("leases", f"{said} after {last}"))
         tokens[of] = token, who
+
     for time, what, who, *row in play.records:
         at = f"{(time - play.began) / SECOND:.2f} s: "
         if what == "adopted":
@@ -249,15 +272,21 @@
     among = defaultdict(Counter)
     for time, what, *rest in play.records:
         among[(time - play.began) // SECOND][f"members {rest[2] if what == 'member' else what}"] += 1
-    seconds = [(s, row.fates + Counter({f"tune-in {how}": n for how, n in row.tune_ins.items()}) + among[s])
-               for s, row in sorted(play.seconds.items())]
+    seconds = [
+        (s, row.fates + Counter({f"tune-in {how}": n for how, n in row.tune_ins.items()}) + among[s])
+        for s, row in sorted(play.seconds.items())
+    ]
     totals = play.totals()
     counts = Counter(totals["fates"]) + Counter({f"tune-in {how}": n for how, n in totals["tune_ins"].items()})
     counts += sum(among.values(), Counter())
     loss = 0.0 if quiet is None else max(0.0, quiet - near(play, first, healed + WITHIN_S))
     breaks = judge.found()
-    return Outcome(breaks, back and back.back, round(loss, 4), marks_of(troubles, counts, seconds) | {
-        f"broke {kind}" for kind, _ in breaks}), {**totals, "said": back.said if back else ""}
+    return Outcome(
+        breaks,
+        back and back.back,
+        round(loss, 4),
+        marks_of(troubles, counts, seconds) | {f"broke {kind}" for kind, _ in breaks},
+    ), {**totals, "said": back.said if back else ""}
 
 
 def day_with(day, troubles):
--- a/flaxscale/model/leases.py
+++ b/flaxscale/model/leases.py
@@ -1,6 +1,7 @@
 """Leases at sizes that processes don't reach: managers, one granter, shares, in virtual time. The machines are the
 program's own (leases.granter, holder, shares); around them stand ways of drawn length, deaths, outages of the granter.
 """
+
 import heapq
 import random
 from collections import Counter
@@ -10,20 +11,21 @@
 from ..leases.holder import Holder
 from ..leases.shares import Fit, eligible, share
 
-TICK = 2_000                    # a manager looks at its leases so often, as front/duties.py does
-KNOWN = 30_000                  # a death, or a restart, is known to all others after this
+TICK = 2_000  # a manager looks at its leases so often, as front/duties.py does
+KNOWN = 30_000  # a death, or a restart, is known to all others after this
 
 
 class Cost(NamedTuple):
     """Figures of one course; a second's are of the granter's clock."""
-    messages: float             # to and from the granter, a second, while all goes well
-    syncs: float                # writes that wait for the disk, a second, while all goes well
-    gaps: list                  # seconds in which a piece of the killed (stopped) manager had no holder, by piece
-    moved: int                  # pieces that changed hands and were not the killed one's
-    least: int                  # pieces of the manager that has least, and most, before
+
+    messages: float  # to and from the granter, a second, while all goes well
+    syncs: float  # writes that wait for the disk, a second, while all goes well
+    gaps: list  # seconds in which a piece of the killed (stopped) manager had no holder, by piece
+    moved: int  # pieces that changed hands and were not the killed one's
+    least: int  # pieces of the manager that has least, and most, before
     most: int
-    rush: int                   # messages in the busiest second after the outage
-    worst_pair: int             # managers that believed at once to hold one piece (0)
+    rush: int  # messages in the busiest second after the outage
+    worst_pair: int  # managers that believed at once to hold one piece (0)
 
 
 class LeaseWorld:
@@ -100,8 +102,9 @@
     def taken(self, piece, name):
         before = self.holds.get(piece)
         if before != name:
-            self.worst += before is not None and before not in self.dead_at and self.holders[before].holds(
-                piece, self.now)
+            self.worst += (
+                before is not None and before not in self.dead_at and self.holders[before].holds(piece, self.now)
+            )
             self.holds[piece] = name
             if piece in self.free_since:
                 self.gaps[piece] = (self.now - self.free_since.pop(piece)) / 10_000
@@ -151,5 +154,13 @@
     world.outage(outage_s)
     world.count.clear()
     world.run(60)
-    return Cost(messages, syncs, gaps, moved, min(parts.get(n, 0) for n in world.names), max(parts.values()),
-                max(world.count.values(), default=0), world.worst)
+    return Cost(
+        messages,
+        syncs,
+        gaps,
+        moved,
+        min(parts.get(n, 0) for n in world.names),
+        max(parts.values()),
+        max(world.count.values(), default=0),
+        world.worst,
+    )
--- a/flaxscale/model/loss.py
+++ b/flaxscale/model/loss.py
@@ -4,6 +4,7 @@
 ration.Ration say who claims what, how fast and when again; adopt.Fence grants it at the box. Around them stand ways
 that take drawn times and lose a part, boxes that answer one asking after another, and the leases' ends.
 """
+
 import heapq
 import random
 from typing import NamedTuple
@@ -13,22 +14,23 @@
 from ..members.swim import PERIOD
 from .members import SwimWorld
 
-ROW_TIME = 0.02                 # of a box's loop for each session that it tells or grants, tenths of a millisecond
-ANSWER_TIME = 2                 # for each asking, beside that
+ROW_TIME = 0.02  # of a box's loop for each session that it tells or grants, tenths of a millisecond
+ANSWER_TIME = 2  # for each asking, beside that
 
 
 class Loss(NamedTuple):
     """What came of it. Times in seconds after the deaths."""
-    viewings: int               # that the dead ones played
-    held: int                   # of them by a living manager at the end
-    lost: int                   # to their lease
-    twice: int                  # granted twice under one epoch
-    known_s: float              # until all living knew of all deaths
-    half_s: float               # until half of them were held
-    all_s: float                # until the last was
-    messages: int               # askings and claims, with their answers
-    worst_box: int              # claims in its busiest second
-    worst_manager: int          # what the one that took most took
+
+    viewings: int  # that the dead ones played
+    held: int  # of them by a living manager at the end
+    lost: int  # to their lease
+    twice: int  # granted twice under one epoch
+    known_s: float  # until all living knew of all deaths
+    half_s: float  # until half of them were held
+    all_s: float  # until the last was
+    messages: int  # askings and claims, with their answers
+    worst_box: int  # claims in its busiest second
+    worst_manager: int  # what the one that took most took
 
 
 class LossWorld:
@@ -39,7 +41,7 @@
         names = self.swims.names
         self.dead, self.living = names[:dead], names[dead:]
         self.lease, self.fences, self.free_at = lease_ms * 10, [Fence() for _ in range(boxes)], [0] * boxes
-        self.of = [{} for _ in range(boxes)]            # by box: key: the viewing's name
+        self.of = [{} for _ in range(boxes)]  # by box: key: the viewing's name
         for n in range(viewings):
             key, box = f"{names[n % managers]}.{n:x}", n // managers % boxes
             self.fences[box].begin(key, names[n % managers])
@@ -57,8 +59,11 @@
         for name in self.dead:
             self.swims.crash(name)
         self.swims.run(round(span_s * 10_000))
-        known = {pair: at for pair, at in self.swims.heard_of.items() if pair[0] in self.living and pair[1] in self.dead
-                 and at >= self.began}
+        known = {
+            pair: at
+            for pair, at in self.swims.heard_of.items()
+            if pair[0] in self.living and pair[1] in self.dead and at >= self.began
+        }
         self.known, until = known, self.began + round(span_s * 10_000)
         for name in self.living:
             self.rations[name] = Ration(self.began)
@@ -70,11 +75,18 @@
             act(time, *args)
         seconds = [(at - self.began) / 10_000 for at in sorted(self.held_at)]
         gone = sum(key.startswith(tuple(f"{d}." for d in self.dead)) for of in self.of for key in of)
-        return Loss(gone, len(seconds), gone - len(seconds), self.twice,
-                    (max(known.values(), default=until) - self.began) / 10_000,
-                    seconds[len(seconds) // 2] if seconds else span_s, seconds[-1] if seconds else span_s,
-                    self.messages, max((n for row in self.claims for n in row.values()), default=0),
-                    max(self.taken.values(), default=0))
+        return Loss(
+            gone,
+            len(seconds),
+            gone - len(seconds),
+            self.twice,
+            (max(known.values(), default=until) - self.began) / 10_000,
+            seconds[len(seconds) // 2] if seconds else span_s,
+            seconds[-1] if seconds else span_s,
+            self.messages,
+            max((n for row in self.claims for n in row.values()), default=0),
+            max(self.taken.values(), default=0),
+        )
 
     def alive(self, name, time):
         """Who lives, to one manager."""
@@ -85,7 +97,7 @@
         self.messages += 2
         there = max(time + self.draw.randint(*self.way), self.free_at[box])
         self.free_at[box] = there + round(ANSWER_TIME + ROW_TIME * size)
-        if self.draw.random() < self.loss:      # of a TCP connection: sent again by the system, and late
+        if self.draw.random() < self.loss:  # of a TCP connection: sent again by the system, and late
             there += 2_000
         self.at(there, self.arrived, box, act, args)
 
@@ -103,8 +115,11 @@
         if time - self.began > self.lease:
             for key in [key for key in self.of[box] if fence.owner(key) in self.dead]:
                 fence.over(key)
-        rows = [Session(key, dead, fence.epoch(key), called, True) for key, called in self.of[box].items()
-                if fence.owner(key) == dead]
+        rows = [
+            Session(key, dead, fence.epoch(key), called, True)
+            for key, called in self.of[box].items()
+            if fence.owner(key) == dead
+        ]
         back = time + self.draw.randint(*self.way)
         made = plan(rows, dead, name, self.alive(name, back), course.rank)
         self.at(back, self.claim, name, box, dead, course, list(made.claims), made.next)
--- a/flaxscale/model/manager.py
+++ b/flaxscale/model/manager.py
@@ -1,11 +1,12 @@
 """A session manager in virtual time: the very runner and module of the front, behind a port without sockets."""
+
 from ..interface import How, ListKind, State
 from ..run import Phase, Runner
 from ..site.terms import Sense
 from .duties import Duties
 from .takeover import Taker
 
-CATCHES_UP = 500                # after a standstill, as the checker of sockets allows
+CATCHES_UP = 500  # after a standstill, as the checker of sockets allows
 
 
 class ModelManager:
@@ -31,7 +32,7 @@
         self.runner.listing(ListKind.CACHED, rows)
         if self.play.day.members:
             names = [f"m{m}" for m in range(self.play.day.site.managers)]
-            self.taker = Taker(self.play, self, names[:self.me] if self.life == 1 else names)
+            self.taker = Taker(self.play, self, names[: self.me] if self.life == 1 else names)
             self.taker.begin()
             if self.play.grants is not None:
                 self.duties = Duties(self.play, self, self.play.grants.tasks)
@@ -70,12 +71,12 @@
         if orphan or vw.id in self.viewings or self.play.fleet.boxes[box].boot != boot:
             self.end_there(box, key, epoch)
             return
-        if not vw.playing:              # its player was never answered, and waits at the one that it asked
+        if not vw.playing:  # its player was never answered, and waits at the one that it asked
             vw = self.play.unwatched(vw, key)
         self.claimed[vw.id] = key, epoch
         self.viewings[vw.id], vw.manager, vw.life = vw, self, self.life
         self.runner.handed_over(self.play.asked_of(vw, 0), box, row.rung, row.age)
-        if vw.playing and vw.gone:      # its player went while nobody held it
+        if vw.playing and vw.gone:  # its player went while nobody held it
             self.runner.left(vw.id)
 
     def end_there(self, box, key, epoch):
@@ -89,7 +90,7 @@
             return
         held = self.runner.held.get(id)
         if held is not None and held.phase is not Phase.PLAYS:
-            self.early.add(id)          # a set-up that is out: its answer is still to come
+            self.early.add(id)  # a set-up that is out: its answer is still to come
             return
         self.viewings.pop(id)
         self.claimed.pop(id, None)
@@ -111,7 +112,7 @@
             self.play.manager_lost(vw)
         self.viewings = {}
         for job in self.taker.jobs.values() if self.taker is not None else ():
-            for key in job.out:         # it may have been granted them, and never hears of it
+            for key in job.out:  # it may have been granted them, and never hears of it
                 self.play.begin_lease(job.box, key, self.name, self.life - 1)
 
     def leave(self):
@@ -143,7 +144,7 @@
     def ring(self, alarm):
         if self.stands(self.ring, alarm):
             return
-        if self.up and alarm == self.alarm:     # only the last that was asked for
+        if self.up and alarm == self.alarm:  # only the last that was asked for
             self.runner.tick()
 
     def tune_in(self, id, nth, server, rung, left):
@@ -191,7 +192,7 @@
             return
         if not self.up or life != self.life:
             return
-        if how is None and id in self.early:    # it is another's by now
+        if how is None and id in self.early:  # it is another's by now
             self.early.discard(id)
             self.runner.ended(id, nth, How.RESET, took)
         elif how is None:
@@ -217,7 +218,7 @@
                 self.claimed.pop(id)
                 nth = 0
             if self.runner.held[id].phase is Phase.PLAYS:
-                self.viewings.pop(id)       # else its tune-in failed, and the module may try another
+                self.viewings.pop(id)  # else its tune-in failed, and the module may try another
             self.runner.ended(id, nth, how, 0)
 
     def note(self, life, id, kind, amount):
--- a/flaxscale/model/members.py
+++ b/flaxscale/model/members.py
@@ -1,4 +1,5 @@
 """Members in virtual time: delays, losses, cuts, crashes and stalls, all drawn from one seed."""
+
 import heapq
 import random
 
@@ -19,8 +20,9 @@
 
     def start(self, name):
         self.boots[name] = self.boots.get(name, 0) + 1
-        swim = self.swims[name] = Swim(name, name, f"{name}.{self.boots[name]}", len(self.boots) + self.boots[name],
-                                       self.now)
+        swim = self.swims[name] = Swim(
+            name, name, f"{name}.{self.boots[name]}", len(self.boots) + self.boots[name], self.now
+        )
         swim.join([n for n in self.names[:2] if n != name])
         self.up[name] = True
         self.at(self.now, self.tick, name, swim)
@@ -90,7 +92,7 @@
 def detection(count, loss, seed, periods=60):
     """(periods until the first and until the last of the others knew of a death; false deaths before it)."""
     world = SwimWorld(count, loss, seed)
-    world.run(60 * PERIOD)                  # all have met
+    world.run(60 * PERIOD)  # all have met
     before = world.false_deaths
     world.run(20 * PERIOD)
     false, at = world.false_deaths - before, world.now
--- a/flaxscale/model/play.py
+++ b/flaxscale/model/play.py
@@ -5,6 +5,7 @@
 (lab/ways.py) as those of processes: on one that is cut they wait, in order, until it is healed; a late one brings them
 later, in order. A box that is stopped is one whose ways are all cut; what it streams goes on here, and stops there.
 """
+
 from collections import Counter, defaultdict
 
 from .. import interface as face
@@ -24,11 +25,11 @@
 from .world import World
 
 SECOND = 10_000
-NET = 5                         # one way between a manager and a box
-CLIENT = 10                     # one way between a player and a manager
-HANDED_OVER = 80_000            # a planned stop ends by then, as the lab's does
-LEAVES_UNDER = 0.75             # a player whose viewing gets less than this leaves, now and then
-LEAVES = 0.1                    # a second, below it
+NET = 5  # one way between a manager and a box
+CLIENT = 10  # one way between a player and a manager
+HANDED_OVER = 80_000  # a planned stop ends by then, as the lab's does
+LEAVES_UNDER = 0.75  # a player whose viewing gets less than this leaves, now and then
+LEAVES = 0.1  # a second, below it
 
 
 class Numbered:
@@ -42,8 +43,11 @@
 
     def rooms(self, s, servers):
         rooms, titles, packages = self.keeper.rooms(s, servers)
-        return (rooms, {self.titles[t]: rung for t, rung in titles.items()},
-                {self.packages[p]: rung for p, rung in packages.items()})
+        return (
+            rooms,
+            {self.titles[t]: rung for t, rung in titles.items()},
+            {self.packages[p]: rung for p, rung in packages.items()},
+        )
 
 
 class FixedRoom(Numbered):
@@ -55,13 +59,16 @@
 
     def rooms(self, s, servers):
         peaks = self.keeper.peaks
-        return ({id: self.part * link for id, (_, link) in servers.items()},
-                {self.titles[t]: 0 for p in peaks for t in p.titles},
-                {self.packages[k]: 0 for p in peaks for k in p.packages})
+        return (
+            {id: self.part * link for id, (_, link) in servers.items()},
+            {self.titles[t]: 0 for p in peaks for t in p.titles},
+            {self.packages[k]: 0 for p in peaks for k in p.packages},
+        )
 
 
 class Player:
     """One viewer and its tries."""
+
     __slots__ = "n", "wish", "package", "tries", "dice", "vw"
 
     def __init__(self, n, wish, package, tries, dice):
@@ -75,19 +82,31 @@
     def __init__(self, id, player, manager, asked_at):
         self.id, self.player, self.manager, self.life, self.asked_at = id, player, manager, manager.life, asked_at
         self.gone = self.playing = self.late = False
-        self.home = manager, manager.life       # whom its player asked, and tells that it goes
+        self.home = manager, manager.life  # whom its player asked, and tells that it goes
         self.server = self.nth = self.key = None
 
 
 class Row:
     """One second of a day."""
-    __slots__ = ("asked", "earned", "requests", "fates", "rungs", "tune_ins", "low_floor", "bound", "kept", "free",
-                 "wanted")
+
+    __slots__ = (
+        "asked",
+        "earned",
+        "requests",
+        "fates",
+        "rungs",
+        "tune_ins",
+        "low_floor",
+        "bound",
+        "kept",
+        "free",
+        "wanted",
+    )
 
     def __init__(self):
         self.asked, self.earned = defaultdict(float), defaultdict(float)
         self.requests, self.fates, self.rungs, self.tune_ins, self.low_floor = 0, Counter(), Counter(), Counter(), 0
-        self.bound = None               # what no placement could have earned, where it was worked out
+        self.bound = None  # what no placement could have earned, where it was worked out
         # kB a second by peak: kept by the manager that keeps most; free of others on its holders; what it needs.
         self.kept, self.free, self.wanted = {}, {}, {}
 
@@ -110,11 +129,11 @@
         self.numbers = sense.packages
         self.fleet = Fleet(self.world, day, site_of(day.site), sense, self.send)
         self.ways, self.waiting, self.late_on, self.way_faults = Ways(), {}, {}, 0
-        self.down = Counter()           # of troubles that keep a box or a manager down
+        self.down = Counter()  # of troubles that keep a box or a manager down
         self.faults, self.seconds, self.ids = [], defaultdict(Row), 0
         self.titles = {name: n for n, name in enumerate(sorted(day.site.titles))}
         self.rates, self.held = rates_of(day.site), {}
-        self.by_key, self.records = {}, []      # records: (when, what, who, ...) of members and claims
+        self.by_key, self.records = {}, []  # records: (when, what, who, ...) of members and claims
         tasks = tasks_of(day.site.duties, day.site.fleet.drift)
         self.grants = Service(self, tasks) if tasks and day.members and day.catalogue is not None else None
         self.managers = [ModelManager(self, m) for m in range(day.site.managers)]
@@ -132,6 +151,7 @@
 
         def room_kb(title, *rest):
             return self.rates(day.site.titles[title].view if title in day.site.titles else title, *rest)
+
         fleet = day.site.fleet
         made = RoomKeeper(self.peaks, Surroundings(room_kb, self.holders, fleet.racks, fleet.uplink_kb), since)
         if self.keep is not True:
@@ -172,7 +192,7 @@
         if manager.keeper is not None:
             manager.keeper.asked(wish.title, title.view, len(self.managers))
         patience = round(wish.patience * SECOND)
-        waited = self.world.now - asked_at - CLIENT         # while its manager stood still
+        waited = self.world.now - asked_at - CLIENT  # while its manager stood still
         if waited >= patience:
             manager.viewings.pop(vw.id)
             self.second().fates["manager stood"] += 1
@@ -188,8 +208,18 @@
         p, wish = vw.player, vw.player.wish
         title, rungs = self.day.site.titles[wish.title], len(self.day.site.ladder.kb) - 1
         return face.Asked(
-            vw.id, p.package, self.titles[wish.title], p.n, left, rungs if wish.top is None else min(wish.top, rungs),
-            title.first_cell, title.cells, round(wish.length * SECOND), False, p.tries < self.day.demand.tries)
+            vw.id,
+            p.package,
+            self.titles[wish.title],
+            p.n,
+            left,
+            rungs if wish.top is None else min(wish.top, rungs),
+            title.first_cell,
+            title.cells,
+            round(wish.length * SECOND),
+            False,
+            p.tries < self.day.demand.tries,
+        )
 
     def leave(self, vw):
         if vw.manager.stands(self.leave, vw):
@@ -259,11 +289,11 @@
             self.world.later(span, act, *args)
         elif not state.passes():
             self.waiting.setdefault((a, b), []).append((span, act, args))
-        else:                           # in order, as on one connection
+        else:  # in order, as on one connection
             late = span + round(10 * (state.delay_ms + state.jitter_ms * self.world.dice("ways").draw()))
             at = self.late_on[a, b] = max(self.world.now + late, self.late_on.get((a, b), 0))
             self.world.at(at, act, *args)
-            if state is CLEAR and at == self.world.now + span:      # what was late has all come
+            if state is CLEAR and at == self.world.now + span:  # what was late has all come
                 del self.late_on[a, b]
 
     def datagram(self, a, b, span, act, *args):
@@ -297,8 +327,20 @@
     def set_up(self, manager, vw, nth, server, rung):
         vw.server, vw.nth, vw.key = server, nth, (manager.me, manager.life, vw.id, nth)
         self.second().tune_ins["further" if nth else "first"] += 1
-        self.send(manager.name, f"b{server}", NET, self.at_box, manager, manager.life, vw, vw.key, server, rung,
-                  self.world.now, self.fleet.boxes[server].boot)
+        self.send(
+            manager.name,
+            f"b{server}",
+            NET,
+            self.at_box,
+            manager,
+            manager.life,
+            vw,
+            vw.key,
+            server,
+            rung,
+            self.world.now,
+            self.fleet.boxes[server].boot,
+        )
 
     def probe(self, manager, life, server):
         """Answered beside the set-ups; a box that hangs, is gone or out of reach lets it run into its limit."""
@@ -306,17 +348,21 @@
         cut = not all(self.ways.of(way).passes() for way in ways)
         if holder.dead or holder.box.trouble.hang or cut:
             limit = round(self.day.site.allowed.dial_timeout_ms * 10)
-            self.world.later(limit, manager.probed, life, server, How.UNREACHED if holder.dead else How.TIMEOUT, limit,
-                             None)
+            self.world.later(
+                limit, manager.probed, life, server, How.UNREACHED if holder.dead else How.TIMEOUT, limit, None
+            )
         else:
             self.world.later(2 * NET, manager.probed, life, server, How.OK, 2 * NET, holder.figures(self.world.now))
 
     def at_box(self, manager, life, vw, key, server, rung, sent_at, boot):
         """boot: the box's start to which it was sent; a later one never hears of it, as its connection is gone."""
         holder, now = self.fleet.boxes[server], self.world.now
+
         def answer(after, how, figures=None):
-            self.send(f"b{server}", manager.name, after + NET, self.come, manager, life, vw.id, key[3], how, sent_at,
-                      figures)
+            self.send(
+                f"b{server}", manager.name, after + NET, self.come, manager, life, vw.id, key[3], how, sent_at, figures
+            )
+
         if holder.dead:
             answer(0, How.UNREACHED)
             return
@@ -356,12 +402,34 @@
         now = self.world.now
         if holder.dead or holder.boot != boot or holder.box.trouble.hang:
             if holder.dead or holder.boot != boot:
-                self.send(f"b{holder.place.id}", manager.name, NET, self.come, manager, life, vw.id, key[3], How.RESET,
-                          sent_at, None)
+                self.send(
+                    f"b{holder.place.id}",
+                    manager.name,
+                    NET,
+                    self.come,
+                    manager,
+                    life,
+                    vw.id,
+                    key[3],
+                    How.RESET,
+                    sent_at,
+                    None,
+                )
             return
         if key in holder.box.sessions:
-            self.send(f"b{holder.place.id}", manager.name, NET, self.come, manager, life, vw.id, key[3], None, sent_at,
-                      holder.figures(now))
+            self.send(
+                f"b{holder.place.id}",
+                manager.name,
+                NET,
+                self.come,
+                manager,
+                life,
+                vw.id,
+                key[3],
+                None,
+                sent_at,
+                holder.figures(now),
+            )
 
     def come(self, manager, life, id, nth, how, sent_at, figures):
         """An outcome reaches its manager."""
@@ -378,7 +446,7 @@
         if holder.box.trouble.hang:
             self.world.later(SECOND, self.ended_at_box, server, key, manager, life, epoch)
             return
-        if not holder.box.fence.obeys(key, epoch, manager.name):        # it is another's by now
+        if not holder.box.fence.obeys(key, epoch, manager.name):  # it is another's by now
             if key in self.by_key and self.by_key[key].gone:
                 self.without_media(holder, key)
             self.send(f"b{server}", manager.name, NET, manager.moved, life, key[2])
@@ -441,8 +509,11 @@
 
     def rung_at_box(self, server, key, rung, manager, epoch):
         holder = self.fleet.boxes[server]
-        if not holder.dead and holder.box.fence.obeys(key, epoch, manager.name) and holder.box.set_rung(
-                key, rung) is not None:
+        if (
+            not holder.dead
+            and holder.box.fence.obeys(key, epoch, manager.name)
+            and holder.box.set_rung(key, rung) is not None
+        ):
             holder.changed()
 
     def peer_word(self, manager, server, kb):
@@ -558,16 +629,25 @@
         if not p.start_s - p.lead_s - 5 <= s < p.end_s + 5:
             return
         parts, titles = len(p.titles) + len(p.packages), set(p.titles)
-        row.wanted[p.name] = sum(self.rates(
-            site.titles[t].view if t in site.titles else t, p.rung, p.watch_at(max(s, p.start_s + 1)) / parts,
-            max(1, len(self.holders(t)) if t in titles else len(self.fleet.boxes))) for t in (*p.titles, *p.packages))
+        row.wanted[p.name] = sum(
+            self.rates(
+                site.titles[t].view if t in site.titles else t,
+                p.rung,
+                p.watch_at(max(s, p.start_s + 1)) / parts,
+                max(1, len(self.holders(t)) if t in titles else len(self.fleet.boxes)),
+            )
+            for t in (*p.titles, *p.packages)
+        )
         boxes = set(self.fleet.boxes) if p.packages else {b for t in p.titles for b in self.holders(t)}
         free = 0.0
         for id in boxes:
             holder = self.fleet.boxes[id]
             if not holder.dead:
-                others = sum(self.kb(session) for session in holder.box.sessions.values()
-                             if session.title not in titles and session.package not in p.packages)
+                others = sum(
+                    self.kb(session)
+                    for session in holder.box.sessions.values()
+                    if session.title not in titles and session.package not in p.packages
+                )
                 free += max(0.0, holder.box.link_now(now) - others)
         row.free[p.name] = free
 
@@ -613,21 +693,25 @@
             self.world.later(span, fleet.uplinks.__setitem__, rack, kb)
         elif row.what == "way":
             ways = ways_of(self.day, n)
-            self.strike(Fault(row.kind, row.value, row.jitter), ways, span,
-                        in_pieces(ways, row.heal_s, self.world.dice(f"heal-{n}")))
+            self.strike(
+                Fault(row.kind, row.value, row.jitter),
+                ways,
+                span,
+                in_pieces(ways, row.heal_s, self.world.dice(f"heal-{n}")),
+            )
         elif row.what in ("box_stall", "catalogue_stall"):
             others = [m.name for m in self.managers]
             for name in [SERVICE] if row.what == "catalogue_stall" else [f"b{b}" for b in boxes]:
                 ways = [way for o in others for way in ((o, name), (name, o))]
                 self.strike(Fault("cut"), ways, span, [(0.0, ways)])
-        elif row.what == "catalogue_crash":     # what it tells of titles is told once here, and managers keep it
+        elif row.what == "catalogue_crash":  # what it tells of titles is told once here, and managers keep it
             if self.grants is not None:
                 self.down[SERVICE] += 1
                 if self.grants.up:
                     self.grants.crash()
                 self.world.later(span, self.service_back)
         elif row.what == "crowd":
-            pass                # it is in the arrivals
+            pass  # it is in the arrivals
         else:
             for b in boxes:
                 self.set_trouble(fleet.boxes[b], row.what, row.value)
@@ -647,7 +731,7 @@
     def box_back(self, holder):
         self.down["b", holder.place.id] -= 1
         if self.down["b", holder.place.id]:
-            return                      # an outage inside an outage: back when the last one is over
+            return  # an outage inside an outage: back when the last one is over
         holder.start(self.world.now)
         self.fleet.changed(holder)
 
@@ -740,7 +824,12 @@
         for row in self.seconds.values():
             fates += row.fates
             tune_ins += row.tune_ins
-        return {"service": round(self.service(0, int(self.day.length_s)), 6), "requests": sum(
-            r.requests for r in self.seconds.values()), "fates": dict(sorted(fates.items())),
-            "tune_ins": dict(sorted(tune_ins.items())), "fell": self.fleet.fell, "faults": len(self.faults),
-            "under_floor": sum(r.low_floor for r in self.seconds.values())}
+        return {
+            "service": round(self.service(0, int(self.day.length_s)), 6),
+            "requests": sum(r.requests for r in self.seconds.values()),
+            "fates": dict(sorted(fates.items())),
+            "tune_ins": dict(sorted(tune_ins.items())),
+            "fell": self.fleet.fell,
+            "faults": len(self.faults),
+            "under_floor": sum(r.low_floor for r in self.seconds.values()),
+        }
--- a/flaxscale/model/rehearse.py
+++ b/flaxscale/model/rehearse.py
@@ -3,6 +3,7 @@
 Ways: `none` keeps nothing, `fixed` a part of every link all day, `held` is what managers do by links alone, `planned`
 goes by the planner's schedule. Bounds are those of an all-knowing placement (bound.py), worked out every few seconds.
 """
+
 import concurrent.futures
 from typing import NamedTuple
 
@@ -14,31 +15,34 @@
 from .play import Play
 
 WAYS = ("none", "fixed", "held", "planned")
-FIXED = 0.15                # of every link, for the baseline
-BOUND_EVERY = 5             # seconds
+FIXED = 0.15  # of every link, for the baseline
+BOUND_EVERY = 5  # seconds
 
 
 class Rehearsed(NamedTuple):
     """One play. Shares are of what was asked in those seconds."""
+
     inside: float
     outside: float
-    packages: dict              # package: share inside
-    blocked: float              # of the requests
-    lowest: int                 # viewing seconds on the ladder's lowest rung, of packages whose floor lies above it
-    at_floor: float             # share of the announced titles' viewing time inside at their package's floor
+    packages: dict  # package: share inside
+    blocked: float  # of the requests
+    lowest: int  # viewing seconds on the ladder's lowest rung, of packages whose floor lies above it
+    at_floor: float  # share of the announced titles' viewing time inside at their package's floor
     fell: int
     faults: int
     bound_inside: float | None
     bound_outside: float | None
-    peaks: dict                 # name: (seconds ready before the start, seconds until handed back after the end)
+    peaks: dict  # name: (seconds ready before the start, seconds until handed back after the end)
 
 
 def ask_of(day, now_s=0.0):
     """The planner's question for a day: its boxes, its ordinary demand, the lengths that its viewers watch."""
     site, demand = day.site, day.demand
     ladder = site.ladder
-    boxes = [BoxAsked(n + 1, link_of(day, b), b.cell % site.fleet.racks, site.fleet.kinds[b.kind],
-                      0.0 if b.cold else 1e9) for n, b in enumerate(day.boxes)]
+    boxes = [
+        BoxAsked(n + 1, link_of(day, b), b.cell % site.fleet.racks, site.fleet.kinds[b.kind], 0.0 if b.cold else 1e9)
+        for n, b in enumerate(day.boxes)
+    ]
     held = {name: set(holders_of(day, name)) for name in site.titles}
     package = {name: row.view for name, row in site.titles.items() if row.view}
     mean_s, whole = sum(demand.play_s) / 2, sum(demand.titles.values())
@@ -65,8 +69,13 @@
 def rehearse(day, seed, way, bound=False):
     """One play, as figures."""
     keep = {"none": False, "fixed": FIXED}.get(way, True)
-    play = Play(day, seed, keep=keep, bound_every=BOUND_EVERY if bound else 0,
-                peaks=scheduled(day) if way == "planned" else None)
+    play = Play(
+        day,
+        seed,
+        keep=keep,
+        bound_every=BOUND_EVERY if bound else 0,
+        peaks=scheduled(day) if way == "planned" else None,
+    )
     play.run()
     return figures_of(play)
 
@@ -88,9 +97,11 @@
     def bound(rows):
         rows = [r for r in rows if r.bound is not None]
         return share(rows, lambda r: r.bound, lambda r: sum(r.asked.values())) if rows else None
+
     site = day.site
     announced = {play.numbers[site.titles[t].view] for p in day.peaks for t in p.titles} | {
-        play.numbers[k] for p in day.peaks for k in p.packages}
+        play.numbers[k] for p in day.peaks for k in p.packages
+    }
     whole = floor = lowest = 0
     for row in inside:
         for (package, rung), n in row.rungs.items():
@@ -100,12 +111,22 @@
                 whole += n
                 floor += n * (rung <= row_floor)
     return Rehearsed(
-        served(inside), served(outside),
-        {name: share(inside, lambda r, n=n: r.earned[n], lambda r, n=n: r.asked[n])
-         for n, name in enumerate(play.names) if any(r.asked[n] for r in inside)},
-        totals["fates"].get("blocked", 0) / max(1, totals["requests"]), lowest, floor / whole if whole else 0.0,
-        totals["fell"], totals["faults"], bound(inside), bound(outside),
-        {p.name: (ready_before(play, p), released_after(play, p)) for p in day.peaks})
+        served(inside),
+        served(outside),
+        {
+            name: share(inside, lambda r, n=n: r.earned[n], lambda r, n=n: r.asked[n])
+            for n, name in enumerate(play.names)
+            if any(r.asked[n] for r in inside)
+        },
+        totals["fates"].get("blocked", 0) / max(1, totals["requests"]),
+        lowest,
+        floor / whole if whole else 0.0,
+        totals["fell"],
+        totals["faults"],
+        bound(inside),
+        bound(outside),
+        {p.name: (ready_before(play, p), released_after(play, p)) for p in day.peaks},
+    )
 
 
 def ready_before(play, p):
@@ -135,7 +156,7 @@
 def compare(file, given, ways, seeds, processes, bound=True):
     """{way: [Rehearsed by seed]}. Bounds go with the first way: they are the same for all."""
     jobs = [(str(file), given, way, seed, bound and n == 0) for n, way in enumerate(ways) for seed in seeds]
-    jobs.sort(key=lambda job: not job[4])       # the long ones first
+    jobs.sort(key=lambda job: not job[4])  # the long ones first
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         made = dict(zip([(j[2], j[3]) for j in jobs], pool.map(one, jobs)))
     return {way: [made[way, seed] for seed in seeds] for way in ways}
@@ -143,8 +164,11 @@
 
 def closed(made, way):
     """The part of the distance from `none` to the bound that a way closes inside the window, paired by seed."""
-    return interval((w.inside - n.inside) / (n.bound_inside - n.inside) for w, n in zip(made[way], made["none"])
-                    if n.bound_inside is not None and n.bound_inside > n.inside)
+    return interval(
+        (w.inside - n.inside) / (n.bound_inside - n.inside)
+        for w, n in zip(made[way], made["none"])
+        if n.bound_inside is not None and n.bound_inside > n.inside
+    )
 
 
 def lines(made):
@@ -152,26 +176,34 @@
     first = made[next(iter(made))]
     yield f"{'way':>8}  {'inside':>22}  {'outside':>22}  {'blocked':>8}  {'at floor':>8}  lowest  fell  faults"
     for way, rows in made.items():
-        yield (f"{way:>8}  {short(r.inside for r in rows):>22}  {short(r.outside for r in rows):>22}  "
-               f"{interval(r.blocked for r in rows).mean:8.3f}  {interval(r.at_floor for r in rows).mean:8.3f}  "
-               f"{sum(r.lowest for r in rows):6}  {sum(r.fell for r in rows):4}  {sum(r.faults for r in rows):6}")
+        yield (
+            f"{way:>8}  {short(r.inside for r in rows):>22}  {short(r.outside for r in rows):>22}  "
+            f"{interval(r.blocked for r in rows).mean:8.3f}  {interval(r.at_floor for r in rows).mean:8.3f}  "
+            f"{sum(r.lowest for r in rows):6}  {sum(r.fell for r in rows):4}  {sum(r.faults for r in rows):6}"
+        )
         for package in rows[0].packages:
             yield f"{'':>8}    {package}: {short(r.packages[package] for r in rows if package in r.packages)} inside"
         if "none" in made and way != "none":
             if first[0].bound_inside is not None:
                 yield f"{'':>8}    distance to the bound closed inside: {short_of(closed(made, way))}"
-            yield (f"{'':>8}    less none: inside {paired(rows, made['none'], 'inside')}, "
-                   f"outside {paired(rows, made['none'], 'outside')}")
+            yield (
+                f"{'':>8}    less none: inside {paired(rows, made['none'], 'inside')}, "
+                f"outside {paired(rows, made['none'], 'outside')}"
+            )
         for name in rows[0].peaks:
             ready = [r.peaks[name][0] for r in rows]
             back = [r.peaks[name][1] for r in rows if r.peaks[name][1] is not None]
             said = [f"{s:+.0f}" for s in sorted(x for x in ready if x is not None)]
-            yield (f"{'':>8}    {name}: ready before its start by {' '.join(said) or '-'} s"
-                   f"{'' if len(said) == len(ready) else f', never in {len(ready) - len(said)}'}"
-                   + (f"; handed back {max(back):+.0f} s after its end at the latest" if back else ""))
+            yield (
+                f"{'':>8}    {name}: ready before its start by {' '.join(said) or '-'} s"
+                f"{'' if len(said) == len(ready) else f', never in {len(ready) - len(said)}'}"
+                + (f"; handed back {max(back):+.0f} s after its end at the latest" if back else "")
+            )
     if first[0].bound_inside is not None:
-        yield (f"   bound  {short(r.bound_inside for r in first):>22}  "
-               f"{short(r.bound_outside for r in first if r.bound_outside is not None):>22}")
+        yield (
+            f"   bound  {short(r.bound_inside for r in first):>22}  "
+            f"{short(r.bound_outside for r in first if r.bound_outside is not None):>22}"
+        )
 
 
 def short(values):
@@ -190,14 +222,20 @@
 def draw(play, file):
     """Room kept and free on the holders, worth, and rungs of what was announced, over the day."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     day, seconds = play.day, range(int(play.day.length_s))
     figure, (top, middle, low) = pyplot.subplots(3, 1, sharex=True, figsize=(10, 8))
     for p in day.peaks:
         top.plot(seconds, [play.seconds[s].kept.get(p.name, 0.0) / 1000 for s in seconds], label=f"kept for {p.name}")
-        top.plot(seconds, [play.seconds[s].free.get(p.name, 0.0) / 1000 for s in seconds], "--",
-                 label="free of others on its holders")
+        top.plot(
+            seconds,
+            [play.seconds[s].free.get(p.name, 0.0) / 1000 for s in seconds],
+            "--",
+            label="free of others on its holders",
+        )
     top.set_ylabel("MB a second")
     rows = [play.seconds[s] for s in seconds]
     middle.plot(seconds, [sum(r.earned.values()) / (sum(r.asked.values()) or 1) for r in rows], label="earned / asked")
@@ -206,8 +244,11 @@
         middle.plot(*zip(*bounds), ":", label="bound")
     middle.set_ylim(0, 1.05)
     rungs = range(len(day.site.ladder.kb))
-    low.stackplot(seconds, [[sum(r.rungs[p, rung] for p in range(len(play.names))) for r in rows] for rung in rungs],
-                  labels=[f"rung {r}" for r in rungs])
+    low.stackplot(
+        seconds,
+        [[sum(r.rungs[p, rung] for p in range(len(play.names))) for r in rows] for rung in rungs],
+        labels=[f"rung {r}" for r in rungs],
+    )
     low.set_ylabel("viewings by rung")
     low.set_xlabel("second")
     for axes in (top, middle, low):
--- a/flaxscale/model/results.py
+++ b/flaxscale/model/results.py
@@ -1,4 +1,5 @@
 """A played day as columns (Parquet), and drawn."""
+
 import pathlib
 
 import pyarrow
@@ -11,13 +12,22 @@
     for second in range(int(play.day.length_s) + 3):
         row = play.seconds[second]
         for p, name in enumerate(play.names):
-            rows.append({
-                "second": second, "package": name, "asked": row.asked[p], "earned": row.earned[p],
-                **{f"rung_{r}": row.rungs[p, r] for r in range(rungs)}, "requests": row.requests,
-                **{f: row.fates[f] for f in ("plays", "late", "blocked", "aborted", "left", "unanswered")},
-                "tune_ins": row.tune_ins["first"] + row.tune_ins["further"], "further": row.tune_ins["further"]})
+            rows.append(
+                {
+                    "second": second,
+                    "package": name,
+                    "asked": row.asked[p],
+                    "earned": row.earned[p],
+                    **{f"rung_{r}": row.rungs[p, r] for r in range(rungs)},
+                    "requests": row.requests,
+                    **{f: row.fates[f] for f in ("plays", "late", "blocked", "aborted", "left", "unanswered")},
+                    "tune_ins": row.tune_ins["first"] + row.tune_ins["further"],
+                    "further": row.tune_ins["further"],
+                }
+            )
     return pyarrow.Table.from_pylist(rows).replace_schema_metadata(
-        {"site": play.day.site.name, "seed": str(play.seed), "shape": "1"})
+        {"site": play.day.site.name, "seed": str(play.seed), "shape": "1"}
+    )
 
 
 def write(play, folder):
@@ -31,13 +41,17 @@
 def draw(play, file):
     """Service, answers and rungs over the day's seconds, with its troubles as bars."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     day, seconds = play.day, range(int(play.day.length_s))
     figure, (top, middle, low) = pyplot.subplots(3, 1, sharex=True, figsize=(10, 8))
     for p, name in enumerate(play.names):
-        share = [play.seconds[s].earned[p] / play.seconds[s].asked[p] if play.seconds[s].asked[p] else float("nan")
-                 for s in seconds]
+        share = [
+            play.seconds[s].earned[p] / play.seconds[s].asked[p] if play.seconds[s].asked[p] else float("nan")
+            for s in seconds
+        ]
         if any(play.seconds[s].asked[p] for s in seconds):
             top.plot(seconds, share, label=name)
     top.set_ylabel("earned / asked")
@@ -48,14 +62,23 @@
     middle.set_ylabel("answers a second")
     middle.legend(fontsize=8)
     rungs = len(day.site.ladder.kb)
-    low.stackplot(seconds, [[sum(play.seconds[s].rungs[p, r] for p in range(len(play.names))) for s in seconds]
-                            for r in range(rungs)], labels=[f"rung {r}" for r in range(rungs)])
+    low.stackplot(
+        seconds,
+        [[sum(play.seconds[s].rungs[p, r] for p in range(len(play.names))) for s in seconds] for r in range(rungs)],
+        labels=[f"rung {r}" for r in range(rungs)],
+    )
     low.set_ylabel("viewings by rung")
     low.set_xlabel("second")
     low.legend(loc="upper left", fontsize=8)
     for n, row in enumerate(day.troubles):
-        top.axvspan(row.at_s, row.at_s + max(0.2, row.for_s), ymin=0.95 - 0.04 * (n % 8), ymax=0.98 - 0.04 * (n % 8),
-                    alpha=0.5, color=f"C{n % 10}")
+        top.axvspan(
+            row.at_s,
+            row.at_s + max(0.2, row.for_s),
+            ymin=0.95 - 0.04 * (n % 8),
+            ymax=0.98 - 0.04 * (n % 8),
+            alpha=0.5,
+            color=f"C{n % 10}",
+        )
         top.text(row.at_s, 1.0 - 0.042 * (n % 8), row.what, fontsize=6)
     figure.tight_layout()
     figure.savefig(file, dpi=110)
--- a/flaxscale/model/takeover.py
+++ b/flaxscale/model/takeover.py
@@ -8,6 +8,7 @@
 A viewing keeps the number by which the play knows it, whoever holds it; what names its session at its box is the key
 under which it was set up, and the epoch.
 """
+
 from typing import NamedTuple
 
 from ..members.adopt import PAUSE, TRIES, Course, Session, plan
@@ -15,20 +16,21 @@
 from ..members.seats import SeatBook
 from ..members.swim import State, Swim
 
-NET = 5                         # one way, as the play's own messages take
-ASK = 10_000                    # an asking without an answer is given up
-YOUNG = 30_000                  # a session without media is no orphan before this
+NET = 5  # one way, as the play's own messages take
+ASK = 10_000  # an asking without an answer is given up
+YOUNG = 30_000  # a session without media is no orphan before this
 
 
 class Row(NamedTuple):
     """A session as its box tells it."""
+
     key: tuple
     owner: str
     epoch: int
     rung: int
     age: int
     media: bool
-    vw: object                  # the play's own viewing, which stands for the cookie
+    vw: object  # the play's own viewing, which stands for the cookie
 
 
 class Job:
@@ -37,7 +39,7 @@
     def __init__(self, box, of):
         self.box, self.of, self.course, self.number = box, of, Course(), 0
         self.wanted, self.ends, self.rows, self.boot, self.rank_left, self.later = [], set(), {}, 0, None, False
-        self.out, self.tries = {}, 0            # claims that are out: {key: epoch}
+        self.out, self.tries = {}, 0  # claims that are out: {key: epoch}
 
 
 class Taker:
@@ -46,13 +48,18 @@
     def __init__(self, play, manager, others):
         """others: names at which it asks for the rest until somebody is known."""
         self.play, self.world, self.manager, self.name, self.life = (
-            play, play.world, manager, manager.name, manager.life)
+            play,
+            play.world,
+            manager,
+            manager.name,
+            manager.life,
+        )
         now = self.world.now
         self.swim = Swim(self.name, self.name, f"{self.name}.{self.life}", play.seed * 1000 + manager.me, now)
         self.swim.join(others)
         self.book = SeatBook(now, round(play.day.site.fleet.lease_ms * 10))
         self.ration, self.jobs, self.told, self.alarm = Ration(now), {}, None, 0
-        self.view = 0               # of members and boxes: another number where it changed
+        self.view = 0  # of members and boxes: another number where it changed
         self.world.at(now, self.ring, 0)
 
     def begin(self):
@@ -83,7 +90,8 @@
         for news in self.swim.taken_changes():
             self.view += 1
             self.play.records.append(
-                (self.world.now, "member", self.name, news.name, news.state.name.lower(), news.boot))
+                (self.world.now, "member", self.name, news.name, news.state.name.lower(), news.boot)
+            )
             if news.state in (State.DEAD, State.LEFT):
                 self.take_over(news.name)
         self.alarm += 1
@@ -176,21 +184,35 @@
         for key, s in holder.box.sessions.items():
             vw = self.play.by_key.get(key)
             if s.manager == job.of and vw is not None:
-                rows.append(Row(key, s.manager, holder.box.fence.epoch(key), s.rung, now - s.began,
-                                vw.playing and not vw.gone, vw))
+                rows.append(
+                    Row(
+                        key,
+                        s.manager,
+                        holder.box.fence.epoch(key),
+                        s.rung,
+                        now - s.began,
+                        vw.playing and not vw.gone,
+                        vw,
+                    )
+                )
         self.answer(job, self.sessions, number, holder.boot, rows)
 
     def sessions(self, job, number, boot, rows):
         job.number += 1
         job.rows = {r.key: r for r in rows if not self.manager.holds(r.key)}
         job.boot, job.later, own = boot, False, job.of == self.name
-        made = plan([Session(r.key, r.owner, r.epoch, name_of(r.key), r.media or r.age < YOUNG)
-                     for r in job.rows.values()], job.of, self.name, [self.name] if own else self.swim.alive(),
-                    job.course.rank)
+        made = plan(
+            [Session(r.key, r.owner, r.epoch, name_of(r.key), r.media or r.age < YOUNG) for r in job.rows.values()],
+            job.of,
+            self.name,
+            [self.name] if own else self.swim.alive(),
+            job.course.rank,
+        )
         packages = self.play.packages
         job.ends, job.rank_left = set(made.ends), made.next
-        job.wanted = sorted(made.claims, key=lambda c: (
-            c.key in job.ends, -packages[job.rows[c.key].vw.player.package].value))
+        job.wanted = sorted(
+            made.claims, key=lambda c: (c.key in job.ends, -packages[job.rows[c.key].vw.player.package].value)
+        )
         self.go_on(job)
 
     def go_on(self, job):
@@ -200,7 +222,7 @@
             most = self.play.day.site.front.held_most
             room = len(job.wanted) if own else most - len(self.manager.viewings)
             if not own and full(len(self.manager.viewings), most, False):
-                break               # the next in the order takes them
+                break  # the next in the order takes them
             may = self.ration.take(self.world.now, len(job.wanted), room)
             if not may:
                 if room <= 0:
@@ -228,8 +250,8 @@
             if self.manager.has_seat(seat, own):
                 job.out[c.key] = c.epoch
                 self.book.claim(c.key, seat)
-                self.reserve()      # each is asked for with those before it counted
-            elif own:               # over what seats allow by now, and it bears our name
+                self.reserve()  # each is asked for with those before it counted
+            elif own:  # over what seats allow by now, and it bears our name
                 self.book.claim(c.key, seat)
                 self.manager.end_there(job.box, c.key, job.rows[c.key].epoch)
             else:
--- a/flaxscale/model/world.py
+++ b/flaxscale/model/world.py
@@ -1,4 +1,5 @@
 """Virtual time: one heap of things to do, and one door of chance. The same seed gives the same course, always."""
+
 import heapq
 
 from ..lab.chance import Dice
@@ -21,6 +22,7 @@
         def again():
             act(*args)
             self.later(span, again)
+
         self.later(span, again)
 
     def dice(self, stream):
--- a/flaxscale/peaks/announce.py
+++ b/flaxscale/peaks/announce.py
@@ -1,4 +1,5 @@
 """What is announced of a peak: which titles or packages, when, how many. Times are seconds on the owner's axis."""
+
 import msgspec
 
 NAME_LIMIT, TITLES_LIMIT, BOXES_LIMIT, STEPS_LIMIT = 80, 500, 4096, 720
@@ -6,8 +7,9 @@
 
 class BoxRoom(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a planned schedule keeps at one box: from each time on, so many kB a second."""
+
     box: int
-    steps: tuple[tuple[float, float], ...]      # (seconds, kB a second), rising in time
+    steps: tuple[tuple[float, float], ...]  # (seconds, kB a second), rising in time
 
     def at(self, s):
         kb = 0.0
@@ -21,16 +23,16 @@
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: str
     titles: tuple[str, ...] = ()
-    start_s: float = 0.0        # when the first of the crowd come
-    end_s: float = 0.0          # when no more come
-    rate: float = 0.0           # new viewings a second at its height, at all managers together
-    ramp_s: float = 0.0         # from the first to the height
-    length_s: float = 40.0      # how long they watch, in the mean
-    rung: int = 1               # the rung that room is kept for
-    sure: float = 1.0           # how sure: so much of the room is kept
+    start_s: float = 0.0  # when the first of the crowd come
+    end_s: float = 0.0  # when no more come
+    rate: float = 0.0  # new viewings a second at its height, at all managers together
+    ramp_s: float = 0.0  # from the first to the height
+    length_s: float = 40.0  # how long they watch, in the mean
+    rung: int = 1  # the rung that room is kept for
+    sure: float = 1.0  # how sure: so much of the room is kept
     packages: tuple[str, ...] = ()
-    lead_s: float = 15.0        # room is kept so long before it is needed: others drain out of it by then
-    schedule: tuple[BoxRoom, ...] = ()      # a planner's; without one each manager goes by links alone
+    lead_s: float = 15.0  # room is kept so long before it is needed: others drain out of it by then
+    schedule: tuple[BoxRoom, ...] = ()  # a planner's; without one each manager goes by links alone
 
     def rate_at(self, s):
         """New viewings a second announced for a time."""
@@ -50,17 +52,23 @@
 
     def moved(self, by_s):
         """The same on an axis that reads so much more."""
-        return msgspec.structs.replace(self, start_s=self.start_s + by_s, end_s=self.end_s + by_s, schedule=tuple(
-            BoxRoom(b.box, tuple((s + by_s, kb) for s, kb in b.steps)) for b in self.schedule))
+        return msgspec.structs.replace(
+            self,
+            start_s=self.start_s + by_s,
+            end_s=self.end_s + by_s,
+            schedule=tuple(BoxRoom(b.box, tuple((s + by_s, kb) for s, kb in b.steps)) for b in self.schedule),
+        )
 
 
 def faults(peaks, titles, rungs, packages=()):
     """(name, detail) of all that can't be."""
     out, seen = [], set()
     for p in peaks:
+
         def want(good, detail, name=p.name):
             if not good:
                 out.append((name, detail))
+
         want(p.name and p.name not in seen, "a name of its own is needed")
         want(len(p.name) <= NAME_LIMIT and p.name.isprintable(), f"a name of at most {NAME_LIMIT} printable characters")
         seen.add(p.name)
@@ -77,10 +85,14 @@
         want(p.lead_s >= 0, f"a lead of {p.lead_s:g} s; 0 or more is needed")
         want(0 <= p.rung < rungs, f"rung {p.rung}; the ladder has 0 to {rungs - 1}")
         want(0 < p.sure <= 1, f"sure {p.sure:g}; over 0, at most 1")
-        want(len(p.schedule) <= BOXES_LIMIT and all(len(b.steps) <= STEPS_LIMIT for b in p.schedule),
-             f"a schedule of more than {BOXES_LIMIT} boxes or {STEPS_LIMIT} steps a box")
+        want(
+            len(p.schedule) <= BOXES_LIMIT and all(len(b.steps) <= STEPS_LIMIT for b in p.schedule),
+            f"a schedule of more than {BOXES_LIMIT} boxes or {STEPS_LIMIT} steps a box",
+        )
         for b in p.schedule:
             times = [s for s, _ in b.steps]
-            want(times == sorted(times) and all(kb >= 0 for _, kb in b.steps),
-                 f"the schedule of box {b.box}: times must rise, rooms be 0 or more")
+            want(
+                times == sorted(times) and all(kb >= 0 for _, kb in b.steps),
+                f"the schedule of box {b.box}: times must rise, rooms be 0 or more",
+            )
     return out
--- a/flaxscale/peaks/axis.py
+++ b/flaxscale/peaks/axis.py
@@ -5,9 +5,10 @@
 late. Before it was heard, this machine's wall clock counts as it was at the first look; a later jump of it changes
 nothing.
 """
+
 from collections import deque
 
-LATEST = 8                      # tellings of the service's clock that count
+LATEST = 8  # tellings of the service's clock that count
 
 
 class Axis:
@@ -18,7 +19,7 @@
         """The service's clock said this, read at this time of our steady clock."""
         difference = service_s - steady_s
         if self.told and abs(difference - max(self.told)) > 5.0:
-            self.told.clear()               # the service's clock was set, or another service speaks
+            self.told.clear()  # the service's clock was set, or another service speaks
         self.told.append(difference)
 
     def at(self, steady_s, wall_s):
--- a/flaxscale/peaks/book.py
+++ b/flaxscale/peaks/book.py
@@ -3,6 +3,7 @@
 The whole is small (at most LIMIT announcements), so that each version is told and kept whole: a follower that missed
 any number of versions is right again with the next one.
 """
+
 from typing import NamedTuple
 
 import msgspec
@@ -12,8 +13,8 @@
 from .announce import Announcement, faults
 
 LIMIT = 200
-DONE = 1_000                    # changes that are known by their clients' ids
-KEEP_ENDED_S = 86_400.0         # an announcement is shown for a day after its end, then it goes
+DONE = 1_000  # changes that are known by their clients' ids
+KEEP_ENDED_S = 86_400.0  # an announcement is shown for a day after its end, then it goes
 SHAPE = 1
 CHANGES = frozenset(Announcement.__struct_fields__) - {"name"}
 
@@ -28,18 +29,20 @@
 
 class Frame(NamedTuple):
     """What announcements must fit."""
-    titles: object              # anything that `in` works on: the titles known now
+
+    titles: object  # anything that `in` works on: the titles known now
     rungs: int
     packages: tuple
 
 
 class Change(NamedTuple):
     """What one version did."""
+
     version: int
     at_s: float
     who: str
     why: str
-    what: str                   # announced, changed or cancelled
+    what: str  # announced, changed or cancelled
     name: str
 
 
@@ -82,8 +85,11 @@
         # One that is over stands until it goes by itself, also where its title was dropped since.
         peaks = {n: p for n, p in peaks.items() if p.end_s > now_s - KEEP_ENDED_S}
         judged = [p for p in peaks.values() if p.end_s > now_s or p.name == name]
-        reasons = [f"{n}: {detail}" for n, detail in faults(judged, frame.titles, frame.rungs, frame.packages)
-                   if n == name or what != "cancelled"]
+        reasons = [
+            f"{n}: {detail}"
+            for n, detail in faults(judged, frame.titles, frame.rungs, frame.packages)
+            if n == name or what != "cancelled"
+        ]
         if what != "cancelled" and name in peaks and peaks[name].end_s <= now_s:
             reasons.append(f"{name}: it ends {now_s - peaks[name].end_s:.0f} s ago")
         if what != "cancelled" and name not in peaks:
@@ -97,7 +103,6 @@
         self.history = [*self.history, Change(self.version, now_s, who, why, what, name)][-200:]
         return self.version
 
-
     def did(self, id):
         """The version that stands now was asked for under this id: asked for again, it is not made again."""
         if id:
@@ -108,6 +113,7 @@
 
 class KeptBook(msgspec.Struct, array_like=True):
     """A version as it is kept: on the service's log, and at managers."""
+
     shape: int
     epoch: str
     version: int
@@ -117,8 +123,16 @@
 
 
 def encode(epoch, book):
-    return msgspec.msgpack.encode(KeptBook(SHAPE, epoch, book.version, list(book.peaks.values()),
-                                           [tuple(c) for c in book.history], list(book.done.items())))
+    return msgspec.msgpack.encode(
+        KeptBook(
+            SHAPE,
+            epoch,
+            book.version,
+            list(book.peaks.values()),
+            [tuple(c) for c in book.history],
+            list(book.done.items()),
+        )
+    )
 
 
 def decode(data):
--- a/flaxscale/peaks/keeper.py
+++ b/flaxscale/peaks/keeper.py
@@ -9,20 +9,22 @@
 A planner's schedule says how much each box keeps; without one, or for what its boxes can't keep any more, room goes
 to holders by their links.
 """
+
 from typing import NamedTuple
 
 from ..interface import State
 
-HALF = 6.0                  # seconds in which what did not come is halved
-GRACE = 3.0                 # seconds after the start before anything counts as not come
-LEAST = 8                   # viewings that should have come before a shortfall means anything
-MOST = 0.6                  # of a link or uplink is kept at most: ordinary viewings are never pushed out whole
+HALF = 6.0  # seconds in which what did not come is halved
+GRACE = 3.0  # seconds after the start before anything counts as not come
+LEAST = 8  # viewings that should have come before a shortfall means anything
+MOST = 0.6  # of a link or uplink is kept at most: ordinary viewings are never pushed out whole
 
 
 class Surroundings(NamedTuple):
     """What a keeper asks of its surroundings."""
-    room_kb: object             # room_kb(title or package, rung, viewings, boxes): kB a second for so many
-    holders: object             # holders(title): ids of the boxes that hold it
+
+    room_kb: object  # room_kb(title or package, rung, viewings, boxes): kB a second for so many
+    holders: object  # holders(title): ids of the boxes that hold it
     racks: int
     uplink_kb: float
 
@@ -32,7 +34,7 @@
         """since: when this manager began to count who comes, on the announcements' axis; None: before all of them."""
         self.fleet, self.since = fleet, since
         self.peaks, self.come, self.missing_since = (), {}, {}
-        self.given_up, self.kept = 0.0, {}      # kB a second; the latter by peak
+        self.given_up, self.kept = 0.0, {}  # kB a second; the latter by peak
         self.replace(peaks)
 
     def replace(self, peaks):
@@ -80,11 +82,13 @@
             """Keeps so much more at a box, as far as it may; returns what it kept."""
             row, link = servers[id]
             rack = row.cell % self.fleet.racks
-            room = max(0.0, min(kb, MOST * link - rooms.get(id, 0.0),
-                                MOST * self.fleet.uplink_kb - racks.get(rack, 0.0)))
+            room = max(
+                0.0, min(kb, MOST * link - rooms.get(id, 0.0), MOST * self.fleet.uplink_kb - racks.get(rack, 0.0))
+            )
             rooms[id] = rooms.get(id, 0.0) + room
             racks[rack] = racks.get(rack, 0.0) + room
             return room
+
         for p in self.peaks:
             if (viewings := self.wanted(p, s)) <= 0:
                 continue
@@ -104,7 +108,7 @@
                 got = sum(keep(id, planned[id] / parts) for id in sorted(holders) if planned.get(id))
             else:
                 want, got = self.fleet.room_kb(title, p.rung, viewings / parts, max(1, len(holders))), 0.0
-            for _ in range(2):              # what one box can't keep, the others are asked for once
+            for _ in range(2):  # what one box can't keep, the others are asked for once
                 links = {id: servers[id][1] for id in sorted(holders)}
                 total, left = sum(links.values()), want - got
                 if not total or left < 1.0:
@@ -124,6 +128,7 @@
         kb = ladder.kb[max(rung, row.floor)] * row.scale
         if not row.live:
             return kb * viewings
-        full = min(viewings, boxes)         # one whole stream on each box, the others join them
+        full = min(viewings, boxes)  # one whole stream on each box, the others join them
         return kb * (full + ladder.join * (viewings - full))
+
     return room_kb
--- a/flaxscale/peaks/lengths.py
+++ b/flaxscale/peaks/lengths.py
@@ -1,21 +1,23 @@
 """How long viewings last: a distribution fitted to recent ones, and how soon those that play now will have ended."""
+
 from typing import NamedTuple
 
 import numpy
 from scipy import stats
 
-LEAST = 20                      # lengths that a fit needs; under it the mean alone, as an exponential
+LEAST = 20  # lengths that a fit needs; under it the mean alone, as an exponential
 SHAPES = ("expon", "gamma", "lognorm", "weibull_min")
-DRAINED = 0.25                  # a lead is over when no more than this part of what plays now still plays
+DRAINED = 0.25  # a lead is over when no more than this part of what plays now still plays
 LEAD_MOST_S = 600.0
 
 
 class Fitted(NamedTuple):
     """A distribution of scipy.stats by name and parameters (its origin at 0)."""
+
     shape: str
     params: tuple
     mean_s: float
-    off: float                  # largest distance of the two distribution functions (Kolmogorov and Smirnov)
+    off: float  # largest distance of the two distribution functions (Kolmogorov and Smirnov)
     count: int
 
     def survives(self, s):
--- a/flaxscale/peaks/plan.py
+++ b/flaxscale/peaks/plan.py
@@ -8,6 +8,7 @@
 It states what does not fit, by how much, which further holders would help, which boxes to warm and by when. It is
 advice with a date: managers go by it where it is there, and by links alone where it came late or not at all.
 """
+
 import math
 from typing import NamedTuple
 
@@ -24,12 +25,12 @@
 from .lengths import fit
 from .times import say_time
 
-STEPS = 40                      # steps of time at most; each is at least LEAST_STEP_S
+STEPS = 40  # steps of time at most; each is at least LEAST_STEP_S
 LEAST_STEP_S = 2.0
-BRIM = 0.95                     # of a link or uplink is planned for
-GROUPS = 60                     # ordinary titles with the same holders go together; beyond so many the rest as one
-AWAY = 1e-3                     # of a kB's worth: less on a box that would need a copy first
-LEAD_MOST = 120.0               # seconds; longer, and ordinary viewings pay for room that nobody uses
+BRIM = 0.95  # of a link or uplink is planned for
+GROUPS = 60  # ordinary titles with the same holders go together; beyond so many the rest as one
+AWAY = 1e-3  # of a kB's worth: less on a box that would need a copy first
+LEAD_MOST = 120.0  # seconds; longer, and ordinary viewings pay for room that nobody uses
 
 
 class BoxAsked(msgspec.Struct, forbid_unknown_fields=True):
@@ -37,44 +38,46 @@
     link_kb: float
     rack: int = 0
     slots: int = 1000
-    up_s: float = 1e9               # how long it has been up; less than the site's warm-up: it is cold
-    spare: bool = False             # not in service: it may be started for the peak
+    up_s: float = 1e9  # how long it has been up; less than the site's warm-up: it is cold
+    spare: bool = False  # not in service: it may be started for the peak
 
 
 class Question(msgspec.Struct, forbid_unknown_fields=True):
     """What the planner can't see: the fleet, what is asked besides, how long viewings were lately."""
+
     site: Site
     boxes: list[BoxAsked]
-    demand: dict[str, float] = {}   # ordinary, by title: kB a second
-    lengths: list[float] = []       # seconds of recent viewings
+    demand: dict[str, float] = {}  # ordinary, by title: kB a second
+    lengths: list[float] = []  # seconds of recent viewings
     uplinks: dict[str, float] = {}  # by rack; the site's own where left out
 
 
 class Ask(NamedTuple):
     question: Question
-    peaks: tuple                # Announcements, on one axis with now_s
-    held: dict                  # title: boxes that hold it
-    package: dict               # title: package of those who watch
+    peaks: tuple  # Announcements, on one axis with now_s
+    held: dict  # title: boxes that hold it
+    package: dict  # title: package of those who watch
     now_s: float
-    seen: dict = {}             # peak: what came of what was due, as managers saw it
+    seen: dict = {}  # peak: what came of what was due, as managers saw it
     seconds: float = 30.0
 
 
 class Short(msgspec.Struct):
     """A peak that does not fit."""
+
     peak: str
-    at_s: float                 # when it is worst
-    kb: float                   # kB a second that find no room then
+    at_s: float  # when it is worst
+    kb: float  # kB a second that find no room then
     viewings: float
-    holders: list[tuple[str, int]]      # (title, box): copies that would help, most first
-    still_kb: float             # what finds no room even with them: links and uplinks are full
-    boxes: int                  # so many more boxes of the mean link would carry that
+    holders: list[tuple[str, int]]  # (title, box): copies that would help, most first
+    still_kb: float  # what finds no room even with them: links and uplinks are full
+    boxes: int  # so many more boxes of the mean link would carry that
 
 
 class Warm(msgspec.Struct):
     box: int
-    by_s: float                 # when it must be started, or is warm
-    pace: float                 # set-ups a second that all managers together may send it meanwhile
+    by_s: float  # when it must be started, or is warm
+    pace: float  # set-ups a second that all managers together may send it meanwhile
     spare: bool
 
 
@@ -84,8 +87,8 @@
     short: list[Short]
     warm: list[Warm]
     steps_down_s: float | None  # from when ordinary viewings must get less than they ask
-    steps_down_kb: float        # and how much less, at the worst
-    length: str                 # the fitted distribution, in words
+    steps_down_kb: float  # and how much less, at the worst
+    length: str  # the fitted distribution, in words
     began_s: float
     step_s: float
 
@@ -101,10 +104,12 @@
         seen.add(box.id)
         if box.link_kb <= 0 or box.slots < 1:
             raise SiteError(file, f"boxes.{n}", "a link and slots over 0 expected")
-    for key, good, expected in (("boxes", asked.boxes, "at least one box"),
-                                ("demand", all(kb >= 0 for kb in asked.demand.values()), "0 or more each"),
-                                ("lengths", all(s > 0 for s in asked.lengths), "seconds over 0 each"),
-                                ("uplinks", all(r.isdigit() for r in asked.uplinks), "numbers of racks")):
+    for key, good, expected in (
+        ("boxes", asked.boxes, "at least one box"),
+        ("demand", all(kb >= 0 for kb in asked.demand.values()), "0 or more each"),
+        ("lengths", all(s > 0 for s in asked.lengths), "seconds over 0 each"),
+        ("uplinks", all(r.isdigit() for r in asked.uplinks), "numbers of racks"),
+    ):
         if not good:
             raise SiteError(file, key, f"{expected} expected")
     return asked
@@ -143,8 +148,14 @@
 
     def solve(self, seconds):
         matrix = coo_array((self.values, (self.rows, self.cols)), shape=(len(self.limits), len(self.gain))).tocsr()
-        found = linprog(-numpy.array(self.gain), A_ub=matrix, b_ub=numpy.array(self.limits), bounds=(0, None),
-                        method="highs", options={"time_limit": float(seconds)})
+        found = linprog(
+            -numpy.array(self.gain),
+            A_ub=matrix,
+            b_ub=numpy.array(self.limits),
+            bounds=(0, None),
+            method="highs",
+            options={"time_limit": float(seconds)},
+        )
         if found.x is None:
             raise ValueError(f"no plan found within {seconds:g} s: {found.message}")
         return found.x
@@ -154,8 +165,11 @@
     """The share of its link that a box gives then, and whether it is cold."""
     age = (box.up_s if not box.spare else 0.0) + s_from_now
     whole = rules.warm_within_ms / 1000
-    return (1.0, False) if age >= whole else (
-        rules.start_capacity + (1 - rules.start_capacity) * max(0.0, age) / whole, True)
+    return (
+        (1.0, False)
+        if age >= whole
+        else (rules.start_capacity + (1 - rules.start_capacity) * max(0.0, age) / whole, True)
+    )
 
 
 def pace(box, rules):
@@ -182,7 +196,7 @@
             sums[2] += kb * (1 - part)
             sums[3] += kb * (1 - part) * row.value * (ladder.worth[top] - ladder.worth[row.floor]) / (high - low)
     ranked = sorted(by_boxes.items(), key=lambda item: (-item[1][0] - item[1][2], sorted(item[0])))
-    if len(ranked) > GROUPS:                # the small rest as one: it may go wherever any of it may
+    if len(ranked) > GROUPS:  # the small rest as one: it may go wherever any of it may
         rest = [sum(sums[i] for _, sums in ranked[GROUPS:]) for i in range(4)]
         ranked = [*ranked[:GROUPS], (frozenset().union(*(boxes for boxes, _ in ranked[GROUPS:])), rest)]
     for boxes, (low_kb, low_worth, high_kb, high_worth) in ranked:
@@ -207,8 +221,15 @@
         viewings = [p.watch_at(s + step_s) / parts * believed for s in times]
         most = max(viewings, default=0.0)
         each = room_kb(package, p.rung, most, max(1, len(boxes))) / most if most else 0.0
-        yield Group(boxes, [n * each for n in viewings], row.value * site.ladder.worth[rung] / max(each, 1e-9) * p.sure,
-                    p.name, title, each, math.exp(-step_s / mean_s))
+        yield Group(
+            boxes,
+            [n * each for n in viewings],
+            row.value * site.ladder.worth[rung] / max(each, 1e-9) * p.sure,
+            p.name,
+            title,
+            each,
+            math.exp(-step_s / mean_s),
+        )
 
 
 def build(ask, groups, times, step_s, free=False):
@@ -231,7 +252,7 @@
                 if group.peak:
                     peaks_at.setdefault((b, t), []).append((column, 1.0))
                     before = made.columns.get((g, b, t - 1))
-                    if before is not None:      # what plays there plays on
+                    if before is not None:  # what plays there plays on
                         made.row([(before, group.stays), (column, -1.0)], 0.0)
                     if warmed(boxes[b], rules, times[t] - ask.now_s)[1] and group.each:
                         new = pace(boxes[b], rules) * step_s * group.each
@@ -291,9 +312,17 @@
         if gaps[worst] > 0.01 * asked + 1:
             short.append(shortage(ask, p, groups, times, step_s, worst, gaps[worst], own))
     down_at, down_kb = stepped_down(groups, served, times)
-    return Plan(schedules, leads, short, to_warm(ask, schedules, times), down_at, down_kb,
-                f"{fitted.shape}, mean {fitted.mean_s:.1f} s, {fitted.count} viewings, off by {fitted.off:.3f}",
-                first, step_s)
+    return Plan(
+        schedules,
+        leads,
+        short,
+        to_warm(ask, schedules, times),
+        down_at,
+        down_kb,
+        f"{fitted.shape}, mean {fitted.mean_s:.1f} s, {fitted.count} viewings, off by {fitted.off:.3f}",
+        first,
+        step_s,
+    )
 
 
 def schedules_of(ask, made, x, groups, times, leads):
@@ -307,8 +336,10 @@
         totals = [sum(kbs[t] for kbs in rooms.values()) for t in range(len(times))]
         # What is kept is what the fullest step within the lead has, box by box: it fits together.
         ahead = max(1, math.ceil(leads[p.name] / made.step_s))
-        fullest = [max(range(t, min(t + ahead + 1, len(times))), key=lambda n: (round(totals[n]), -n))
-                   for t in range(len(times))]
+        fullest = [
+            max(range(t, min(t + ahead + 1, len(times))), key=lambda n: (round(totals[n]), -n))
+            for t in range(len(times))
+        ]
         boxes = []
         for b, kbs in sorted(rooms.items()):
             kept, steps = None, []
@@ -379,19 +410,28 @@
     yield f"lengths of viewings: {plan.length}; steps of {plan.step_s:.1f} s"
     for name, rooms in plan.schedules.items():
         most = sum(max((kb for _, kb in room.steps), default=0.0) for room in rooms)
-        yield (f"{name}: room on {len(rooms)} boxes, {most:.0f} kB/s at the most, kept from {plan.leads[name]:.0f} s "
-               "ahead")
+        yield (
+            f"{name}: room on {len(rooms)} boxes, {most:.0f} kB/s at the most, kept from {plan.leads[name]:.0f} s ahead"
+        )
     for s in plan.short:
-        yield (f"{s.peak}: does not fit: {s.kb:.0f} kB/s ({s.viewings:.0f} viewings) find no room "
-               f"at {say_time(s.at_s)}")
+        yield (
+            f"{s.peak}: does not fit: {s.kb:.0f} kB/s ({s.viewings:.0f} viewings) find no room at {say_time(s.at_s)}"
+        )
         if s.holders:
-            yield "  copies that would help: " + ", ".join(f"{t} on box {b}" for t, b in s.holders[:12]) + (
-                f" and {len(s.holders) - 12} more" if len(s.holders) > 12 else "")
+            yield (
+                "  copies that would help: "
+                + ", ".join(f"{t} on box {b}" for t, b in s.holders[:12])
+                + (f" and {len(s.holders) - 12} more" if len(s.holders) > 12 else "")
+            )
         if s.boxes:
             yield f"  {s.still_kb:.0f} kB/s find none even then: {s.boxes} more boxes of the mean link would carry them"
     for w in plan.warm:
-        yield (f"box {w.box}: {'start it' if w.spare else 'cold; started'} by {say_time(w.by_s)}, at most "
-               f"{w.pace:g} set-ups a second while it warms")
+        yield (
+            f"box {w.box}: {'start it' if w.spare else 'cold; started'} by {say_time(w.by_s)}, at most "
+            f"{w.pace:g} set-ups a second while it warms"
+        )
     if plan.steps_down_s is not None:
-        yield (f"ordinary viewings get up to {plan.steps_down_kb:.0f} kB/s less than they ask "
-               f"from {say_time(plan.steps_down_s)}")
+        yield (
+            f"ordinary viewings get up to {plan.steps_down_kb:.0f} kB/s less than they ask "
+            f"from {say_time(plan.steps_down_s)}"
+        )
--- a/flaxscale/peaks/times.py
+++ b/flaxscale/peaks/times.py
@@ -1,4 +1,5 @@
 """Times of announcements as people write them: ISO 8601 (RFC 3339, section 5.6) with an offset, or a span from now."""
+
 import datetime
 import re
 
@@ -29,6 +30,7 @@
 
 class PeakRow(msgspec.Struct, forbid_unknown_fields=True):
     """An announcement in a file. start, end: times as read_time takes them, with an offset."""
+
     name: str
     start: str
     end: str
@@ -42,5 +44,16 @@
     lead_s: float = 15.0
 
     def announcement(self, now_s=0.0):
-        return Announcement(self.name, self.titles, read_time(self.start, now_s), read_time(self.end, now_s), self.rate,
-                            self.ramp_s, self.length_s, self.rung, self.sure, self.packages, self.lead_s)
+        return Announcement(
+            self.name,
+            self.titles,
+            read_time(self.start, now_s),
+            read_time(self.end, now_s),
+            self.rate,
+            self.ramp_s,
+            self.length_s,
+            self.rung,
+            self.sure,
+            self.packages,
+            self.lead_s,
+        )
--- a/flaxscale/platform/belief.py
+++ b/flaxscale/platform/belief.py
@@ -3,6 +3,7 @@
 Belief is read from the module and never written. Truth is what servers tell on the sockets (asked of their links) and
 what the shell itself sent and got (set-ups out, viewings that stand).
 """
+
 from .. import interface as face
 
 
@@ -35,15 +36,23 @@
             out += len(srv.viewings) - playing
             apart += abs(playing - (len(reaches[server].playing) if server in reaches else 0))
         sent = sum(line.call is not None for reach in reaches.values() for line in reach.lines) + sum(
-            len(reach.waiting) for reach in reaches.values())
+            len(reach.waiting) for reach in reaches.values()
+        )
         n = max(1, self.notes)
         rungs = [vw.rung for vw in manager.viewings.values() if vw.playing]
-        found = {"figures": self.notes, "use_told": round(self.told / n, 3),
-                 "rung": round(sum(rungs) / max(1, len(rungs)), 2),
-                 "use_off": round(self.off / n, 3), "use_bias": round(self.bias / n, 3),
-                 "use_worst": round(self.worst, 2), "viewings_apart": apart, "out_believed": out, "out_sent": sent,
-                 "shut": sum(manager.now < srv.shut_until for srv in manager.servers.values()),
-                 "rests": sum(manager.now < srv.rests_until for srv in manager.servers.values()),
-                 "cold": sum(manager.is_cold(srv) for srv in manager.servers.values())}
+        found = {
+            "figures": self.notes,
+            "use_told": round(self.told / n, 3),
+            "rung": round(sum(rungs) / max(1, len(rungs)), 2),
+            "use_off": round(self.off / n, 3),
+            "use_bias": round(self.bias / n, 3),
+            "use_worst": round(self.worst, 2),
+            "viewings_apart": apart,
+            "out_believed": out,
+            "out_sent": sent,
+            "shut": sum(manager.now < srv.shut_until for srv in manager.servers.values()),
+            "rests": sum(manager.now < srv.rests_until for srv in manager.servers.values()),
+            "cold": sum(manager.is_cold(srv) for srv in manager.servers.values()),
+        }
         self.begin()
         return found
--- a/flaxscale/platform/bulletin.py
+++ b/flaxscale/platform/bulletin.py
@@ -1,4 +1,5 @@
 """What the bulletin tells, line by line: numbered events in order, each once. No socket."""
+
 import msgspec
 
 from ..interface import Listed, ListKind, State
@@ -37,9 +38,10 @@
 
 class News(msgspec.Struct):
     """One event in our words."""
+
     kind: ListKind
     entries: tuple
-    addresses: dict         # server: (host, port)
+    addresses: dict  # server: (host, port)
 
 
 class Bulletin:
@@ -84,7 +86,8 @@
             # A zone or kind that the settings don't name: another zone than ours, and the first kind's places.
             zone = self.config.zones.index(row.zone) if row.zone in self.config.zones else len(self.config.zones)
             kind = self.config.kinds.index(row.kind) if row.kind in self.config.kinds else 0
-            entries.append(Listed(number, kind, row.cell, zone, row.weight, round(row.started_ms * 10),
-                                  STATES[row.state]))
+            entries.append(
+                Listed(number, kind, row.cell, zone, row.weight, round(row.started_ms * 10), STATES[row.state])
+            )
             addresses[number] = host, int(port)
         return News(ListKind.FULL if roster.full else ListKind.DELTA, tuple(entries), addresses)
--- a/flaxscale/platform/config.py
+++ b/flaxscale/platform/config.py
@@ -1,4 +1,5 @@
 """The configuration as the platform hands it: environment, one JSON file, and the settings in it."""
+
 import os
 import pathlib
 import re
@@ -11,7 +12,7 @@
 from ..site.settings import site_terms
 
 ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})\Z")
-FEWEST = 64             # descriptors that a manager can work with
+FEWEST = 64  # descriptors that a manager can work with
 
 
 class Limits(msgspec.Struct):
@@ -27,6 +28,7 @@
 
 class File(msgspec.Struct):
     """The file itself. Keys that we don't know are for others."""
+
     name: str
     listen: str
     seed: str
@@ -49,11 +51,11 @@
     peers: tuple
     peers_all: tuple | None
     terms: SiteTerms
-    packages: tuple         # names, in the order of the terms; so the others
+    packages: tuple  # names, in the order of the terms; so the others
     zones: tuple
     kinds: tuple
-    figures: tuple          # names in load reports, as the platform gives them
-    idle_close: int         # connections that idle are closed after this
+    figures: tuple  # names in load reports, as the platform gives them
+    idle_close: int  # connections that idle are closed after this
 
 
 def address(text, file, key):
@@ -90,11 +92,21 @@
     if not 0 <= terms.me < max(terms.peers, 1):
         raise SiteError(file, "settings: me", f"0 to {terms.peers - 1} expected")
     return Config(
-        raw.name, address(raw.listen, file, "listen"), address(raw.bulletin, file, "bulletin"), raw.known,
-        raw.limits.sockets, address(raw.peer_listen, file, "peer_listen") if talk else None,
+        raw.name,
+        address(raw.listen, file, "listen"),
+        address(raw.bulletin, file, "bulletin"),
+        raw.known,
+        raw.limits.sockets,
+        address(raw.peer_listen, file, "peer_listen") if talk else None,
         tuple(address(peer, file, f"peers.{n}") for n, peer in enumerate(raw.peers)) if talk else (),
         address(raw.peers_all, file, "peers_all") if talk and raw.peers_all else None,
-        terms, packages, zones, kinds, figures, idle)
+        terms,
+        packages,
+        zones,
+        kinds,
+        figures,
+        idle,
+    )
 
 
 def from_environment(env=os.environ):
--- a/flaxscale/platform/follow.py
+++ b/flaxscale/platform/follow.py
@@ -1,12 +1,13 @@
 """The bulletin's connection: one at a time, made anew when it breaks, falls silent or says what can't be read."""
+
 import asyncio
 
 from ..jsonl.lines import Lines
 from .bulletin import Unreadable
 
-SILENCE = 14_000            # numbers come each second
-WHOLE = 4 * 1024 * 1024     # a whole list may be long
-AGAIN, AGAIN_MOST = 500, 8_000      # pause after a connection that failed, doubled each time
+SILENCE = 14_000  # numbers come each second
+WHOLE = 4 * 1024 * 1024  # a whole list may be long
+AGAIN, AGAIN_MOST = 500, 8_000  # pause after a connection that failed, doubled each time
 DIAL = 0.5
 
 
@@ -83,7 +84,7 @@
         self.host.counts["bulletin lost"] += 1
         if self.fails:
             self.pause()
-        else:       # it had told something: at once, the first time
+        else:  # it had told something: at once, the first time
             self.fails, self.due = 1, self.host.now()
 
     def go_to(self, address):
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -3,6 +3,7 @@
 It decides nothing about viewings. A viewing is a record here from its set-up until the module forgets it: the names it
 has on the wire, the line it came on, and where a set-up of it is out or it plays.
 """
+
 import asyncio
 import resource
 from collections import Counter
@@ -22,17 +23,30 @@
 from .viewers import ViewerLine
 from .words import Words
 
-TEND = 0.1                  # seconds between two rounds of upkeep
-STATE_EVERY = 100           # rounds between two lines of state in the log
-SAID_MOST = 20              # log lines of one sort; further ones are counted
-RESERVE = 16                # descriptors for the listener, the bulletin, the peers, the log and the loop
-RELEASE_AGAIN, RELEASE_MOST = 1_500, 80_000     # a release that no viewer heard of goes again, for so long
-STAYS, STAYS_MOST = 9_000, 33_000               # after SIGTERM: at least while requests may come; at most
+TEND = 0.1  # seconds between two rounds of upkeep
+STATE_EVERY = 100  # rounds between two lines of state in the log
+SAID_MOST = 20  # log lines of one sort; further ones are counted
+RESERVE = 16  # descriptors for the listener, the bulletin, the peers, the log and the loop
+RELEASE_AGAIN, RELEASE_MOST = 1_500, 80_000  # a release that no viewer heard of goes again, for so long
+STAYS, STAYS_MOST = 9_000, 33_000  # after SIGTERM: at least while requests may come; at most
 
 
 class Viewing:
-    __slots__ = ("id", "call", "package", "key", "desc", "client", "line", "server", "nth", "rung", "expire_at",
-                 "sent_at", "answer")
+    __slots__ = (
+        "id",
+        "call",
+        "package",
+        "key",
+        "desc",
+        "client",
+        "line",
+        "server",
+        "nth",
+        "rung",
+        "expire_at",
+        "sent_at",
+        "answer",
+    )
 
     def __init__(self, setup, client):
         self.id, self.call, self.desc = setup.id, setup.call, setup.desc
@@ -46,7 +60,7 @@
         self.file, self.config, self.log_to, self.now = file, config, log, unix_clock()
         self.counts = Counter()
         self.viewings, self.reaches, self.viewer_lines = {}, {}, {}
-        self.releases = {}          # call: [cause, since, said at, the line that it goes on, lines that did not hear]
+        self.releases = {}  # call: [cause, since, said at, the line that it goes on, lines that did not hear]
         self.tasks, self.loop = set(), None
         self.over, self.leaving_since, self.rounds = False, None, 0
         self.alarm = None
@@ -68,8 +82,9 @@
             await self.words.start(self.config.peer_listen)
         self.follower = Follower(self, self.config.bulletin)
         self.follower.start()
-        self.listener = await self.loop.create_server(lambda: ViewerLine(self), *self.config.listen, backlog=1024,
-                                                      reuse_address=True)
+        self.listener = await self.loop.create_server(
+            lambda: ViewerLine(self), *self.config.listen, backlog=1024, reuse_address=True
+        )
         self.loop.call_later(TEND, self.tend)
 
     def leave(self):
@@ -158,11 +173,17 @@
         self.loop.call_later(TEND, self.tend)
 
     def figures(self):
-        return {"viewings": len(self.viewings), "waiting": self.unanswered(), "servers": len(self.reaches),
-                "viewer_lines": len(self.viewer_lines),
-                "server_lines": sum(len(r.lines) for r in self.reaches.values()),
-                "owed": sum(len(r.owed) for r in self.reaches.values()), "releases": len(self.releases),
-                "list": self.bulletin.last, "counts": dict(self.counts)}
+        return {
+            "viewings": len(self.viewings),
+            "waiting": self.unanswered(),
+            "servers": len(self.reaches),
+            "viewer_lines": len(self.viewer_lines),
+            "server_lines": sum(len(r.lines) for r in self.reaches.values()),
+            "owed": sum(len(r.owed) for r in self.reaches.values()),
+            "releases": len(self.releases),
+            "list": self.bulletin.last,
+            "counts": dict(self.counts),
+        }
 
     def unanswered(self):
         return sum(len(line.open) for line in self.viewer_lines)
@@ -213,8 +234,19 @@
         self.settle(vw)
 
     def asked(self, setup, left):
-        return Asked(setup.id, self.config.packages.index(setup.package), setup.title, setup.viewer, left, setup.top,
-                     setup.first_cell, setup.cells, 0, False, setup.again)
+        return Asked(
+            setup.id,
+            self.config.packages.index(setup.package),
+            setup.title,
+            setup.viewer,
+            left,
+            setup.top,
+            setup.first_cell,
+            setup.cells,
+            0,
+            False,
+            setup.again,
+        )
 
     def handed_over(self, line, setup):
         if setup.id in self.viewings:
@@ -264,8 +296,11 @@
         row = self.releases[call]
         if row[2] or row[3].closed:
             row[4].add(row[3])
-            row[3] = max((one for one in self.viewer_lines if one.good and not one.closed and one is not row[3]),
-                         default=row[3], key=lambda one: (one not in row[4], one.carried, one.heard_at))
+            row[3] = max(
+                (one for one in self.viewer_lines if one.good and not one.closed and one is not row[3]),
+                default=row[3],
+                key=lambda one: (one not in row[4], one.carried, one.heard_at),
+            )
         if not row[3].closed:
             row[2] = self.now()
             row[3].say(messages.line("end", call, why=row[0]))
@@ -294,13 +329,19 @@
         else:
             reach.playing.discard(vw.id)
             reach.release(vw.call, messages.NORMAL)
-        vw.answer = vw.desc = None      # nobody needs them again, and there are thousands
+        vw.answer = vw.desc = None  # nobody needs them again, and there are thousands
         self.settle(vw)
 
     def ended(self, vw, how, load=()):
         """A set-up that came to nothing."""
-        self.said(f"set-up {how.value}", call=vw.call, server=f"{vw.server.server:08x}", key=vw.key, nth=vw.nth,
-                  took=self.now() - vw.sent_at)
+        self.said(
+            f"set-up {how.value}",
+            call=vw.call,
+            server=f"{vw.server.server:08x}",
+            key=vw.key,
+            nth=vw.nth,
+            took=self.now() - vw.sent_at,
+        )
         self.runner.ended(vw.id, vw.nth, how, self.now() - vw.sent_at, load)
         self.settle(vw)
 
@@ -343,8 +384,12 @@
             address, reach = news.addresses[row.server], self.reaches.get(row.server)
             if reach is not None:
                 reach.told(row)
-            if row.state is State.GONE or reach is not None and reach.address == address and (
-                    not reach.gone or row.state is not State.READY):
+            if (
+                row.state is State.GONE
+                or reach is not None
+                and reach.address == address
+                and (not reach.gone or row.state is not State.READY)
+            ):
                 continue
             # Who serves now has the address; what is told later of one that had it before must not take it away.
             for other in self.reaches.values():
@@ -417,4 +462,3 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < min(config.sockets, hard):
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(config.sockets, hard), hard))
-
