--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -1,4 +1,5 @@
 """The catalogue without sockets: change sets, durability at every byte, and any delivery ending in one state."""
+
 import pathlib
 import tempfile
 import unittest
@@ -51,15 +52,37 @@
         c = catalogue()
         before = dict(c.titles)
         with self.assertRaises(Refused) as caught:
-            c.apply([put("new"), put("bad", "none"), Hold("a", 1, "odd"), Hold("zz", 1, HOLDING), put("c", boxes=()),
-                     Rungs("b", 0, 0), Seats("a", "clip", 3), Put("d"), put("e", low=4, top=2),
-                     put("f", "live", seats={"live": 0}), put("x" * 201), Hold("b", 9, "gone")])
+            c.apply(
+                [
+                    put("new"),
+                    put("bad", "none"),
+                    Hold("a", 1, "odd"),
+                    Hold("zz", 1, HOLDING),
+                    put("c", boxes=()),
+                    Rungs("b", 0, 0),
+                    Seats("a", "clip", 3),
+                    Put("d"),
+                    put("e", low=4, top=2),
+                    put("f", "live", seats={"live": 0}),
+                    put("x" * 201),
+                    Hold("b", 9, "gone"),
+                ]
+            )
         said = [str(f) for f in caught.exception.faults]
-        for n, detail in ((1, "the package 'none' is none of clip, live"), (2, "'odd' is no state"),
-                          (3, "no such title"), (4, "no holder"), (5, "no rendition at the floor of live: rung 1"),
-                          (6, "seats in 'clip', which has none"), (7, "a package to view or to push"),
-                          (7, "no holder"), (8, "rungs 4 to 2"), (9, "0 seats in live"), (10, "a name of 1 to 200"),
-                          (11, "box 9 is no holder")):
+        for n, detail in (
+            (1, "the package 'none' is none of clip, live"),
+            (2, "'odd' is no state"),
+            (3, "no such title"),
+            (4, "no holder"),
+            (5, "no rendition at the floor of live: rung 1"),
+            (6, "seats in 'clip', which has none"),
+            (7, "a package to view or to push"),
+            (7, "no holder"),
+            (8, "rungs 4 to 2"),
+            (9, "0 seats in live"),
+            (10, "a name of 1 to 200"),
+            (11, "box 9 is no holder"),
+        ):
             self.assertTrue(any(s.startswith(f"operation {n},") and detail in s for s in said), (n, detail, said))
         self.assertEqual((1, before), (c.version, c.titles))
 
@@ -93,8 +116,14 @@
         self.assertEqual([], ops_to(c.titles, [put_of(t) for t in c.titles.values()]))
 
     def test_hostile_operations(self):
-        for text in (b'[{"type":"put","name":"a","spare":1}]', b'[{"type":"hold","name":"a","box":"1","state":"x"}]',
-                     b'[{"type":"odd"}]', b"[" * 5000, b'[{"type":"put","name":3}]', b'{"type":"drop","name":"a"}'):
+        for text in (
+            b'[{"type":"put","name":"a","spare":1}]',
+            b'[{"type":"hold","name":"a","box":"1","state":"x"}]',
+            b'[{"type":"odd"}]',
+            b"[" * 5000,
+            b'[{"type":"put","name":3}]',
+            b'{"type":"drop","name":"a"}',
+        ):
             with self.assertRaises((msgspec.ValidationError, msgspec.DecodeError, RecursionError)):
                 msgspec.json.decode(text, type=list[Op])
         with self.assertRaisesRegex(Refused, "200000 at most"):
@@ -103,8 +132,10 @@
     def test_files(self):
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / "c.jsonnet"
-            file.write_text("{ titles: { a: { view: 'clip', holders: [1, 2] }, "
-                            "b: { view: 'live', holders: { '2': 'holding', '3': 'leaving' }, seats: { live: 4 } } } }")
+            file.write_text(
+                "{ titles: { a: { view: 'clip', holders: [1, 2] }, "
+                "b: { view: 'live', holders: { '2': 'holding', '3': 'leaving' }, seats: { live: 4 } } } }"
+            )
             c = Catalogue(FRAME)
             c.apply(read_catalogue(file))
             self.assertEqual(((2, HOLDING), (3, LEAVING)), c.titles["b"].holders)
@@ -134,8 +165,7 @@
             if n % 2:
                 keeper.settle()
                 acked.append((keeper.settled, dict(keeper.now.titles)))
-        keeper.log.snapshot(encode_whole(
-            keeper.now.version, keeper.now.titles))
+        keeper.log.snapshot(encode_whole(keeper.now.version, keeper.now.titles))
 
     def test_killed_at_every_byte_of_a_change(self):
         wanted = [{}]
@@ -152,14 +182,14 @@
             for disk in files.survivors():
                 found = Keeper(FaultyFiles(disk), FRAME).now
                 self.assertGreaterEqual(found.version, acked[-1][0] if acked else 0)
-                self.assertEqual(wanted[found.version], found.titles)      # whole versions, or none of one
+                self.assertEqual(wanted[found.version], found.titles)  # whole versions, or none of one
 
     def test_history_rollback_and_what_is_too_long_ago(self):
         keeper = Keeper(FaultyFiles(), FRAME)
         for n in range(5):
             keeper.stage(ops_of(n), who="o", why=f"w{n}")
         self.assertIsNone(keeper.since(9))
-        self.assertEqual([], keeper.since(0))           # nothing is settled yet, so nothing may be told
+        self.assertEqual([], keeper.since(0))  # nothing is settled yet, so nothing may be told
         keeper.settle()
         self.assertEqual([1, 2, 3, 4, 5], [d.version for d in keeper.since(0)])
         three = keeper.titles_at(3)
@@ -210,7 +240,7 @@
                 keeper.settle()
         self.pump(watcher, follower, keeper)
         self.assertEqual((10_001, keeper.now.titles), (follower.version, follower.titles))
-        keeper.history.clear()                          # what it was away for is known no more: the whole
+        keeper.history.clear()  # what it was away for is known no more: the whole
         keeper.stage([put("last")])
         keeper.settle()
         late, other = Watcher("n", "manager", "e", 5, "e"), Follower()
@@ -221,6 +251,7 @@
         def check(titles):
             if any(t and t.name == "odd" for t in titles.values()):
                 raise ValueError("I know no such title")
+
         keeper, watcher, follower = Keeper(FaultyFiles(), FRAME), Watcher("m", "m", None, None, "e"), Follower(check)
         keeper.stage([put("good")])
         keeper.settle()
@@ -231,7 +262,7 @@
             self.pump(watcher, follower, keeper)
         watcher.nack(2, "I know no such title")
         self.assertEqual((1, {"good"}), (follower.version, set(follower.titles)))
-        self.assertIsNone(watcher.next(keeper))         # not again until something else comes
+        self.assertIsNone(watcher.next(keeper))  # not again until something else comes
         keeper.stage([Drop("odd"), put("more")])
         keeper.settle()
         self.pump(watcher, follower, keeper)
@@ -248,9 +279,12 @@
         self.assertEqual(64, sent)
 
     @settings(max_examples=200, deadline=None)
-    @given(st.lists(st.integers(0, 6), min_size=1, max_size=14),
-           st.lists(st.tuples(st.sampled_from(["delta", "whole", "cut whole", "other epoch"]), st.integers(0, 20)),
-                    max_size=30))
+    @given(
+        st.lists(st.integers(0, 6), min_size=1, max_size=14),
+        st.lists(
+            st.tuples(st.sampled_from(["delta", "whole", "cut whole", "other epoch"]), st.integers(0, 20)), max_size=30
+        ),
+    )
     def test_any_order_of_deltas_drops_and_wholes_ends_in_the_same_state(self, changes, deliveries):
         c, states, deltas = Catalogue(FRAME), [{}], []
         for n, kind in enumerate(changes):
@@ -264,6 +298,7 @@
             f.whole(epoch, Whole(version, tuple(rows[:2]), True, False))
             if not cut:
                 f.whole(epoch, Whole(version, tuple(rows[2:]), False, True))
+
         for what, n in deliveries:
             n = n % len(deltas)
             try:
--- a/tests/test_catalogue_programs.py
+++ b/tests/test_catalogue_programs.py
@@ -1,4 +1,5 @@
 """The operators' commands against a service of its own process, killed and started again."""
+
 import json
 import pathlib
 import subprocess
@@ -22,15 +23,33 @@
 
     def serve(self):
         self.child = subprocess.Popen(
-            [sys.executable, "-m", "flaxscale", "catalogue", "serve", "examples/boats.jsonnet", "--store",
-             self.folder.name + "/store", "--port", "0", "--ready"], cwd=ROOT, stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL)
+            [
+                sys.executable,
+                "-m",
+                "flaxscale",
+                "catalogue",
+                "serve",
+                "examples/boats.jsonnet",
+                "--store",
+                self.folder.name + "/store",
+                "--port",
+                "0",
+                "--ready",
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
         self.ready = json.loads(self.child.stdout.readline())
 
     def say(self, *args, status=0):
-        done = subprocess.run([sys.executable, "-m", "flaxscale", "catalogue", *args, "--at",
-                               "127.0.0.1:%d" % self.ready["port"]], cwd=ROOT, capture_output=True, text=True,
-                              timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "flaxscale", "catalogue", *args, "--at", "127.0.0.1:%d" % self.ready["port"]],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         self.assertEqual(status, done.returncode, done.stdout + done.stderr)
         return done.stdout + done.stderr
 
@@ -39,11 +58,17 @@
         self.assertIn("nothing differs", self.say("put", "examples/catalogue.jsonnet"))
         self.assertIn("would change 3 titles", self.say("edit", "examples/change.jsonnet", "--dry"))
         self.say("edit", "examples/change.jsonnet", "--expect", "1", "--why", "more room for clip-1")
-        self.assertIn("made for version 1, the catalogue is at 2",
-                      self.say("edit", "examples/change.jsonnet", "--expect", "1", status=4))
+        self.assertIn(
+            "made for version 1, the catalogue is at 2",
+            self.say("edit", "examples/change.jsonnet", "--expect", "1", status=4),
+        )
         diff = self.say("diff", "1")
-        for line in ("clip-1: box 6 gone -> holding", "clip-1: box 2 holding -> leaving", "tour-1: top 4 -> 3",
-                     "lock-cam: seats (('dock-live', 8),) -> (('dock-live', 10),)"):
+        for line in (
+            "clip-1: box 6 gone -> holding",
+            "clip-1: box 2 holding -> leaving",
+            "tour-1: top 4 -> 3",
+            "lock-cam: seats (('dock-live', 8),) -> (('dock-live', 10),)",
+        ):
             self.assertIn(line, diff)
         self.assertIn("more room for clip-1", self.say("log"))
         self.assertIn("box 6: holding", self.say("holders", "clip-1"))
@@ -62,10 +87,12 @@
 
     def test_what_is_refused_is_named(self):
         file = pathlib.Path(self.folder.name) / "x.jsonnet"
-        for text, status, said in (("{ titles: { a: { view: 'none', holders: [1] } } }", 4, "the package 'none'"),
-                                   ("{ titles: { a: { view: 3, holders: [1] } } }", 2, "titles.*.view"),
-                                   ("{ titel: 1 }", 2, "unknown field `titel`"),
-                                   ("{ titles: {} }", 0, "nothing differs")):
+        for text, status, said in (
+            ("{ titles: { a: { view: 'none', holders: [1] } } }", 4, "the package 'none'"),
+            ("{ titles: { a: { view: 3, holders: [1] } } }", 2, "titles.*.view"),
+            ("{ titel: 1 }", 2, "unknown field `titel`"),
+            ("{ titles: {} }", 0, "nothing differs"),
+        ):
             file.write_text(text)
             self.assertIn(said, self.say("put", str(file), status=status))
         self.assertIn("can't be read", self.say("edit", "none.jsonnet", status=2))
@@ -84,8 +111,23 @@
         data = bytearray(log.read_bytes())
         data[60] ^= 4
         log.write_bytes(data)
-        done = subprocess.run([sys.executable, "-m", "flaxscale", "catalogue", "serve", "examples/boats.jsonnet",
-                               "--store", self.folder.name + "/store", "--port", "0"], cwd=ROOT, capture_output=True,
-                              text=True, timeout=60)
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "flaxscale",
+                "catalogue",
+                "serve",
+                "examples/boats.jsonnet",
+                "--store",
+                self.folder.name + "/store",
+                "--port",
+                "0",
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         self.assertEqual(2, done.returncode)
         self.assertRegex(done.stderr, r"log-0+: byte 16: a record's")
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -1,4 +1,5 @@
 """The checker must be able to fail: for each rule a kept record of sockets in which that rule alone is broken."""
+
 import json
 import pathlib
 import shutil
@@ -24,8 +25,9 @@
 
     def test_the_last_line(self):
         self.assertEqual("rules kept: 6, broken: 0; requests 12, answered once 12", check(RECORDS / "kept").line())
-        self.assertEqual("rules kept: 5, broken: 1; requests 13, answered once 12",
-                         check(RECORDS / "rule-1-no-answer").line())
+        self.assertEqual(
+            "rules kept: 5, broken: 1; requests 13, answered once 12", check(RECORDS / "rule-1-no-answer").line()
+        )
 
     def changed(self, name, change):
         """The verdict on a record of that name after change(folder)."""
@@ -39,14 +41,16 @@
         def change(folder):
             with (folder / file).open("a") as out:
                 out.writelines(json.dumps(row) + "\n" for row in rows)
+
         return change
 
     def test_a_killed_manager_owes_nothing_a_running_one_does(self):
         kill = {"at": 1_100_000, "what": "kill", "manager": "m0"}
         self.assertEqual([], self.changed("rule-1-no-answer", self.add("lab.jsonl", kill)).breaks)
         for other in ({**kill, "manager": "m1"}, {**kill, "at": 1_300_000}):
-            self.assertEqual([1], [b.rule for b in self.changed("rule-1-no-answer", self.add("lab.jsonl",
-                                                                                             other)).breaks])
+            self.assertEqual(
+                [1], [b.rule for b in self.changed("rule-1-no-answer", self.add("lab.jsonl", other)).breaks]
+            )
 
     def test_a_manager_that_came_back_was_told_nothing_yet(self):
         kill = {"at": 1_085_000, "what": "kill", "manager": "m0"}
@@ -58,21 +62,56 @@
 
     def test_an_unsafe_set_up_under_a_key_whose_first_one_stands_elsewhere_breaks_rule_2(self):
         def change(folder, freed=()):
-            asked = [{"at": 1_300_000 + n, "what": "asked", "n": 900 + n, "key": "k", "manager": f"m{n}",
-                      "title": "only", "sends": True, "trace": f"t{n}", "patience": 12_000} for n in (0, 1)]
-            seen = [{"at": 1_300_300 + n, "what": "seen", "n": 900 + n, "manager": f"m{n}", "fate": "plays",
-                     "status": 201, "after": 300} for n in (0, 1)]
+            asked = [
+                {
+                    "at": 1_300_000 + n,
+                    "what": "asked",
+                    "n": 900 + n,
+                    "key": "k",
+                    "manager": f"m{n}",
+                    "title": "only",
+                    "sends": True,
+                    "trace": f"t{n}",
+                    "patience": 12_000,
+                }
+                for n in (0, 1)
+            ]
+            seen = [
+                {
+                    "at": 1_300_300 + n,
+                    "what": "seen",
+                    "n": 900 + n,
+                    "manager": f"m{n}",
+                    "fate": "plays",
+                    "status": 201,
+                    "after": 300,
+                }
+                for n in (0, 1)
+            ]
             self.add("clients.jsonl", *asked, *seen)(folder)
             rows = []
             for n, at in ((0, 1_300_100), (1, 1_302_000)):
-                rows += [{"at": at, "what": "setup", "key": f"m{n}.k.{n}", "trace": f"t{n}", "manager": f"m{n}",
-                          "title": "only", "package": self.unsafe(folder), "rung": 0, "sends": True},
-                         {"at": at + 10, "what": "answer", "key": f"m{n}.k.{n}", "status": 201, "ran": True}]
+                rows += [
+                    {
+                        "at": at,
+                        "what": "setup",
+                        "key": f"m{n}.k.{n}",
+                        "trace": f"t{n}",
+                        "manager": f"m{n}",
+                        "title": "only",
+                        "package": self.unsafe(folder),
+                        "rung": 0,
+                        "sends": True,
+                    },
+                    {"at": at + 10, "what": "answer", "key": f"m{n}.k.{n}", "status": 201, "ran": True},
+                ]
             self.add("box-1-1.jsonl", *rows, *freed)(folder)
+
         self.assertEqual([2], [b.rule for b in self.changed("kept", change).breaks if "client's key" in b.detail])
         over = {"at": 1_300_500, "what": "over", "key": "m0.k.0", "how": "left"}
-        self.assertEqual([], [b for b in self.changed("kept", lambda f: change(f, [over])).breaks
-                              if "client's key" in b.detail])
+        self.assertEqual(
+            [], [b for b in self.changed("kept", lambda f: change(f, [over])).breaks if "client's key" in b.detail]
+        )
 
     def unkept(self, rows, lab=(), clients=(), media_ms=4_000):
         """Promises not kept on the kept record, with these rows at box 1."""
@@ -84,55 +123,129 @@
             (copy / "day.json").write_text(json.dumps(day))
             ended = [json.loads(line) for line in (copy / "lab.jsonl").read_text().splitlines()]
             (copy / "lab.jsonl").write_text("")
-            self.add("lab.jsonl", *sorted([*(r for r in ended if r["what"] != "end"), *lab, {
-                "at": 1_400_000, "what": "end"}], key=lambda r: r["at"]))(copy)
+            self.add(
+                "lab.jsonl",
+                *sorted(
+                    [*(r for r in ended if r["what"] != "end"), *lab, {"at": 1_400_000, "what": "end"}],
+                    key=lambda r: r["at"],
+                ),
+            )(copy)
             self.add("box-1-1.jsonl", *rows)(copy)
             self.add("clients.jsonl", *clients)(copy)
             return [(b.rule, b.detail) for b in promises(copy)]
 
     def test_a_set_up_that_stands_for_nobody_too_long_is_an_orphan(self):
         # Its client gave up at 1,200,000; it may stand for 4 s of media and 5 s more: until 1,290,000.
-        clients = [{"at": 1_170_000, "what": "asked", "n": 800, "key": None, "manager": "m0", "title": "one",
-                    "sends": False, "trace": "t800", "patience": 30_000},
-                   {"at": 1_200_000, "what": "seen", "n": 800, "manager": "m0", "fate": "gave_up", "status": 0,
-                    "after": 30_000}]
-        set_up = [{"at": 1_171_000, "what": what, "key": "m0.800.0", "trace": "t800", "manager": "m0", "title": "one",
-                   "package": "clip", "rung": 1, "sends": False} for what in ("setup", "begun")]
+        clients = [
+            {
+                "at": 1_170_000,
+                "what": "asked",
+                "n": 800,
+                "key": None,
+                "manager": "m0",
+                "title": "one",
+                "sends": False,
+                "trace": "t800",
+                "patience": 30_000,
+            },
+            {
+                "at": 1_200_000,
+                "what": "seen",
+                "n": 800,
+                "manager": "m0",
+                "fate": "gave_up",
+                "status": 0,
+                "after": 30_000,
+            },
+        ]
+        set_up = [
+            {
+                "at": 1_171_000,
+                "what": what,
+                "key": "m0.800.0",
+                "trace": "t800",
+                "manager": "m0",
+                "title": "one",
+                "package": "clip",
+                "rung": 1,
+                "sends": False,
+            }
+            for what in ("setup", "begun")
+        ]
 
         def over(at):
             return {"at": at, "what": "over", "key": "m0.800.0", "how": "lease"}
+
         self.assertEqual([], self.unkept([*set_up, over(1_290_000)], clients=clients))
         for rows in (set_up, [*set_up, over(1_292_000)]):
             [(rule, detail)] = self.unkept(rows, clients=clients)
             self.assertEqual(8, rule)
             self.assertIn("m0.800.0 at box 1 stood for nobody", detail)
-        self.assertEqual([], self.unkept(set_up[:1], clients=clients))              # it never began
+        self.assertEqual([], self.unkept(set_up[:1], clients=clients))  # it never began
         # Where its box hung for two seconds nobody could end it.
-        hung = [{"at": 1_210_000 + 20_000 * n, "what": "trouble", "box": 1, "name": "hang", "value": 1 - n}
-                for n in (0, 1)]
+        hung = [
+            {"at": 1_210_000 + 20_000 * n, "what": "trouble", "box": 1, "name": "hang", "value": 1 - n} for n in (0, 1)
+        ]
         self.assertEqual([], self.unkept([*set_up, *hung, over(1_309_000)], clients=clients))
         self.assertEqual([8], [rule for rule, _ in self.unkept([*set_up, *hung, over(1_312_000)], clients=clients)])
         # A try under the same key that is still waiting may join it yet.
-        again = [{**clients[0], "key": "k"}, clients[1], {**clients[0], "at": 1_250_000, "n": 801, "key": "k",
-                                                        "trace": "t801"}]
+        again = [
+            {**clients[0], "key": "k"},
+            clients[1],
+            {**clients[0], "at": 1_250_000, "n": 801, "key": "k", "trace": "t801"},
+        ]
         self.assertEqual([], self.unkept(set_up, clients=again))
 
     def test_what_plays_is_no_orphan_until_its_player_stops(self):
-        clients = [{"at": 1_170_000, "what": "asked", "n": 800, "key": "k", "manager": "m0", "title": "one",
-                    "sends": False, "trace": "t800", "patience": 30_000},
-                   {"at": 1_171_500, "what": "seen", "n": 800, "manager": "m0", "fate": "plays", "status": 201,
-                    "after": 1_500, "ufrag": "u1"}]
-        rows = [{"at": 1_171_000, "what": what, "key": "m0.800.0", "trace": "t800", "manager": "m0", "title": "one",
-                 "package": "clip", "rung": 1, "sends": False, "status": 201, "ran": True, "ufrag": "u1"}
-                for what in ("setup", "begun", "answer")]
+        clients = [
+            {
+                "at": 1_170_000,
+                "what": "asked",
+                "n": 800,
+                "key": "k",
+                "manager": "m0",
+                "title": "one",
+                "sends": False,
+                "trace": "t800",
+                "patience": 30_000,
+            },
+            {
+                "at": 1_171_500,
+                "what": "seen",
+                "n": 800,
+                "manager": "m0",
+                "fate": "plays",
+                "status": 201,
+                "after": 1_500,
+                "ufrag": "u1",
+            },
+        ]
+        rows = [
+            {
+                "at": 1_171_000,
+                "what": what,
+                "key": "m0.800.0",
+                "trace": "t800",
+                "manager": "m0",
+                "title": "one",
+                "package": "clip",
+                "rung": 1,
+                "sends": False,
+                "status": 201,
+                "ran": True,
+                "ufrag": "u1",
+            }
+            for what in ("setup", "begun", "answer")
+        ]
         self.assertEqual([], self.unkept(rows, clients=clients))
         held = {"at": 1_250_000, "what": "held", "n": 800, "whole": True}
         self.assertEqual([8], [rule for rule, _ in self.unkept(rows, clients=[*clients, held])])
         # The same answer to somebody else, and one epoch granted twice.
         other = [{**clients[0], "n": 801, "key": "l", "trace": "t801"}, {**clients[1], "n": 801}]
         self.assertEqual([7], [rule for rule, _ in self.unkept(rows, clients=[*clients, *other])])
-        claims = [{"at": 1_180_000 + n, "what": "adopted", "key": "m0.800.0", "manager": f"m{n}", "epoch": 1}
-                  for n in (1, 2)]
+        claims = [
+            {"at": 1_180_000 + n, "what": "adopted", "key": "m0.800.0", "manager": f"m{n}", "epoch": 1} for n in (1, 2)
+        ]
         self.assertEqual([7], [rule for rule, _ in self.unkept([*rows, *claims], clients=clients)])
 
     @staticmethod
@@ -143,26 +256,33 @@
     def test_what_a_killed_manager_left_takes_its_seats_again_from_its_return(self):
         # Two seats; one plays on from the life before, unclaimed, and two newcomers come: three.
         lab = [{"at": 1_091_500, "what": "kill", "manager": "m0"}, {"at": 1_092_000, "what": "back", "manager": "m0"}]
-        self.assertEqual([5], [b.rule for b in self.changed("rule-5-over-the-seats",
-                                                            self.add("lab.jsonl", *lab)).breaks])
+        self.assertEqual(
+            [5], [b.rule for b in self.changed("rule-5-over-the-seats", self.add("lab.jsonl", *lab)).breaks]
+        )
         lease = {"at": 1_091_900, "what": "over", "key": "m0.50.0", "how": "lease"}
 
         def ended(folder):
             self.add("lab.jsonl", *lab)(folder)
             self.add("box-1-1.jsonl", lease)(folder)
+
         self.assertEqual([], self.changed("rule-5-over-the-seats", ended).breaks)
 
     def test_what_a_fault_between_both_hides_is_not_judged_by_when_the_box_saw_it(self):
         # Sent before the manager was told, read when the way was healed; unhidden it is a break.
-        late = [{"at": 1_080_000, "what": "fault", "n": 0, "kind": "cut", "ways": ["m0>b1", "m0>b2"]},
-                {"at": 1_099_000, "what": "heal", "n": 0, "ways": ["m0>b1", "m0>b2"]}]
+        late = [
+            {"at": 1_080_000, "what": "fault", "n": 0, "kind": "cut", "ways": ["m0>b1", "m0>b2"]},
+            {"at": 1_099_000, "what": "heal", "n": 0, "ways": ["m0>b1", "m0>b2"]},
+        ]
         for rule in ("rule-3-drain", "rule-2-two-out"):
             self.assertTrue(check(RECORDS / rule).breaks)
             self.assertEqual([], self.changed(rule, self.add("lab.jsonl", *late)).breaks, rule)
         early = [{**row, "at": row["at"] - 60_000} for row in late]
         self.assertEqual([3], [b.rule for b in self.changed("rule-3-drain", self.add("lab.jsonl", *early)).breaks])
-        stalled = [{"at": 1_080_000 + n, "what": what, "box": box} for box in (1, 2)
-                   for n, what in ((0, "box_stall"), (19_000, "box_go_on"))]
+        stalled = [
+            {"at": 1_080_000 + n, "what": what, "box": box}
+            for box in (1, 2)
+            for n, what in ((0, "box_stall"), (19_000, "box_go_on"))
+        ]
         self.assertEqual([], self.changed("rule-3-drain", self.add("lab.jsonl", *stalled)).breaks)
 
     def test_a_claim_is_judged_by_the_seats_of_its_time_not_of_the_set_up(self):
@@ -171,38 +291,63 @@
             box = (folder / "box-1-1.jsonl").read_text() + (folder / "box-2-1.jsonl").read_text()
             last = [json.loads(row) for row in box.splitlines() if '"m0.51.0"' in row][0]
             for file in folder.glob("box-*.jsonl"):
-                file.write_text(file.read_text().replace(
-                    json.dumps(last), json.dumps({**last, "manager": "m1"})))
-            told = [{"at": 1_093_000, "what": "version", "version": 3, "titles": {"cam": {
-                "holders": {"1": "holding", "2": "holding"}, "seats": {"cam": seats}, "low": 0, "top": 4}}}]
-            told += [{"at": 1_093_100 + n, "what": what, "watcher": m, "version": 3} for m in ("m0", "m1")
-                     for n, what in enumerate(("told", "ack"))]
+                file.write_text(file.read_text().replace(json.dumps(last), json.dumps({**last, "manager": "m1"})))
+            told = [
+                {
+                    "at": 1_093_000,
+                    "what": "version",
+                    "version": 3,
+                    "titles": {
+                        "cam": {
+                            "holders": {"1": "holding", "2": "holding"},
+                            "seats": {"cam": seats},
+                            "low": 0,
+                            "top": 4,
+                        }
+                    },
+                }
+            ]
+            told += [
+                {"at": 1_093_100 + n, "what": what, "watcher": m, "version": 3}
+                for m in ("m0", "m1")
+                for n, what in enumerate(("told", "ack"))
+            ]
             told += [{"at": 1_070_000, "what": what, "watcher": "m1", "version": 2} for what in ("told", "ack")]
             self.add("catalogue.jsonl", *sorted(told, key=lambda row: row["at"]))(folder)
             file = next(f.name for f in folder.glob("box-*.jsonl") if '"m0.51.0"' in f.read_text())
             self.add(file, {"at": 1_098_000, "what": "adopted", "key": "m0.51.0", "manager": "m0", "epoch": 1})(folder)
+
         for seats, broken in ((2, []), (1, [5])):
             self.assertEqual(broken, [b.rule for b in self.changed("rule-5-over-the-titles-own-seats", change).breaks])
 
     def test_further_tune_ins_are_counted_from_a_managers_start(self):
         kills = [{"at": at, "what": "kill", "manager": "m0"} for at in (1_092_000, 1_095_500)]
-        self.assertEqual([6], [b.rule for b in self.changed("rule-6-over-the-budget", self.add("lab.jsonl",
-                                                                                               kills[1])).breaks])
+        self.assertEqual(
+            [6], [b.rule for b in self.changed("rule-6-over-the-budget", self.add("lab.jsonl", kills[1])).breaks]
+        )
         self.assertEqual([], self.changed("rule-6-over-the-budget", self.add("lab.jsonl", *kills)).breaks)
 
     def test_records_that_cannot_be_read_are_named(self):
         def torn(folder):
             with (folder / "clients.jsonl").open("a") as out:
-                out.write('{"at": 1, "wh')              # a killed process's last line: passed over
+                out.write('{"at": 1, "wh')  # a killed process's last line: passed over
+
         self.assertEqual([], self.changed("kept", torn).breaks)
 
         def broken(folder):
             rows = (folder / "clients.jsonl").read_text().splitlines(True)
             (folder / "clients.jsonl").write_text(rows[0] + "{oops\n" + "".join(rows[1:]))
+
         with self.assertRaisesRegex(RecordError, r"clients.jsonl: line 2"):
             self.changed("kept", broken)
         with self.assertRaisesRegex(RecordError, "day.json"):
             self.changed("kept", lambda folder: (folder / "day.json").unlink())
         with self.assertRaisesRegex(RecordError, "seen twice"):
-            self.changed("kept", self.add("clients.jsonl", *(
-                {"at": 5, "what": "seen", "n": 1, "manager": "m0", "fate": "plays", "status": 201, "after": 3},) * 2))
+            self.changed(
+                "kept",
+                self.add(
+                    "clients.jsonl",
+                    *({"at": 5, "what": "seen", "n": 1, "manager": "m0", "fate": "plays", "status": 201, "after": 3},)
+                    * 2,
+                ),
+            )
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,4 +1,5 @@
 """Traces of decisions: the ordinary path, each rule, each kind of symptom. Read them in traces/."""
+
 from flaxscale import interface as face
 from flaxscale.interface import How, Left, ListKind, Note, NoteKind, PeerSays, State
 from tests.drive import Drive, S, pack, site
@@ -40,7 +41,6 @@
         self.at(3 * S, self.link(1, 1, 0.7), say="just stepped: no more for now")
         self.compare()
 
-
     def test_uplink_room_is_given_out_over_all_its_servers(self):
         self.start(pack(), uplink_kb=1500.0)
         for id, server in ((1, 1), (2, 1), (3, 2), (4, 3)):
@@ -130,8 +130,9 @@
         gone = self.list(26, kind=ListKind.DELTA, state=State.GONE)
         self.at(0, gone._replace(entries=(gone.entries[0]._replace(cell=77),)), self.list(26, kind=ListKind.DELTA))
         rack = self.manager.racks[0]
-        self.lines.append(f"held {sorted(self.manager.servers)}, links of the rack {len(rack.links)}, "
-                          f"its use {rack.use():.2f}")
+        self.lines.append(
+            f"held {sorted(self.manager.servers)}, links of the rack {len(rack.links)}, its use {rack.use():.2f}"
+        )
         self.compare()
 
     def test_what_servers_that_serve_refuse_alike_is_its_own_fault(self):
@@ -146,8 +147,9 @@
             server = self.manager.viewings[20].server.row.server
             self.at(10, self.ended(20, server, How.ERROR, nth=nth))
         for server, srv in sorted(self.manager.servers.items()):
-            self.lines.append(f"{server}: ills {srv.ills}, shut {srv.shut_until > self.now}, cold "
-                              f"{self.manager.is_cold(srv)}")
+            self.lines.append(
+                f"{server}: ills {srv.ills}, shut {srv.shut_until > self.now}, cold {self.manager.is_cold(srv)}"
+            )
         self.at(6 * S, self.ask(21), say="none of them served within 5 s: each error counts against its server")
         self.at(500)
         for nth in range(2):
@@ -175,6 +177,7 @@
             self.lines.append(f"{say}: turn {turn % 3} of 3, {'taken' if may else 'not ours'}")
             srv.turn = turn if may else srv.turn
             return turn
+
         while self.manager.pace_turn(srv) % 3:
             self.at(S // 20)
         first = takes("cold for all that its list can't tell")
@@ -245,8 +248,12 @@
             self.start(pack(top=1), racks=2, peers=3, uplink_kb=6000.0)
             self.at(0, *self.handed(1, 1), *self.handed(2, 2), *other)
             short = Note(1, 0, 1, NoteKind.DELIVERED, 0.55)
-            self.at(4 * S, short, say=f"servers 1 and 3 share an uplink; 1 delivers 0.55, its link tells {link}, "
-                                      f"3 has {len(other) // 2} of ours and delivers all")
+            self.at(
+                4 * S,
+                short,
+                say=f"servers 1 and 3 share an uplink; 1 delivers 0.55, its link tells {link}, "
+                f"3 has {len(other) // 2} of ours and delivers all",
+            )
             self.at(S, short, self.link(2, 2, 0.8))
             self.at(S, short, self.link(1, 1, link))
             self.at(S, short, self.ask(3), self.ask(4))
@@ -408,8 +415,9 @@
         self.plays(1, rung=2)
         self.at(0, self.ask(2, cells=1))
         self.at(2_000, self.ended(2, 1, How.ERROR), say="a further tune-in is spent; its pause runs")
-        new = site((pack(top=1, effect="unsafe"), pack(value=2.0)), probes=True, weighed=False,
-                   further=(1, 0.0, 10 * S))
+        new = site(
+            (pack(top=1, effect="unsafe"), pack(value=2.0)), probes=True, weighed=False, further=(1, 0.0, 10 * S)
+        )
         self.at(0, face.Changed(new), say="new terms: rung 2 is gone, one further tune-in, probes")
         self.at(0, self.ask(3, package=1))
         self.at(100, self.looked(1, 0.2), self.looked(2, 0.3))
@@ -417,8 +425,10 @@
         self.at(0, face.Changed(old), say="the way back")
         self.at(0, self.ask(4))
         self.at(S)
-        self.lines.append(f"further tune-ins counted: {sum(self.manager.further.since(0))}, "
-                          f"asked of links: {[srv.link.own for srv in self.manager.servers.values()]}, "
-                          f"of the rack: {[round(m.own, 3) for m in self.manager.racks.values()]}, "
-                          f"others' streams: {[srv.others for srv in self.manager.servers.values()]}")
+        self.lines.append(
+            f"further tune-ins counted: {sum(self.manager.further.since(0))}, "
+            f"asked of links: {[srv.link.own for srv in self.manager.servers.values()]}, "
+            f"of the rack: {[round(m.own, 3) for m in self.manager.racks.values()]}, "
+            f"others' streams: {[srv.others for srv in self.manager.servers.values()]}"
+        )
         self.compare()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,5 @@
 """What the platform asks of `run` in deploy/balancer.toml, seen on the process that it starts."""
+
 import asyncio
 import ctypes
 import errno
@@ -13,10 +14,15 @@
 from tests.rig import LIMIT
 
 ROOT = pathlib.Path(__file__).parents[1]
-BUSY = 0.35             # of a core, at most, while next to nothing is to do; a thread that spins takes all of it
+BUSY = 0.35  # of a core, at most, while next to nothing is to do; a thread that spins takes all of it
 # On the scored days these fail with ENOSYS, splice with EINVAL: numbers of x86-64 (asm/unistd_64.h).
-REFUSED = {"fork": (57, errno.ENOSYS), "vfork": (58, errno.ENOSYS), "io_uring_setup": (425, errno.ENOSYS),
-           "sendfile": (40, errno.ENOSYS), "splice": (275, errno.EINVAL)}
+REFUSED = {
+    "fork": (57, errno.ENOSYS),
+    "vfork": (58, errno.ENOSYS),
+    "io_uring_setup": (425, errno.ENOSYS),
+    "sendfile": (40, errno.ENOSYS),
+    "splice": (275, errno.EINVAL),
+}
 
 
 def refuse_calls():
@@ -29,7 +35,7 @@
     text = ctypes.create_string_buffer(code)
     program = ctypes.create_string_buffer(struct.pack("HP", len(code) // 8, ctypes.addressof(text)))
     libc = ctypes.CDLL(None, use_errno=True)
-    if libc.prctl(38, 1, 0, 0, 0) or libc.prctl(22, 2, program, 0, 0):      # no new privileges; filter
+    if libc.prctl(38, 1, 0, 0, 0) or libc.prctl(22, 2, program, 0, 0):  # no new privileges; filter
         os._exit(99)
 
 
@@ -41,18 +47,35 @@
         first = self.event(self.row(1), full=True)
         port, peer = self.free_ports()
         settings = {**SETTINGS, "caps": {**SETTINGS["caps"], "peers": True}}
-        self.write(settings, listen=f"127.0.0.1:{port}", known={"no": 1, "items": [first]},
-                   peer_listen=f"127.0.0.1:{peer}", peers=[f"127.0.0.1:{peer}"], peers_all=f"127.0.0.1:{peer}")
+        self.write(
+            settings,
+            listen=f"127.0.0.1:{port}",
+            known={"no": 1, "items": [first]},
+            peer_listen=f"127.0.0.1:{peer}",
+            peers=[f"127.0.0.1:{peer}"],
+            peers_all=f"127.0.0.1:{peer}",
+        )
         self.address = "127.0.0.1", port
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.assertIn(".venv/bin/python", command)
         tmp = pathlib.Path(self.folder.name, "tmp")
         tmp.mkdir()
         self.child = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable), cwd=ROOT, env={
-                **os.environ, "BALANCER_CONFIG": str(self.file), "BALANCER_NAME": "n0", "TMPDIR": str(tmp),
-                "BALANCER_LISTEN": f"127.0.0.1:{port}"}, stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT, preexec_fn=refuse_calls if os.uname().machine == "x86_64" else None)
+            "/bin/sh",
+            "-c",
+            command.replace(".venv/bin/python", sys.executable),
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "BALANCER_CONFIG": str(self.file),
+                "BALANCER_NAME": "n0",
+                "TMPDIR": str(tmp),
+                "BALANCER_LISTEN": f"127.0.0.1:{port}",
+            },
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            preexec_fn=refuse_calls if os.uname().machine == "x86_64" else None,
+        )
         self.addCleanup(lambda: self.child.returncode is None and self.child.kill())
         said = []
         while not any(b'"serves"' in text for text in said):
@@ -81,7 +104,7 @@
             try:
                 found.append(os.readlink(fd))
             except OSError:
-                pass            # closed since it was listed
+                pass  # closed since it was listed
         return found
 
     def sockets(self, table):
@@ -99,8 +122,8 @@
         self.assertIn(b"platform", (self.proc / "cmdline").read_bytes().split(b"\0"))
         children = [task.joinpath("children").read_text() for task in (self.proc / "task").iterdir()]
         self.assertEqual([""] * len(children), children)
-        self.assertRegex((self.proc / "maps").read_text(), r"/(libc[.-]|ld-)\S*so")     # linked dynamically
-        if os.uname().machine == "x86_64":          # the filter holds: the loop would have made one
+        self.assertRegex((self.proc / "maps").read_text(), r"/(libc[.-]|ld-)\S*so")  # linked dynamically
+        if os.uname().machine == "x86_64":  # the filter holds: the loop would have made one
             self.assertEqual([], [text for text in self.held() if "io_uring" in text])
         # One TCP listener, its own, and one UDP socket, the peers'; no IPv6; nothing written to files.
         self.assertEqual([self.address[1]], [port for port, state in self.sockets("tcp") if state == "0A"])
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,4 +1,5 @@
 """Duties under leases, by processes with faults between them: who is acted on judges, by its own records."""
+
 import asyncio
 import json
 import pathlib
@@ -19,8 +20,12 @@
 
 class Holding(InHand):
     """A fleet with duties, and what its records say of them."""
-    example, more = "duties-day.jsonnet", """, duties: {
-        compact: { period_s: 0.3, span_s: 1.5, step_s: 0.2 }, reports: { period_s: 0.3, span_s: 1.5, step_s: 0.2 } }"""
+
+    example, more = (
+        "duties-day.jsonnet",
+        """, duties: {
+        compact: { period_s: 0.3, span_s: 1.5, step_s: 0.2 }, reports: { period_s: 0.3, span_s: 1.5, step_s: 0.2 } }""",
+    )
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -35,9 +40,11 @@
 
     async def holder(self, piece="compact", but=None):
         """(manager's number, owner) of whom did it last, once that is somebody else than `but`."""
+
         def last():
             done = [r["owner"] for r in self.acts() if r["piece"] == piece]
             return done[-1] if done and done[-1] != but else None
+
         owner = await self.heard(last)
         return int(owner.partition(".")[0][1:]), owner
 
@@ -68,14 +75,22 @@
             while "State:\tT" not in open(f"/proc/{child.pid}/status").read():
                 await self.get((m + 1) % 3)
         self.lab("stall", manager=f"m{m}")
-        stopped = (json.loads(line) for line in (self.out / f"front-{m}.log").read_text().splitlines()
-                   if line.startswith("{"))         # a slow loop is told between them in words
+        stopped = (
+            json.loads(line) for line in (self.out / f"front-{m}.log").read_text().splitlines() if line.startswith("{")
+        )  # a slow loop is told between them in words
         piece = [r["piece"] for r in stopped if r["event"] == "lease"][-1]
         owner = [r["owner"] for r in self.acts("granted") if r["piece"] == piece][-1]
         self.assertTrue(owner.startswith(f"m{m}."))
-        _, after = await self.holder(piece, but=owner)          # its span over, another acts
-        await self.heard(lambda: [r for r in self.acts() if r["piece"] == piece and r["owner"] not in (owner,) and (
-            r["token"] > max(g["token"] for g in self.acts("granted") if g["owner"] == owner))])
+        _, after = await self.holder(piece, but=owner)  # its span over, another acts
+        await self.heard(
+            lambda: [
+                r
+                for r in self.acts()
+                if r["piece"] == piece
+                and r["owner"] not in (owner,)
+                and (r["token"] > max(g["token"] for g in self.acts("granted") if g["owner"] == owner))
+            ]
+        )
         self.run_.fronts[m].signal(signal.SIGCONT)
         self.lab("go_on", manager=f"m{m}")
         await self.heard(lambda: [r for r in self.acts("refused") if r["owner"] == owner])
@@ -84,7 +99,7 @@
 
     async def test_cut_off_from_who_grants_killed_stopped_by_plan_and_released(self):
         m, owner = await self.holder()
-        cut = await self.cut((f"m{m}", "catalogue"))            # the other managers hear it, and know that it can't
+        cut = await self.cut((f"m{m}", "catalogue"))  # the other managers hear it, and know that it can't
         m2, owner2 = await self.holder(but=owner)
         self.heal(cut)
         self.assertNotEqual(m, m2)
@@ -105,8 +120,11 @@
         await self.run_.fronts[m4].stop(within=8.0)
         given = [r for r in self.acts("given") if r["owner"] == owner4 and r["piece"] == "compact"]
         _, owner5 = await self.holder(but=owner4)
-        first = min(r["at"] for r in self.acts() if r["owner"] == owner5 and r["piece"] == "compact" and (
-            r["at"] > given[-1]["at"]))
+        first = min(
+            r["at"]
+            for r in self.acts()
+            if r["owner"] == owner5 and r["piece"] == "compact" and (r["at"] > given[-1]["at"])
+        )
         self.assertLess(first - given[-1]["at"], 60_000)
         for command, shown in (("list", "compact: "), ("history", "compact granted"), ("why", "last done")):
             args = ["compact"] if command == "why" else []
@@ -119,7 +137,7 @@
         store, port = self.out / "catalogue", self.run_.catalogue.address[1]
         await self.holder()
         shutil.copytree(store, self.folder / "copy")
-        for n in range(3):                          # tokens that the copy knows nothing of
+        for n in range(3):  # tokens that the copy knows nothing of
             m, owner = await self.holder()
             front = self.at(m)[1]
             await self.kill(m)
@@ -135,7 +153,7 @@
         await self.run_.start_catalogue(port)
         await self.heard(lambda: len(self.acts()) > before)
         m, owner = await self.holder()
-        await self.kill(m)                          # and a new grant after it
+        await self.kill(m)  # and a new grant after it
         await self.heard(lambda: [r for r in self.acts("granted") if r["token"] > known])
         await self.holder(but=owner)
         tokens = [(r["piece"], r["token"], r["owner"]) for r in self.acts("granted")]
@@ -143,18 +161,17 @@
         await self.judged()
 
 
-
 class Orphans(Holding):
     more = """, duties: { orphans: { period_s: 0.5, span_s: 1.5, step_s: 0.2 },
                            copies: { period_s: 1, span_s: 12, step_s: 5 } }"""
 
     async def test_what_nobody_took_over_is_taken_up_or_ended_by_one_under_its_lease(self):
         watched = [(await self.plays_at(2))[2] for _ in range(2)]
-        _, seen, _ = await self.plays_at(2, media=False)        # its client goes without a word, and never watched
+        _, seen, _ = await self.plays_at(2, media=False)  # its client goes without a word, and never watched
         ports = {m: self.at(m)[1] for m in range(3)}
         for m in range(3):
             await self.kill(m)
-        del self.run_.fronts[2], self.run_.member_ports[2]      # the two that come back never heard of the third
+        del self.run_.fronts[2], self.run_.member_ports[2]  # the two that come back never heard of the third
         for m in (0, 1):
             await self.run_.start_front(m, ports[m])
             self.lab("back", manager=f"m{m}")
@@ -182,12 +199,17 @@
     def test_the_example_keeps_its_promises(self):
         file = pathlib.Path(tempfile.mkdtemp()) / "short.jsonnet"
         self.addCleanup(shutil.rmtree, file.parent)
-        file.write_text("""local day = import '%s';
-            day { length_s: 22, troubles: day.troubles[:4], catalogue+: { for_s: 18 } }""" % (
-            ROOT / "examples" / "duties-day.jsonnet"))
+        file.write_text(
+            """local day = import '%s';
+            day { length_s: 22, troubles: day.troubles[:4], catalogue+: { for_s: 18 } }"""
+            % (ROOT / "examples" / "duties-day.jsonnet")
+        )
         out, rows, logs = self.play(str(file), 2, troubled=("start",))
-        acts = [r for r in map(json.loads, (out / "catalogue.jsonl").read_text().splitlines())
-                if r["what"] == "lease" and r["did"] == "act"]
+        acts = [
+            r
+            for r in map(json.loads, (out / "catalogue.jsonl").read_text().splitlines())
+            if r["what"] == "lease" and r["did"] == "act"
+        ]
         self.assertEqual({"compact", "copies", "floors", "reports"}, {r["piece"] for r in acts})
-        for piece in ("compact", "reports"):        # their first holders, m2 and m1 by the shares, stand still for 5 s
+        for piece in ("compact", "reports"):  # their first holders, m2 and m1 by the shares, stand still for 5 s
             self.assertGreater(len({r["owner"] for r in acts if r["piece"] == piece}), 1)
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -1,4 +1,5 @@
 """Machines explored whole in small cases: a viewing in hand through deaths, restarts, lost words; the explorer."""
+
 import random
 import unittest
 
@@ -24,6 +25,7 @@
     def test_a_state_from_which_no_course_ends_well(self):
         def never(n):
             return ((what, after, None) for what, after, _ in self.steps(n))
+
         found = search.explore(0, never, good=lambda n: n == "stopped at 3")
         self.assertEqual((8, None, ["stop"]), (found.states, found.trace, found.stuck[:-1]))
         self.assertIsNone(search.explore(0, never, good=lambda n: isinstance(n, str)).stuck)
@@ -47,16 +49,17 @@
 
     def test_seeded_bugs_are_found_with_a_short_trace(self):
         for bug, case, said in (
-                ("nobody is asked", Small(True, 2, 0), "while a1 stands"),
-                ("a silent box says no", Small(True, 2, 0), "while a1 stands"),
-                ("nothing is barred", Small(True, 2, 0), "while a1 stands"),
-                ("joins without a claim", Small(True, 2, 0), "the box says a"),
-                ("no start is named", Small(True, 2, 0, 1), "while a1 stands"),
-                ("nothing is owed", Small(True, 2, 1), "no course"),
-                ("an end is not remembered", Small(True, 2, 1), "no course"),
-                ("who lost it is not told", Small(True, 2, 0), "no course"),
-                ("an answer of another start is believed", Small(True, 1, 1, 1, True), "no course"),
-                ("a claim is of the life that there is now", Small(True, 2, 1, 0, True), "no course")):
+            ("nobody is asked", Small(True, 2, 0), "while a1 stands"),
+            ("a silent box says no", Small(True, 2, 0), "while a1 stands"),
+            ("nothing is barred", Small(True, 2, 0), "while a1 stands"),
+            ("joins without a claim", Small(True, 2, 0), "the box says a"),
+            ("no start is named", Small(True, 2, 0, 1), "while a1 stands"),
+            ("nothing is owed", Small(True, 2, 1), "no course"),
+            ("an end is not remembered", Small(True, 2, 1), "no course"),
+            ("who lost it is not told", Small(True, 2, 0), "no course"),
+            ("an answer of another start is believed", Small(True, 1, 1, 1, True), "no course"),
+            ("a claim is of the life that there is now", Small(True, 2, 1, 0, True), "no course"),
+        ):
             found = inhand.explore(case, bug)
             trace = found.trace or found.stuck
             self.assertIsNotNone(trace, bug)
@@ -75,5 +78,6 @@
             taken, chance = [], random.Random(seed)
             inhand.wander(lambda options: taken.append(chance.choice(options)) or taken[-1], 100, True)
             return [what for what, _, _ in taken]
+
         self.assertEqual(courses(3), courses(3))
         self.assertNotEqual(courses(3), courses(4))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,5 @@
 """The front on sockets against stand-ins, with the failures that it is for. Each test causes one kind."""
+
 import asyncio
 import json
 import socket
@@ -19,7 +20,7 @@
         self.trouble(2, "answer_lost", 0)
         self.trouble(3, "answer_lost", 0)
         first = None
-        while first is None:                # until the box whose answers are lost is the one that is drawn
+        while first is None:  # until the box whose answers are lost is the one that is drawn
             seen = await self.ask()
             self.assertEqual("plays", seen.fate)
             first = next(iter(self.setups(1)), None)
@@ -41,9 +42,9 @@
         self.boxes[1].box.place = self.boxes[1].box.place._replace(slots=0)
         self.boxes[2].box.place = self.boxes[2].box.place._replace(slots=0)
         seen = await self.ask("two", sends=True)
-        self.assertEqual("blocked", seen.fate)      # both said that it never ran: a block is harmless
+        self.assertEqual("blocked", seen.fate)  # both said that it never ran: a block is harmless
         self.assertEqual({503}, {r["status"] for n in (1, 2) for r in self.box_rows[n].all("answer")})
-        self.assertEqual(4, len(self.setups(1)) + len(self.setups(2)))      # as many as the terms allow
+        self.assertEqual(4, len(self.setups(1)) + len(self.setups(2)))  # as many as the terms allow
 
     async def test_reset_after_the_offer_and_half_an_answer(self):
         for what in ("reset_after", "half"):
@@ -189,7 +190,7 @@
         self.assertEqual(200, gone.status)
         self.assertEqual("plays", (await self.ask("cam")).fate)
         rungs = {s.rung for n in (1, 2, 3) for s in self.boxes[n].box.sessions.values()}
-        self.assertGreaterEqual(min(rungs), 1)      # the floor of the package
+        self.assertGreaterEqual(min(rungs), 1)  # the floor of the package
 
     async def test_a_drain_in_a_crowd(self):
         crowd = [asyncio.ensure_future(self.ask()) for _ in range(30)]
@@ -211,6 +212,7 @@
             came = asyncio.get_running_loop().create_future()
             self.player.pool.send(*front, "PATCH", seen.location, [*rows, *extra], body, came.set_result)
             return await came
+
         etag = seen.headers["etag"]
         self.assertEqual(204, (await patch([("If-Match", etag)])).status)
         self.assertEqual(428, (await patch([])).status)
@@ -228,7 +230,7 @@
         front.set_rung(id, 0, box, 2)
         front.set_rung(id, 0, box, 0)
         row = await self.box_rows[box].seen("rung", key=key)
-        self.assertEqual(0, row["rung"])            # only the last word of one turn is sent
+        self.assertEqual(0, row["rung"])  # only the last word of one turn is sent
         self.assertEqual(1, len(self.box_rows[box].all("rung", key=key)))
 
 
@@ -245,7 +247,7 @@
             await self.listed(front, log)
         crowd = [asyncio.ensure_future(self.ask(front=n % 3, length=60)) for n in range(60)]
         seen = await asyncio.gather(*crowd)
-        self.assertLessEqual({s.fate for s in seen}, {"plays", "blocked"})      # new managers pace all they know
+        self.assertLessEqual({s.fate for s in seen}, {"plays", "blocked"})  # new managers pace all they know
         self.assertFalse(self.boxes[1].box.fallen)
         self.assertLess(len(self.setups(1)), 15)
 
@@ -262,34 +264,35 @@
         good = self.post(wish)
         offer = good.partition(b"\r\n\r\n")[2]
         for want, data in (
-                (431, good.replace(b"Host: x", b"Host: x\r\nX-Long: " + b"a" * 10_000)),
-                (413, good.replace(b"Content-Length: %d" % len(offer), b"Content-Length: 9999999")),
-                (415, good.replace(b"application/sdp", b"text/plain")),
-                (406, good.replace(b"Host: x", b"Host: x\r\nAccept: text/html")),
-                (400, self.post(wish, body=b"v=0\r\nrubbish")),
-                (422, self.post(wish, body=offer.replace(b"recvonly", b"sendonly"))),
-                (422, self.post(self.wish("two", sends=True), body=offer)),
-                (422, self.post(wish, body=offer.replace(b"a=fingerprint", b"a=nothing"))),
-                (405, good.replace(b"POST", b"GET", 1)),
-                (404, good.replace(b"/whep/one", b"/whep/none")),
-                (404, self.post(self.wish("one", sends=True))),
-                (404, good.replace(b"/whep/one", b"/else/one")),
-                (400, good.replace(b"Host: x\r\n", b"")),
-                (400, b"no http at all\r\n\r\n"),
-                (417, good.replace(b"Host: x", b"Host: x\r\nExpect: the-moon"))):
+            (431, good.replace(b"Host: x", b"Host: x\r\nX-Long: " + b"a" * 10_000)),
+            (413, good.replace(b"Content-Length: %d" % len(offer), b"Content-Length: 9999999")),
+            (415, good.replace(b"application/sdp", b"text/plain")),
+            (406, good.replace(b"Host: x", b"Host: x\r\nAccept: text/html")),
+            (400, self.post(wish, body=b"v=0\r\nrubbish")),
+            (422, self.post(wish, body=offer.replace(b"recvonly", b"sendonly"))),
+            (422, self.post(self.wish("two", sends=True), body=offer)),
+            (422, self.post(wish, body=offer.replace(b"a=fingerprint", b"a=nothing"))),
+            (405, good.replace(b"POST", b"GET", 1)),
+            (404, good.replace(b"/whep/one", b"/whep/none")),
+            (404, self.post(self.wish("one", sends=True))),
+            (404, good.replace(b"/whep/one", b"/else/one")),
+            (400, good.replace(b"Host: x\r\n", b"")),
+            (400, b"no http at all\r\n\r\n"),
+            (417, good.replace(b"Host: x", b"Host: x\r\nExpect: the-moon")),
+        ):
             status, reply = await self.status(data)
             self.assertEqual(want, status, reply)
             self.assertIn(b"application/problem+json", reply)
             problem = json.loads(reply.partition(b"\r\n\r\n")[2])
             self.assertEqual(want, problem["status"])
         status, reply = await self.status(good.replace(b"POST", b"BREW", 1))
-        self.assertEqual(400, status)               # no method of HTTP's: the parser takes none it does not know
+        self.assertEqual(400, status)  # no method of HTTP's: the parser takes none it does not know
         self.assertEqual([], self.log[0].all("fault"))
         self.assertEqual(0, sum(len(self.setups(n)) for n in (1, 2, 3)))
 
     async def test_a_refusal_can_be_read_though_the_offer_goes_on_and_nothing_is_read_without_end(self):
         offer = b"v" * (2 << 20)
-        status, _ = await self.status(self.post(self.wish(), body=offer))       # a reset took the 413 back before
+        status, _ = await self.status(self.post(self.wish(), body=offer))  # a reset took the 413 back before
         self.assertEqual(413, status)
         reader, writer = await asyncio.open_connection(*self.fronts[0].address)
         head = self.post(self.wish(), body=b"").replace(b"Content-Length: 0", b"Content-Length: 999999999")
@@ -371,7 +374,7 @@
     async def test_a_manager_that_is_behind_refuses_at_once_and_says_how_long(self):
         gate = self.fronts[0].gate
         self.assertEqual("plays", (await self.ask(viewer="a")).fate)
-        gate.rate, gate.tokens, gate.token_at = 20.0, 0.0, 1 << 60      # no token comes any more
+        gate.rate, gate.tokens, gate.token_at = 20.0, 0.0, 1 << 60  # no token comes any more
         seen = await self.ask(viewer="b")
         self.assertEqual(("blocked", 503), (seen.fate, seen.status))
         self.assertIn("retry-after", seen.headers)
@@ -387,7 +390,7 @@
     async def test_what_may_have_waited_through_a_standstill_is_refused_at_once(self):
         # It looked new: worked on as such, it was answered after its viewer had gone (a stopped manager, on a day).
         front = self.fronts[0]
-        front.still.rang_at -= 30_000               # as when nothing ran for three seconds, of a patience of two
+        front.still.rang_at -= 30_000  # as when nothing ran for three seconds, of a patience of two
         seen = await self.ask()
         self.assertEqual(("blocked", "late"), (seen.fate, json.loads(seen.body)["why"]))
         self.assertLess(seen.after, 2_000)
@@ -400,7 +403,7 @@
         # 480 of 600 that waited had gone; each was read, refused and written to before the others were looked at.
         front, took = self.fronts[0], []
         handle, front.server.handle = front.server.handle, lambda exchange: (took.append(exchange), handle(exchange))
-        asked = [socket.create_connection(front.address) for _ in range(24)]     # nothing of ours runs meanwhile
+        asked = [socket.create_connection(front.address) for _ in range(24)]  # nothing of ours runs meanwhile
         for one in asked:
             one.sendall(self.post(self.wish()))
         for one in asked[:20]:
@@ -418,8 +421,8 @@
 
     async def test_a_push_is_judged_by_its_own_packages_patience(self):
         gate = self.fronts[0].gate
-        self.fronts[0].lag_timer.cancel()   # or it judges anew between the two
-        gate.lag = 15_000                   # over the 1.2 s of a push, under the 2 s of who watches the same title
+        self.fronts[0].lag_timer.cancel()  # or it judges anew between the two
+        gate.lag = 15_000  # over the 1.2 s of a push, under the 2 s of who watches the same title
         self.assertEqual("plays", (await self.ask("only")).fate)
         seen = await self.ask("only", sends=True, patience=1.2)
         self.assertEqual("late", json.loads(seen.body)["why"])
@@ -428,9 +431,14 @@
         self.boxes[1].box.work = 30_000
         came = asyncio.get_running_loop().create_future()
         wish = self.wish()
-        self.player.pool.send(*self.boxes[1].address, "POST", "/whep/one",
-                              [*headers_of(wish), ("Idempotency-Key", '"k"'), ("Flaxscale-Patience", "60")],
-                              offer_of(wish), came.set_result)
+        self.player.pool.send(
+            *self.boxes[1].address,
+            "POST",
+            "/whep/one",
+            [*headers_of(wish), ("Idempotency-Key", '"k"'), ("Flaxscale-Patience", "60")],
+            offer_of(wish),
+            came.set_result,
+        )
         answer = await came
         self.assertEqual((504, "no"), (answer.status, answer.headers["flaxscale-ran"]))
         self.assertEqual(0, len(self.boxes[1].box.sessions))
@@ -452,7 +460,7 @@
         await self.log[0].seen("answered", 12, fate="left")
         await self.until(lambda: not any(b.box.sessions for b in self.boxes.values()), "all boxes are free")
         self.assertEqual(12, len(self.log[0].all("answered")))
-        self.assertEqual(12, sum(len(self.setups(n)) for n in self.boxes))      # none was sent a second time
+        self.assertEqual(12, sum(len(self.setups(n)) for n in self.boxes))  # none was sent a second time
         self.assertEqual(0, len(self.fronts[0].runner.held))
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,4 +1,5 @@
 """The host on whole batches: lists in order, restarts, plain words on bad input."""
+
 import json
 import struct
 import unittest
@@ -6,20 +7,63 @@
 from flaxscale import wire, wirehost
 
 PARAMS = {
-    "me": 0, "peersTotal": 1, "myZone": 0, "discovery": "push", "someday": 1,
-    "classes": [{"goalTimeMs": 1500.0, "deadlineMs": 3000.0, "worth": 1.0, "effect": "safe", "group": "all",
-                 "repeatWindowMs": 5000.0}],
-    "specifics": {"lowestRung": [0], "highestRung": [1], "scaleByClass": [1.0], "licenceCap": [0],
-                  "live": [False], "levelKb": [100.0, 200.0], "levelWorth": [0.5, 1.0], "switchCostS": 0.5,
-                  "stall": 6.0, "join": 1, "cells": 1, "shelves": 1, "kindSlots": [8], "kbPerWeight": 1000.0,
-                  "uplinkKb": 900.0, "guard": 0, "seenAfterMs": 900.0, "tellMs": 3000.0},
-    "obligations": {"drainGraceMs": 1000.0, "warmWithinMs": 9000.0, "startCapacity": 0.4, "tipMultiple": 3.0,
-                    "fallMs": 1000.0, "mustAskInMs": 9000.0},
-    "caps": {"tryLimit": 4, "cancelling": True, "retryAfter": True, "maxRetryAfterMs": 500.0, "peers": False,
-             "mayProbe": False, "dialTimeoutMs": 250.0},
+    "me": 0,
+    "peersTotal": 1,
+    "myZone": 0,
+    "discovery": "push",
+    "someday": 1,
+    "classes": [
+        {
+            "goalTimeMs": 1500.0,
+            "deadlineMs": 3000.0,
+            "worth": 1.0,
+            "effect": "safe",
+            "group": "all",
+            "repeatWindowMs": 5000.0,
+        }
+    ],
+    "specifics": {
+        "lowestRung": [0],
+        "highestRung": [1],
+        "scaleByClass": [1.0],
+        "licenceCap": [0],
+        "live": [False],
+        "levelKb": [100.0, 200.0],
+        "levelWorth": [0.5, 1.0],
+        "switchCostS": 0.5,
+        "stall": 6.0,
+        "join": 1,
+        "cells": 1,
+        "shelves": 1,
+        "kindSlots": [8],
+        "kbPerWeight": 1000.0,
+        "uplinkKb": 900.0,
+        "guard": 0,
+        "seenAfterMs": 900.0,
+        "tellMs": 3000.0,
+    },
+    "obligations": {
+        "drainGraceMs": 1000.0,
+        "warmWithinMs": 9000.0,
+        "startCapacity": 0.4,
+        "tipMultiple": 3.0,
+        "fallMs": 1000.0,
+        "mustAskInMs": 9000.0,
+    },
+    "caps": {
+        "tryLimit": 4,
+        "cancelling": True,
+        "retryAfter": True,
+        "maxRetryAfterMs": 500.0,
+        "peers": False,
+        "mayProbe": False,
+        "dialTimeoutMs": 250.0,
+    },
     "penalties": {"crossZone": 0.0, "moves": 0.1, "lateFail": 0.0, "peer": 0.0, "probe": 0.0},
     "objectiveMix": {"whole": 1.0, "worstWindow": 0.0, "worstClass": 0.0},
-    "loadInfo": {"how": "inline", "names": ["x0"]}, "weightSource": "nominal"}
+    "loadInfo": {"how": "inline", "names": ["x0"]},
+    "weightSource": "nominal",
+}
 
 
 def record(code, fmt, *fields, tail=b""):
@@ -60,18 +104,21 @@
 
     def test_a_list_number_used_again_inside_a_batch_and_a_restart(self):
         host = wirehost.Host()
-        reply = host.batch(frame(init(), listed(11), REGISTRY, knock(1), record(9, "H", 3), init(),
-                                 listed(12), REGISTRY, knock(2)))
+        reply = host.batch(
+            frame(init(), listed(11), REGISTRY, knock(1), record(9, "H", 3), init(), listed(12), REGISTRY, knock(2))
+        )
         # What the killed one wanted is dropped; 68 is the beat.
         self.assertEqual([(68, 1), (76, 2), (64, 2)], self.sent(reply))
         self.assertEqual([12], list(host.managers[3].servers))
 
     def test_bad_input_is_named(self):
         lacking = {key: value for key, value in PARAMS.items() if key != "caps"}
-        for records, said in (([init(b"{no json")], "unreadable settings"),
-                              ([init(lacking)], "lack the key 'caps'"),
-                              ([knock(1)], "for instance 3, which does not exist"),
-                              ([init(), REGISTRY], "names list 0, which never came")):
+        for records, said in (
+            ([init(b"{no json")], "unreadable settings"),
+            ([init(lacking)], "lack the key 'caps'"),
+            ([knock(1)], "for instance 3, which does not exist"),
+            ([init(), REGISTRY], "names list 0, which never came"),
+        ):
             with self.assertRaisesRegex(wire.WireError, said):
                 wirehost.Host().batch(frame(*records))
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,5 @@
 """HTTP and event streams without sockets: the same bytes cut at every offset give the same events."""
+
 import unittest
 
 from hypothesis import given, settings
@@ -8,9 +9,10 @@
 from flaxscale.http1.client import Broken, ClientSide, Data, Done, Head, request
 from flaxscale.http1.server import GoOn, Limits, Refused, Request, ServerSide, response
 
-POST = request("POST", "/whep/a%20b?x=1", "h:80", [("Content-Type", "application/sdp"), ("X-A", "1"), ("X-A", "2")],
-               b"v=0\r\n")
-CHUNKED = (b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+POST = request(
+    "POST", "/whep/a%20b?x=1", "h:80", [("Content-Type", "application/sdp"), ("X-A", "1"), ("X-A", "2")], b"v=0\r\n"
+)
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
 
 
 def fed(side, pieces):
@@ -21,34 +23,41 @@
     def test_cut_at_every_offset(self):
         data = POST + CHUNKED + b"GET /y HTTP/1.0\r\n\r\n"
         whole = fed(ServerSide(), [data])
-        self.assertEqual([("POST", b"v=0\r\n", True), ("POST", b"abcde", True), ("GET", b"", False)],
-                         [(e.method, e.body, e.keep_alive) for e in whole])
+        self.assertEqual(
+            [("POST", b"v=0\r\n", True), ("POST", b"abcde", True), ("GET", b"", False)],
+            [(e.method, e.body, e.keep_alive) for e in whole],
+        )
         self.assertEqual("1, 2", whole[0].headers["x-a"])
         for at in range(len(data)):
             self.assertEqual(whole, fed(ServerSide(), [data[:at], data[at:]]), at)
-        self.assertEqual(whole, fed(ServerSide(), [data[n:n + 1] for n in range(len(data))]))
+        self.assertEqual(whole, fed(ServerSide(), [data[n : n + 1] for n in range(len(data))]))
 
     def test_limits_hold_however_the_bytes_come(self):
         limits = Limits(head=500, fields=5, target=50, body=20)
         head = b"POST /x HTTP/1.1\r\nHost: h\r\n"
-        for want, data in ((431, head + b"A: " + b"b" * 600 + b"\r\n\r\n"),
-                           (431, head + b"A: 1\r\n" * 9 + b"\r\n"), (431, head + b"A: " + b"b" * 5000),
-                           (414, b"GET /" + b"x" * 99 + b" HTTP/1.1\r\n\r\n"),
-                           (413, head + b"Content-Length: 21\r\n\r\n"),
-                           (413, head + b"Transfer-Encoding: chunked\r\n\r\nff\r\n" + b"z" * 255 + b"\r\n"),
-                           (400, head + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n"),
-                           (400, head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-                           (400, b"GET /x HTTP/1.1\r\n\r\n"), (505, b"GET /x HTTP/2.0\r\nHost: h\r\n\r\n"),
-                           (400, b"\x16\x03\x01\x02\x00")):
+        for want, data in (
+            (431, head + b"A: " + b"b" * 600 + b"\r\n\r\n"),
+            (431, head + b"A: 1\r\n" * 9 + b"\r\n"),
+            (431, head + b"A: " + b"b" * 5000),
+            (414, b"GET /" + b"x" * 99 + b" HTTP/1.1\r\n\r\n"),
+            (413, head + b"Content-Length: 21\r\n\r\n"),
+            (413, head + b"Transfer-Encoding: chunked\r\n\r\nff\r\n" + b"z" * 255 + b"\r\n"),
+            (400, head + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n"),
+            (400, head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            (400, b"GET /x HTTP/1.1\r\n\r\n"),
+            (505, b"GET /x HTTP/2.0\r\nHost: h\r\n\r\n"),
+            (400, b"\x16\x03\x01\x02\x00"),
+        ):
             for size in (1, 7, 400):
-                events = fed(ServerSide(limits), [data[n:n + size] for n in range(0, len(data), size)])
+                events = fed(ServerSide(limits), [data[n : n + size] for n in range(0, len(data), size)])
                 self.assertEqual([want], [e.status for e in events if isinstance(e, Refused)], (data[:60], size))
                 self.assertFalse([e for e in events if isinstance(e, Request)])
 
     def test_continue_comes_before_the_body_and_nothing_after_a_refusal(self):
         side = ServerSide()
-        self.assertEqual([GoOn()], side.feed(b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
-                                             b"Content-Length: 2\r\n\r\n"))
+        self.assertEqual(
+            [GoOn()], side.feed(b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        )
         self.assertEqual(b"ab", side.feed(b"ab")[0].body)
         side.feed(b"rubbish\r\n\r\n")
         self.assertEqual([], side.feed(POST))
@@ -57,10 +66,10 @@
     @given(st.binary(max_size=300), st.integers(1, 40))
     def test_no_bytes_raise(self, data, size):
         for text in (data, POST[:30] + data, POST[:-5] + data):
-            fed(ServerSide(), [text[n:n + size] for n in range(0, len(text), size)])
+            fed(ServerSide(), [text[n : n + size] for n in range(0, len(text), size)])
             client = ClientSide()
             client.expect()
-            fed(client, [text[n:n + size] for n in range(0, len(text), size)])
+            fed(client, [text[n : n + size] for n in range(0, len(text), size)])
             client.eof()
 
 
@@ -104,12 +113,25 @@
 
 class Fields(unittest.TestCase):
     def test_prefer_accept_and_bearer(self):
-        for want, value in ((3, "wait=3"), (3, 'respond-async, wait="3"'), (None, "wait=soon"), (None, None),
-                            (None, "wait=-1"), (5, "wait=5, wait=9"), (None, "wait=99999999")):
+        for want, value in (
+            (3, "wait=3"),
+            (3, 'respond-async, wait="3"'),
+            (None, "wait=soon"),
+            (None, None),
+            (None, "wait=-1"),
+            (5, "wait=5, wait=9"),
+            (None, "wait=99999999"),
+        ):
             self.assertEqual(want, fields.wait_of(value), value)
-        for want, value in ((True, None), (True, "*/*"), (True, "application/*"), (False, "text/html"),
-                            (False, "application/sdp;q=0"), (False, "*/*, application/sdp;q=0"),
-                            (True, "text/html, application/sdp;q=0.1")):
+        for want, value in (
+            (True, None),
+            (True, "*/*"),
+            (True, "application/*"),
+            (False, "text/html"),
+            (False, "application/sdp;q=0"),
+            (False, "*/*, application/sdp;q=0"),
+            (True, "text/html, application/sdp;q=0.1"),
+        ):
             self.assertEqual(want, fields.accepts(value, "application/sdp"), value)
         for want, value in (("t", "Bearer t"), ("t", "bearer  t"), (None, "Basic t"), (None, "Bearer "), (None, None)):
             self.assertEqual(want, fields.bearer(value), value)
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -1,4 +1,5 @@
 """The hunt: what it draws can be played, it learns and resumes, makes small, and finds what is planted."""
+
 import json
 import pathlib
 import tempfile
@@ -54,6 +55,7 @@
             for row in hunt.generation():
                 hunt.take(*row, nothing(marks=marks if row[0] == 3 else ()))
             return hunt, hunt.generation()
+
         hunt, with_news = lead(False, ("new",))
         self.assertEqual([3], [p.number for p in hunt.corpus])
         self.assertEqual(with_news, lead(False, ("new",))[1])
@@ -63,8 +65,9 @@
     def test_a_broken_rule_ranks_before_a_fleet_that_stays_down_and_that_before_any_loss(self):
         hunt = Hunt(Space(quiet_day(), False), 5)
         rows = hunt.generation()
-        for row, outcome in zip(rows, (nothing(0.9), Outcome((), False, 0.0, frozenset()),
-                                       nothing(breaks=[("rule 1", "x")]), nothing(0.1))):
+        for row, outcome in zip(
+            rows, (nothing(0.9), Outcome((), False, 0.0, frozenset()), nothing(breaks=[("rule 1", "x")]), nothing(0.1))
+        ):
             hunt.take(*row, outcome)
         self.assertEqual([2, 1, 0], [p.number for p in hunt.worst()])
 
@@ -84,12 +87,16 @@
             tried = next(steps)
             while True:
                 plays += 1
-                tried = steps.send(any(r.what == "crash" and 5 in r.boxes and r.for_s >= 2 for r in tried) and any(
-                    r.what == "hang" and r.at_s == 2 for r in tried))
+                tried = steps.send(
+                    any(r.what == "crash" and 5 in r.boxes and r.for_s >= 2 for r in tried)
+                    and any(r.what == "hang" and r.at_s == 2 for r in tried)
+                )
         except StopIteration as done:
             small = done.value
-        self.assertEqual([("hang", [0], 1.0), ("crash", [5], 2.0)], [
-            (r.what, r.boxes[:1] if r.what == "hang" else r.boxes, r.for_s) for r in small])
+        self.assertEqual(
+            [("hang", [0], 1.0), ("crash", [5], 2.0)],
+            [(r.what, r.boxes[:1] if r.what == "hang" else r.boxes, r.for_s) for r in small],
+        )
         self.assertLess(plays, 60)
 
 
@@ -99,20 +106,25 @@
         self.assertIs(True, comes_back(steady, 6, 12, 30).back)
         self.assertIs(True, comes_back({**steady, **dict.fromkeys(range(6, 18), 0)}, 6, 12, 30).back)
         self.assertIs(False, comes_back({**steady, **dict.fromkeys(range(6, 30), 16)}, 6, 12, 30).back)
-        self.assertIs(None, comes_back(dict.fromkeys(range(30), 3), 6, 12, 30).back)    # 15 viewings say nothing
-        self.assertIs(None, comes_back(steady, 6, 28, 30).back)         # too near the end
+        self.assertIs(None, comes_back(dict.fromkeys(range(30), 3), 6, 12, 30).back)  # 15 viewings say nothing
+        self.assertIs(None, comes_back(steady, 6, 28, 30).back)  # too near the end
         self.assertIs(True, comes_back({**steady, 20: 13, 21: 14}, 6, 12, 30).back)
 
     def test_a_days_records_say_it_and_a_box_that_is_not_back_yet_counts_as_struck(self):
         def told(plays, back=9.0):
             rows = [{"at": round(s * 10_000), "what": "seen", "fate": "plays"} for s in plays]
-            lab = [{"at": 0, "what": "begin"}, {"at": 60_000, "what": "kill", "manager": "m0"},
-                   {"at": round(back * 10_000), "what": "back", "manager": "m0"}, {"at": 320_000, "what": "end"}]
+            lab = [
+                {"at": 0, "what": "begin"},
+                {"at": 60_000, "what": "kill", "manager": "m0"},
+                {"at": round(back * 10_000), "what": "back", "manager": "m0"},
+                {"at": 320_000, "what": "end"},
+            ]
             with tempfile.TemporaryDirectory() as folder:
                 for name, some in (("lab", lab), ("clients", rows)):
                     pathlib.Path(folder, f"{name}.jsonl").write_text("".join(json.dumps(r) + "\n" for r in some))
                 pathlib.Path(folder, "day.json").write_text('{"length_s": 30}')
                 return of_day(folder)
+
         steady = [n / 30 for n in range(900)]
         self.assertIs(True, told(steady).back)
         self.assertIs(False, told([s for s in steady if s < 6 or s * 30 % 4 < 1]).back)
@@ -125,24 +137,33 @@
     def test_planted_faults_are_found_and_a_sound_manager_breaks_nothing(self):
         # All boxes cold and a crowd: one that keeps no pace; one that overlooks seats; one that is deaf to drains.
         day = quiet_day()
-        crowd = [TroubleRow(at_s=6, what="crash", for_s=1, boxes=list(range(12))),
-                 TroubleRow(at_s=8, what="crowd", for_s=5, value=4)]
+        crowd = [
+            TroubleRow(at_s=6, what="crash", for_s=1, boxes=list(range(12))),
+            TroubleRow(at_s=8, what="crowd", for_s=5, value=4),
+        ]
         crash = [TroubleRow(at_s=5, what="drain", for_s=9, boxes=list(range(9)))]
         policy = "flaxscale.decide.Manager."
         for name, planted, troubles, kind in (
-                ("in_pace", lambda self, srv: True, crowd, "rule 4"),
-                ("has_seat", lambda self, seat, holders=(): True, [TroubleRow(
-                    at_s=5, what="crowd", for_s=9, value=4, titles=["quay-cam"])], "rule 5"),
-                ("listed", None, crash, "rule 3")):
+            ("in_pace", lambda self, srv: True, crowd, "rule 4"),
+            (
+                "has_seat",
+                lambda self, seat, holders=(): True,
+                [TroubleRow(at_s=5, what="crowd", for_s=9, value=4, titles=["quay-cam"])],
+                "rule 5",
+            ),
+            ("listed", None, crash, "rule 3"),
+        ):
             sound = judge.played(day, 2, troubles)[0]
             self.assertEqual((), sound.breaks, name)
             if planted is None:
                 from flaxscale.decide import Manager
+
                 whole = Manager.listed
 
                 def planted(self, row, whole=whole):
                     if row.state.name != "DRAINING":
                         whole(self, row)
+
             with unittest.mock.patch(policy + name, planted):
                 found = judge.played(day, 2, troubles)[0]
             self.assertIn(kind, {k for k, _ in found.breaks}, name)
@@ -158,10 +179,12 @@
 
     def test_a_hunt_that_is_stopped_goes_on_in_any_number_of_processes(self):
         with tempfile.TemporaryDirectory() as folder:
+
             def plays(name, jobs, budget):
                 hunting = Hunting(quiet_day(), f"{folder}/{name}", 4, jobs)
                 hunting.run(budget)
                 return hunting, [(p.number, p.seed, p.troubles, p.outcome, p.new) for p in hunting.hunt.played]
+
             _, whole = plays("whole", 3, 2 * GENERATION)
             self.assertEqual(2 * GENERATION, len(whole))
             plays("stopped", 2, GENERATION)
@@ -181,15 +204,27 @@
 
     def test_the_command_finds_shrinks_and_keeps_a_day_and_refuses_what_is_too_large(self):
         with tempfile.TemporaryDirectory() as folder:
-            done = flaxscale("hunt", str(ROOT / "examples" / "bad-day.jsonnet"), "--budget", "16", "--jobs", "2",
-                             "--worst", "1", "--out", f"{folder}/hunt")
+            done = flaxscale(
+                "hunt",
+                str(ROOT / "examples" / "bad-day.jsonnet"),
+                "--budget",
+                "16",
+                "--jobs",
+                "2",
+                "--worst",
+                "1",
+                "--out",
+                f"{folder}/hunt",
+            )
             self.assertEqual(0, done.returncode, done.stdout + done.stderr)
             self.assertRegex(done.stdout, r"16 plays of boats: 0 broke something, 0 did not come back, \d+ marks")
             [kept] = pathlib.Path(folder, "hunt").glob("found-*.jsonnet")
             self.assertEqual([], faults(read_day(kept, sockets=False), False))
             large = pathlib.Path(folder, "large.jsonnet")
-            large.write_text("local day = import '%s'; day { boxes: [day.boxes[n %% 12] for n in std.range(0, 9999)] "
-                             "}" % (ROOT / "examples" / "bad-day.jsonnet"))
+            large.write_text(
+                "local day = import '%s'; day { boxes: [day.boxes[n %% 12] for n in std.range(0, 9999)] "
+                "}" % (ROOT / "examples" / "bad-day.jsonnet")
+            )
             done = flaxscale("hunt", str(large), "--on", "processes", "--out", f"{folder}/large")
             self.assertEqual(2, done.returncode)
             self.assertRegex(done.stderr, "at most 400 processes .* this day would start 10003")
--- a/tests/test_inhand.py
+++ b/tests/test_inhand.py
@@ -1,4 +1,5 @@
 """Work in hand that survives its manager, by processes with faults between them: docs/recovery.md, the table."""
+
 import asyncio
 import json
 import pathlib
@@ -23,8 +24,13 @@
                 wish = Wish(self.n, "clip-1", False, f"v{self.n}", 3.0, 60.0, None, None, None, trace_of(5, self.n))
                 seen = await self.run_.player.ask(self.at(m), f"m{m}", wish)
                 if seen.fate == "plays":
-                    return wish, seen, asyncio.ensure_future(self.run_.player.hold(
-                        self.at(m), f"m{m}", wish, seen)) if media else None
+                    return (
+                        wish,
+                        seen,
+                        asyncio.ensure_future(self.run_.player.hold(self.at(m), f"m{m}", wish, seen))
+                        if media
+                        else None,
+                    )
 
     async def died(self, child):
         async with asyncio.timeout(3 * LIMIT):
@@ -55,9 +61,10 @@
         await self.until(0, lambda s: s["boxes"][str(box + 1)]["stream"] == "up")
         self.run_.boxes[box].say(trouble="hang", value=1)
         await self.written(lambda: self.box_rows("trouble"))
-        held.cancel()                           # its player goes; its box hears nothing of it, and neither of the end
-        result = await self.run_.player.pool.ask(*self.at(0), "DELETE", seen.location, [
-            ("Authorization", f"Bearer {TOKEN}")], b"", LIMIT)
+        held.cancel()  # its player goes; its box hears nothing of it, and neither of the end
+        result = await self.run_.player.pool.ask(
+            *self.at(0), "DELETE", seen.location, [("Authorization", f"Bearer {TOKEN}")], b"", LIMIT
+        )
         self.assertEqual(200, result.status)
         self.run_.record.put("held", n=wish.n, manager="m0", whole=True, seconds=0, rung=None, share=None)
         await self.until(0, lambda s: s["lent"]["told"])
@@ -112,7 +119,7 @@
         await self.all_met()
         held = [await self.media(await self.ask("one", front=0)) for _ in range(8)]
         busy, able = self.fronts[1], self.fronts[2]
-        busy.gate.judge, busy.gate.rate = lambda now: None, 20.0        # as when it is behind with what it has
+        busy.gate.judge, busy.gate.rate = lambda now: None, 20.0  # as when it is behind with what it has
         async with asyncio.timeout(LIMIT):
             while "m1" not in able.fleet.full():
                 await self.ask("one", front=2)
@@ -136,7 +143,7 @@
         await self.all_met()
         self.held = []
         self.addCleanup(lambda: [writer.close() for _, writer in self.held])
-        for m in (1, 2):                # streams of both to every box stand
+        for m in (1, 2):  # streams of both to every box stand
             for box in self.fronts[m].boxes.places:
                 self.fronts[m].boxes.keep_stream(box)
             while not all(f"m{m}" in box.streams for box in self.boxes.values()):
@@ -156,7 +163,9 @@
                     box = next(box for box, known in front.boxes.places.items() if known == place)
                     await within(LIMIT, meanwhile(front, other, box, key))
                 return answer
+
             front.members.call = answered_late
+
         slow(self.fronts[1], self.fronts[2])
         slow(self.fronts[2], self.fronts[1])
         gone = self.fronts[0]
@@ -173,13 +182,15 @@
         """Looked at whenever a box has answered."""
         async with asyncio.timeout(LIMIT):
             while front.boxes.owed.count():
-                await front.members.call(next(iter(front.boxes.places.values())), "GET", "/manager/sessions?of=none",
-                                         None, Sessions)
+                await front.members.call(
+                    next(iter(front.boxes.places.values())), "GET", "/manager/sessions?of=none", None, Sessions
+                )
 
     async def claim(self, by, adopter, box, key):
         """Another claim to what the adopter has by its box's word."""
-        found = await by.members.call(adopter.boxes.places[box], "GET", f"/manager/sessions?of={adopter.name}", None,
-                                      Sessions)
+        found = await by.members.call(
+            adopter.boxes.places[box], "GET", f"/manager/sessions?of={adopter.name}", None, Sessions
+        )
         [row] = [row for row in found.sessions if row.key == key]
         self.assertTrue(await by.tries.claimed(box, row, True))
 
@@ -193,9 +204,11 @@
                 over(ended)
                 if ended == key:
                     heard.set()
+
             adopter.over_early = over_early
             await self.claim(other, adopter, box, key)
             await heard.wait()
+
         adopter, other, more = await self.adopted(claimed_by_the_other)
         self.assertEqual({adopter.name: 0, other.name: 1}, more)
         self.assertEqual(len(self.held), self.playing())
@@ -207,7 +220,7 @@
         adopter, _, _ = await self.adopted(lambda adopter, *_: self.nothing_owed(adopter))
         [vw] = [vw for vw in adopter.viewings.values() if vw.name.startswith("m0.")]
         box, key, count = vw.box, vw.key, len(adopter.viewings)
-        pushed, adopter.boxes.push_now = adopter.boxes.push_now, lambda box: None       # its orders wait
+        pushed, adopter.boxes.push_now = adopter.boxes.push_now, lambda box: None  # its orders wait
         adopter.runner.left(vw.id)
         adopter.found(box, [key])
         jobs = [job for (_, of), job in adopter.members.jobs.items() if of == adopter.name]
@@ -221,7 +234,8 @@
     async def test_what_is_claimed_twice_by_one_manager_is_one_viewing_and_plays_on(self):
         # A client that asks for its first try, and the take-over of its dead manager, may claim one session together.
         adopter, other, more = await self.adopted(
-            lambda adopter, other, box, key: self.claim(adopter, adopter, box, key))
+            lambda adopter, other, box, key: self.claim(adopter, adopter, box, key)
+        )
         self.assertEqual({adopter.name: 1, other.name: 0}, more)
         self.assertEqual(len(self.held), self.playing())
 
@@ -240,6 +254,7 @@
                 while jobs := [job for front in leaving for job in front.members.jobs.values()]:
                     await asyncio.wait(jobs)
             return await call(place, method, target, *more, **limits)
+
         stays.members.call = the_others_first
         await within(LIMIT, asyncio.gather(*(front.stop() for front in leaving)))
         for front in leaving:
@@ -273,8 +288,15 @@
         self.run_.lab.put("kill", manager="m0")
         await self.run_.start_front(0, port)
         self.run_.lab.put("back", manager="m0")
-        await self.until(0, lambda s: len(s["boxes"]) == 4 and s["catalogue"]["version"] == 1 and len(
-            s["members"]["alive"]) == 3 and not s["members"]["not_heard_yet"])
+        await self.until(
+            0,
+            lambda s: (
+                len(s["boxes"]) == 4
+                and s["catalogue"]["version"] == 1
+                and len(s["members"]["alive"]) == 3
+                and not s["members"]["not_heard_yet"]
+            ),
+        )
         for m in (1, 2):
             await self.until(m, lambda s: s["members"]["members"]["m0"]["state"] == "alive")
 
@@ -301,7 +323,7 @@
         # One manager has it: the one that was asked last, or the first again, whose client is still there.
         await self.held_once()
         for r in await asyncio.gather(first, return_exceptions=True):
-            if getattr(r, "status", 0) == 201:      # both were answered: with the same session
+            if getattr(r, "status", 0) == 201:  # both were answered: with the same session
                 self.assertEqual(reply.headers["location"], r.headers["location"])
         ended = await self.run_.player.end_anywhere(self.at(1), reply.headers["location"])
         self.assertEqual(200, ended.status)
@@ -321,8 +343,9 @@
         return found
 
     async def post(self, m, wish, body):
-        return await self.run_.player.pool.ask(*self.at(m), "POST", target_of(wish), headers_of(wish, TOKEN), body,
-                                               LIMIT)
+        return await self.run_.player.pool.ask(
+            *self.at(m), "POST", target_of(wish), headers_of(wish, TOKEN), body, LIMIT
+        )
 
     async def test_killed_at_each_step(self):
         for step in STEPS:
@@ -347,27 +370,28 @@
         begun = {r["key"] for r in self.box_rows("begun")}
         unsafe = [r["trace"] for r in self.box_rows("setup") if r["sends"]]
         self.assertTrue(unsafe)
-        for trace in unsafe:                        # what must not be done twice never ran twice
+        for trace in unsafe:  # what must not be done twice never ran twice
             self.assertEqual(1, len(begun & set(made[trace])), (trace, made[trace]))
 
 
 class OneEach(Talking):
     """Where the site says that a viewer has one viewing of a title, its next offer goes on from its first."""
+
     terms = Talking.terms.replace('"gate": false', '"gate": false, "one_per_viewer": true')
 
     async def test_a_viewer_that_asks_anew_has_one_viewing_whichever_managers_it_asks(self):
         await self.all_met()
         first = await self.ask("one", front=0, viewer="ann")
-        self.assertEqual("plays", (await self.ask("one", front=0, viewer="ben")).fate)      # another viewer
-        self.assertEqual("plays", (await self.ask("only", front=0, viewer="ann")).fate)     # another title
+        self.assertEqual("plays", (await self.ask("one", front=0, viewer="ben")).fate)  # another viewer
+        self.assertEqual("plays", (await self.ask("only", front=0, viewer="ann")).fate)  # another title
         self.assertEqual(3, self.playing())
-        again = await self.ask("one", front=0, viewer="ann")            # at the same manager
+        again = await self.ask("one", front=0, viewer="ann")  # at the same manager
         await self.until(lambda: self.playing() == 3, "the first one ends")
-        third = await self.ask("one", front=1, viewer="ann")            # elsewhere
+        third = await self.ask("one", front=1, viewer="ann")  # elsewhere
         await self.until(lambda: self.playing() == 3, "the second one ends")
         await self.kill(0)
         gone = self.fronts.pop(0)
-        fourth = await self.ask("one", front=1, viewer="ann")           # before anybody knows of the death
+        fourth = await self.ask("one", front=1, viewer="ann")  # before anybody knows of the death
         await self.until(lambda: self.playing() == 3, "the third one ends")
         self.assertEqual(["plays"] * 4, [seen.fate for seen in (first, again, third, fourth)])
         self.assertEqual(4, len({seen.location for seen in (first, again, third, fourth)}))
@@ -432,13 +456,25 @@
         await self.run_.start_front(m, port)
         self.run_.lab.put("back", manager=f"m{m}")
         up = [n for n in range(3) if self.run_.fronts[n].child.returncode is None]
-        await self.until(m, lambda s: len(s["boxes"]) == 4 and s["catalogue"]["version"] == 1 and not s["members"][
-            "not_heard_yet"] and len(s["members"]["alive"]) == len(up))
+        await self.until(
+            m,
+            lambda s: (
+                len(s["boxes"]) == 4
+                and s["catalogue"]["version"] == 1
+                and not s["members"]["not_heard_yet"]
+                and len(s["members"]["alive"]) == len(up)
+            ),
+        )
         boot = (await self.get(m))["boot"]
         for n in up:
             if n != m:
-                await self.until(n, lambda s: (s["members"]["members"][f"m{m}"]["state"],
-                                               s["members"]["members"][f"m{m}"]["boot"]) == ("alive", boot))
+                await self.until(
+                    n,
+                    lambda s: (
+                        (s["members"]["members"][f"m{m}"]["state"], s["members"]["members"][f"m{m}"]["boot"])
+                        == ("alive", boot)
+                    ),
+                )
 
     async def test_a_dead_one_that_returns_in_the_middle_of_the_claims_and_a_third_of_all_words_lost(self):
         held, port = [(await self.plays_at(0))[2] for _ in range(MANY)], self.at(0)[1]
@@ -452,7 +488,7 @@
                 await self.get(2)
         self.run_.lab.put("stall", manager="m1")
         self.run_.steps = {}
-        await self.run_.start_front(0, port)            # it takes up what is its own; m1's claims are on their way
+        await self.run_.start_front(0, port)  # it takes up what is its own; m1's claims are on their way
         self.run_.lab.put("back", manager="m0")
         self.run_.fronts[1].signal(signal.SIGCONT)
         self.run_.lab.put("go_on", manager="m1")
@@ -494,9 +530,9 @@
         self.assertEqual((200, True), (said.status, "over" in json.loads(said.body)))
         await self.run_.start_front(0, port)
         self.run_.lab.put("back", manager="m0")
-        for m in (1, 2):                        # a member that has not heard of the newcomer yet says that m0 is dead
+        for m in (1, 2):  # a member that has not heard of the newcomer yet says that m0 is dead
             await self.until(m, lambda s: s["members"]["members"]["m0"]["state"] == "alive")
-        for m in range(3):                      # said again, anywhere: the newcomer stays
+        for m in range(3):  # said again, anywhere: the newcomer stays
             said = await self.order(m, "m0", life)
             self.assertEqual((200, "m0 has begun anew since"), (said.status, json.loads(said.body)["over"]))
         self.assertEqual(307, (await self.order(2, "m1", "")).status)
@@ -508,8 +544,14 @@
         await self.judged()
 
     async def order(self, m, name, life):
-        return await self.run_.player.pool.ask(*self.at(m), "POST", f"/drain?manager={name}&life={life}", [
-            ("Authorization", f"Bearer {self.fleet_token}")], b"", LIMIT)
+        return await self.run_.player.pool.ask(
+            *self.at(m),
+            "POST",
+            f"/drain?manager={name}&life={life}",
+            [("Authorization", f"Bearer {self.fleet_token}")],
+            b"",
+            LIMIT,
+        )
 
     @property
     def fleet_token(self):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,5 @@
 """The journal of keys: durable at every step, compacted, refused where it is damaged; its commands."""
+
 import pathlib
 import subprocess
 import sys
@@ -59,7 +60,7 @@
                 made.commit(500.0)
         made.commit(500.0)
         again = KeyJournal(files, 500.0)
-        self.assertLess(len(again.log.found.records), SNAPSHOT_EVERY)       # of nearly twice as many
+        self.assertLess(len(again.log.found.records), SNAPSHOT_EVERY)  # of nearly twice as many
         left = [n for n in range(SNAPSHOT_EVERY - 95, SNAPSHOT_EVERY + 5) if n % 2 == 0]
         self.assertEqual({f"m0.{n}-x" for n in left}, set(again.rows))
         self.assertEqual(played(left[0]), again.rows[f"m0.{left[0]}-x"])
@@ -72,10 +73,16 @@
                 made.commit(0.0)
 
             def say(command, status=0):
-                done = subprocess.run([sys.executable, "-m", "flaxscale", "journal", command, folder], cwd=ROOT,
-                                      capture_output=True, text=True, timeout=60)
+                done = subprocess.run(
+                    [sys.executable, "-m", "flaxscale", "journal", command, folder],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                )
                 self.assertEqual(status, done.returncode, done.stdout + done.stderr)
                 return done.stdout + done.stderr
+
             self.assertIn("good: 5 records, no snapshot, 5 after it", say("verify"))
             self.assertEqual(5, len(say("inspect").splitlines()))
             self.assertIn("5 keys kept", say("compact"))
--- a/tests/test_jsonl.py
+++ b/tests/test_jsonl.py
@@ -1,4 +1,5 @@
 """Lines and messages of the platform without a socket: cut anywhere, and nothing impossible gets through."""
+
 import json
 import unittest
 
@@ -16,8 +17,14 @@
 
 def offer(call="9b1f03aa5c7e2d41", desc=DESC, **fields):
     row = {"class": "clip", "left": "1500", "key": "7f3a9c21e0b4d655", "extras": EXTRAS, **fields}
-    return json.dumps({"op": "offer", "call": call, "desc": desc,
-                       "with": {name: value for name, value in row.items() if value is not None}}).encode()
+    return json.dumps(
+        {
+            "op": "offer",
+            "call": call,
+            "desc": desc,
+            "with": {name: value for name, value in row.items() if value is not None},
+        }
+    ).encode()
 
 
 def set_up(*args, **fields):
@@ -51,11 +58,21 @@
 
 class Read(unittest.TestCase):
     @settings(max_examples=300, deadline=None)
-    @given(st.one_of(st.binary(max_size=200), st.recursive(
-        st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=20),
-        lambda inner: st.lists(inner, max_size=4) | st.dictionaries(
-            st.sampled_from(["op", "call", "with", "why", "desc", "left", "class", "key", "extras"]), inner),
-        max_leaves=12).map(lambda value: json.dumps(value).encode())))
+    @given(
+        st.one_of(
+            st.binary(max_size=200),
+            st.recursive(
+                st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=20),
+                lambda inner: (
+                    st.lists(inner, max_size=4)
+                    | st.dictionaries(
+                        st.sampled_from(["op", "call", "with", "why", "desc", "left", "class", "key", "extras"]), inner
+                    )
+                ),
+                max_leaves=12,
+            ).map(lambda value: json.dumps(value).encode()),
+        )
+    )
     def test_whatever_comes_is_a_message_or_a_named_fault(self, line):
         try:
             self.assertIsInstance(messages.set_up(messages.read(line), PACKAGES), messages.SetUp)
@@ -64,9 +81,22 @@
 
     def test_a_set_up_as_the_platform_writes_it(self):
         found = set_up()
-        self.assertEqual((0x9B1F03AA5C7E2D41, "clip", 1500, 0x7F3A9C21E0B4D655, 4, 3, 2, 0xB4D65521, None, False, DESC),
-                         (found.id, found.package, found.left, found.title, found.first_cell, found.cells, found.top,
-                          found.viewer, found.at, found.again, found.desc))
+        self.assertEqual(
+            (0x9B1F03AA5C7E2D41, "clip", 1500, 0x7F3A9C21E0B4D655, 4, 3, 2, 0xB4D65521, None, False, DESC),
+            (
+                found.id,
+                found.package,
+                found.left,
+                found.title,
+                found.first_cell,
+                found.cells,
+                found.top,
+                found.viewer,
+                found.at,
+                found.again,
+                found.desc,
+            ),
+        )
         self.assertTrue(set_up(extras=EXTRAS + ";again:1").again)
 
     def test_what_plays_already_needs_no_patience(self):
@@ -76,28 +106,51 @@
 
     def test_what_cannot_be_meant_is_refused_by_name(self):
         for named, line in (
-                ("call", offer(call="")), ("call", offer(call="9B1F03AA5C7E2D4")),
-                ("call", offer(call="9b1f03aa5c7e2d4g")), ("class", offer(**{"class": "gold"})),
-                ("class", offer(**{"class": 3})), ("class", offer(**{"class": None})),
-                ("key", offer(key="")), ("key", offer(key="0x12")), ("key", offer(key="7f3a9c21e0b4d65500")),
-                ("desc", offer(desc="")), ("desc", offer(desc="a\x00b")), ("desc", offer(desc=None)),
-                ("left", offer(left=None)), ("left", offer(left="0")), ("left", offer(left="-5")),
-                ("left", offer(left="1_500")), ("left", offer(left="0x10")), ("left", offer(left="1e999")),
-                ("left", offer(left="9" * 30)), ("left", offer(left="٣")), ("left", offer(left=1e12)),
-                ("extras", offer(extras="home")), ("extras", offer(extras=7)),
-                ("extras.home", offer(extras="copies:3;top:2")),
-                ("extras.home", offer(extras=EXTRAS.replace("home:4", "home:-1"))),
-                ("extras.home", offer(extras=EXTRAS.replace("home:4", "home:4.5"))),
-                ("extras.copies", offer(extras=EXTRAS.replace("copies:3", "copies:0"))),
-                ("extras.top", offer(extras=EXTRAS.replace("top:2", "top:99999999"))),
-                ("extras.viewer", offer(extras=EXTRAS.replace("b4d65521", "b4d6552z"))),
-                ("extras.at", offer(extras=EXTRAS + ";at:nobody"))):
+            ("call", offer(call="")),
+            ("call", offer(call="9B1F03AA5C7E2D4")),
+            ("call", offer(call="9b1f03aa5c7e2d4g")),
+            ("class", offer(**{"class": "gold"})),
+            ("class", offer(**{"class": 3})),
+            ("class", offer(**{"class": None})),
+            ("key", offer(key="")),
+            ("key", offer(key="0x12")),
+            ("key", offer(key="7f3a9c21e0b4d65500")),
+            ("desc", offer(desc="")),
+            ("desc", offer(desc="a\x00b")),
+            ("desc", offer(desc=None)),
+            ("left", offer(left=None)),
+            ("left", offer(left="0")),
+            ("left", offer(left="-5")),
+            ("left", offer(left="1_500")),
+            ("left", offer(left="0x10")),
+            ("left", offer(left="1e999")),
+            ("left", offer(left="9" * 30)),
+            ("left", offer(left="٣")),
+            ("left", offer(left=1e12)),
+            ("extras", offer(extras="home")),
+            ("extras", offer(extras=7)),
+            ("extras.home", offer(extras="copies:3;top:2")),
+            ("extras.home", offer(extras=EXTRAS.replace("home:4", "home:-1"))),
+            ("extras.home", offer(extras=EXTRAS.replace("home:4", "home:4.5"))),
+            ("extras.copies", offer(extras=EXTRAS.replace("copies:3", "copies:0"))),
+            ("extras.top", offer(extras=EXTRAS.replace("top:2", "top:99999999"))),
+            ("extras.viewer", offer(extras=EXTRAS.replace("b4d65521", "b4d6552z"))),
+            ("extras.at", offer(extras=EXTRAS + ";at:nobody")),
+        ):
             with self.subTest(line=line), self.assertRaisesRegex(Fault, f"^{named}"):
                 messages.set_up(messages.read(line), PACKAGES)
 
     def test_a_figure_that_is_no_number_is_none_of_ours(self):
-        for line in (b'{"op":"end","call":"x","why":"34"}', b'{"op":"end","why":1e999}', b'{"op":"end","why":NaN}',
-                     b'{"op":"info","with":{"value":[1]}}', b'[]', b'', b'\xff\xfe', b'{"op":' + b"[" * 2000):
+        for line in (
+            b'{"op":"end","call":"x","why":"34"}',
+            b'{"op":"end","why":1e999}',
+            b'{"op":"end","why":NaN}',
+            b'{"op":"info","with":{"value":[1]}}',
+            b"[]",
+            b"",
+            b"\xff\xfe",
+            b'{"op":' + b"[" * 2000,
+        ):
             with self.subTest(line=line), self.assertRaises(Fault):
                 messages.read(line)
 
@@ -105,16 +158,20 @@
         def load(text):
             message = messages.read(json.dumps({"op": "end", "with": {"load": text}}).encode())
             return messages.load(message, ("x0", "x1"))
+
         self.assertEqual((12.0, 0.5), load("x0:12;x1:0.5;queue:3"))
         self.assertEqual([()] * 4, [load(text) for text in ("x0:12", "x0:12;x1:", "x0", 5)])
 
 
 class Written(unittest.TestCase):
     def test_a_line_holds_what_the_platform_names(self):
-        self.assertEqual(b'{"op":"end","call":"a","with":{"wait":250},"why":34}\n',
-                         messages.line("end", "a", {"wait": 250}, messages.FULL))
-        self.assertEqual({"op": "accept", "call": "a", "with": {}, "desc": DESC},
-                         json.loads(messages.line("accept", "a", desc=DESC)))
+        self.assertEqual(
+            b'{"op":"end","call":"a","with":{"wait":250},"why":34}\n',
+            messages.line("end", "a", {"wait": 250}, messages.FULL),
+        )
+        self.assertEqual(
+            {"op": "accept", "call": "a", "with": {}, "desc": DESC}, json.loads(messages.line("accept", "a", desc=DESC))
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,4 +1,5 @@
 """Leases: terms, granter, holder, fence, shares and duties without sockets; all courses of small cases; seeded bugs."""
+
 import asyncio
 import collections
 import random
@@ -34,8 +35,10 @@
     def test_a_span_too_short_for_drift_and_step_is_refused_with_both_figures(self):
         self.assertIsNone(DUTY.fault())
         self.assertEqual((49_000, 51_001), (DUTY.usable(), DUTY.waited()))
-        self.assertEqual("a span of 1 s is too short for a step of 1 s and a drift of 0.02: 1.55 s at least",
-                         DUTY._replace(span=10_000).fault())
+        self.assertEqual(
+            "a span of 1 s is too short for a step of 1 s and a drift of 0.02: 1.55 s at least",
+            DUTY._replace(span=10_000).fault(),
+        )
         self.assertIsNone(DUTY._replace(span=15_500).fault())
         self.assertIn("drift", DUTY._replace(drift=0.5).fault())
         self.assertIn("step", DUTY._replace(step=0).fault())
@@ -43,6 +46,7 @@
     def test_a_site_names_duties_that_there_are_with_figures_that_go_together(self):
         def found(duties):
             return [key for key, _ in faults(shape("test", TERMS.rstrip()[:-1] + f', "duties": {duties}}}', Site))]
+
         self.assertEqual({}, shape("test", TERMS, Site).duties)
         self.assertEqual([], found('{"compact": {"period_s": 5}}'))
         self.assertEqual(["duties.sing"], found('{"sing": {}}'))
@@ -60,16 +64,17 @@
         g = self.granter()
         self.assertEqual(Granted("duty", 1, True), g.ask("duty", "a", 0, 0))
         self.assertEqual(Busy("duty", "a", 1, 41_001), g.ask("duty", "b", 0, 10_000))
-        self.assertEqual(Granted("duty", 1, False), g.ask("duty", "a", 1, 20_000))         # renewed
+        self.assertEqual(Granted("duty", 1, False), g.ask("duty", "a", 1, 20_000))  # renewed
         self.assertEqual(Busy("duty", "a", 1, 1), g.ask("duty", "b", 0, 71_000))
         self.assertEqual(Granted("duty", 2, True), g.ask("duty", "b", 0, 71_001))
-        self.assertIsInstance(g.ask("duty", "a", 1, 71_002), Busy)      # it thought so too long
+        self.assertIsInstance(g.ask("duty", "a", 1, 71_002), Busy)  # it thought so too long
         self.assertFalse(g.give("duty", "a", 1, 71_003))
         self.assertTrue(g.give("duty", "b", 2, 71_004))
-        self.assertEqual(Granted("duty", 3, True), g.ask("duty", "a", 0, 71_004))          # no gap
-        self.assertIsInstance(g.ask("sing", "a", 0, 71_004), Busy)      # no such duty
-        self.assertEqual([("granted", 1), ("granted", 2), ("given", 2), ("granted", 3)],
-                         [(e.what, e.token) for e in g.past])
+        self.assertEqual(Granted("duty", 3, True), g.ask("duty", "a", 0, 71_004))  # no gap
+        self.assertIsInstance(g.ask("sing", "a", 0, 71_004), Busy)  # no such duty
+        self.assertEqual(
+            [("granted", 1), ("granted", 2), ("given", 2), ("granted", 3)], [(e.what, e.token) for e in g.past]
+        )
 
     def test_after_a_start_nothing_new_until_every_span_is_over_but_who_holds_renews(self):
         g = self.granter()
@@ -92,7 +97,7 @@
         older.era(1_800_000_003)
         self.assertGreater(older.ask("duty", "b", 0, 0).token, g.count)
         again = Granter({"duty": DUTY}, 0, opened=0, count=g.count)
-        again.era(5)                    # its clock was put back: the count that it keeps is more
+        again.era(5)  # its clock was put back: the count that it keeps is more
         self.assertEqual(g.count + 1, again.ask("duty", "b", 0, 0).token)
 
     def test_records_bring_back_what_was_told(self):
@@ -111,8 +116,10 @@
 
     def test_a_resource_takes_nothing_older_and_no_token_of_two(self):
         fence = Fence()
-        self.assertEqual([True, True, False, True, False, False], [fence.takes("duty", *act) for act in (
-            (2, "a"), (2, "a"), (2, "b"), (5, "b"), (4, "a"), (0, "a"))])
+        self.assertEqual(
+            [True, True, False, True, False, False],
+            [fence.takes("duty", *act) for act in ((2, "a"), (2, "a"), (2, "b"), (5, "b"), (4, "a"), (0, "a"))],
+        )
         again = Fence(fence.dump())
         self.assertEqual((5, False, True), (again.token("duty"), again.takes("duty", 4, "c"), again.takes("x", 1, "c")))
 
@@ -129,6 +136,7 @@
     def service(self, disk):
         async def act(task, what, owner):
             return {"did": task}
+
         made = LeaseService(disk, {"duty": DUTY}, act, Rows())
         made.granter.opened = 0
         return made
@@ -184,7 +192,7 @@
             service.granter.rows.clear()
         self.assertIsNotNone(service.broken)
         self.assertLess(len([t for t in told if not t.lease.refused]), 5)
-        told.clear()            # whoever asks then hears that nothing is granted: silence would be taken for a cut
+        told.clear()  # whoever asks then hears that nothing is granted: silence would be taken for a cut
         await self.hear(service, told, owner="m9.1", leases=[pb.LeaseAsk(piece="duty", number=9)])
         self.assertEqual([(9, True)], [(t.lease.number, t.lease.refused) for t in told])
 
@@ -225,7 +233,7 @@
             now += 500
         self.assertGreaterEqual(len(times), 3)
         self.assertLess(times[0] - at, DUTY.span / RENEWALS)
-        self.assertFalse(h.granted("duty", number, 5, now))         # of the first asking, long given up
+        self.assertFalse(h.granted("duty", number, 5, now))  # of the first asking, long given up
         self.assertFalse(h.holds("duty", now))
 
     def test_many_pieces_are_renewed_together(self):
@@ -279,18 +287,18 @@
         _, number = self.asked(h, at)
         self.assertFalse(h.deaf(at + DEAF - 1))
         self.assertTrue(h.deaf(at + DEAF))
-        while at < first + DEAF:            # asked again meanwhile: it counts from the first
+        while at < first + DEAF:  # asked again meanwhile: it counts from the first
             at = h.wanted["duty"].next_at if h.wanted["duty"].asked_at is None else at + AGAIN
             h.due(at)
         self.assertTrue(h.deaf(at))
-        h.busy("duty", h.wanted["duty"].number, "m1.1", 3, 100, at)     # any word of it will do
+        h.busy("duty", h.wanted["duty"].number, "m1.1", 3, 100, at)  # any word of it will do
         self.assertFalse(h.deaf(at + DEAF))
         at = h.wanted["duty"].next_at
         self.asked(h, at)
         h.source(False, 1, at)
-        self.assertFalse(h.deaf(at + DEAF))                     # it is known to be down
+        self.assertFalse(h.deaf(at + DEAF))  # it is known to be down
         h.source(True, 1, at)
-        self.assertFalse(h.deaf(at + DEAF))                     # nothing was asked of it yet
+        self.assertFalse(h.deaf(at + DEAF))  # nothing was asked of it yet
 
     def test_what_is_no_longer_ours_is_given_back_after_its_step_and_a_resource_outdates_us(self):
         h = self.holder()
@@ -329,14 +337,14 @@
         parts = collections.Counter(share([f"p{n}" for n in range(30)], weights).values())
         self.assertEqual({"a": 20, "b": 10}, dict(parts))
         self.assertEqual({"c": 1.0}, eligible([Fit("c", full=True), Fit("d", under=True)]))
-        self.assertEqual({}, eligible([Fit("d", under=True), Fit("e", away=True)]))     # cut off from who grants
+        self.assertEqual({}, eligible([Fit("d", under=True), Fit("e", away=True)]))  # cut off from who grants
 
 
 class Duties(unittest.TestCase):
     def test_an_orphan_is_left_to_all_others_first(self):
         sweep, rows = Sweep(), [("k1", "m0", 0), ("k2", "m9", 3)]
         self.assertEqual([], sweep.look(rows, ["m0"], 0))
-        self.assertEqual([], sweep.look(rows, ["m0", "m9"], 30_000))        # it came back
+        self.assertEqual([], sweep.look(rows, ["m0", "m9"], 30_000))  # it came back
         self.assertEqual([], sweep.look(rows, ["m0"], 40_000))
         self.assertEqual([], sweep.look(rows, ["m0"], 40_000 + ORPHAN_AFTER - 1))
         self.assertEqual([("k2", "m9", 3)], sweep.look(rows, ["m0"], 40_000 + ORPHAN_AFTER))
@@ -356,6 +364,7 @@
     def test_the_judge_finds_an_overlap_a_shared_token_and_a_gap(self):
         def act(at, token, owner):
             return {"what": "lease", "did": "act", "at": at, "piece": "compact", "token": token, "owner": owner}
+
         good = [act(1, 1, "m0.a"), act(2, 1, "m0.a"), act(90_000, 2, "m1.a")]
         self.assertEqual([], one_at_a_time("x", good))
         self.assertEqual([9], [b.rule for b in one_at_a_time("x", [*good, act(90_001, 1, "m0.a")])])
@@ -372,50 +381,57 @@
 class OnThePlatform(unittest.TestCase):
     def test_run_loads_nothing_of_leases_nor_of_what_they_stand_on(self):
         # The program of deploy/balancer.toml with all that it imports when it serves: off, and at no cost.
-        code = ("import sys, flaxscale.cli.platform, flaxscale.platform.config, flaxscale.platform.host\n"
-                "print(*sorted(m.split('.')[1] for m in sys.modules if m.startswith('flaxscale.')))")
+        code = (
+            "import sys, flaxscale.cli.platform, flaxscale.platform.config, flaxscale.platform.host\n"
+            "print(*sorted(m.split('.')[1] for m in sys.modules if m.startswith('flaxscale.')))"
+        )
         loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, cwd=ROOT)
         self.assertIn("platform", loaded.stdout.split())
-        self.assertEqual(set(), {"leases", "members", "catalogued", "front", "versions", "store"} & set(
-            loaded.stdout.split()))
+        self.assertEqual(
+            set(), {"leases", "members", "catalogued", "front", "versions", "store"} & set(loaded.stdout.split())
+        )
 
 
 class Explored(unittest.TestCase):
     def test_every_course_of_two_managers_keeps_the_invariants_and_may_lead_to_a_holder(self):
-        machine = Machine((9, 10, 11), most=1)          # a slow holder, a fast granter: the worst within the bound
+        machine = Machine((9, 10, 11), most=1)  # a slow holder, a fast granter: the worst within the bound
         found = explore(start(2, 0), machine.steps, 60_000, machine.good)
         self.assertEqual((None, None), (found.trace, found.stuck))
         self.assertGreater(found.states, 20_000)
 
     def test_managers_with_clocks_of_one_rate_stand_for_each_other(self):
         machine = Machine((10, 10, 10), most=1)
-        whole, less = (explore(start(2, 0), machine.steps, 60_000, machine.good, same)
-                       for same in (None, machine.alike))
+        whole, less = (
+            explore(start(2, 0), machine.steps, 60_000, machine.good, same) for same in (None, machine.alike)
+        )
         self.assertEqual([(None, None)] * 2, [(found.trace, found.stuck) for found in (whole, less)])
         self.assertLess(less.states, 0.51 * whole.states)
-        three = Machine((10, 10, 10, 10), most=1, bug="span counted from the answer")     # found among three as well
+        three = Machine((10, 10, 10, 10), most=1, bug="span counted from the answer")  # found among three as well
         self.assertIn("two hold at once", explore(start(3, 0), three.steps, 200_000, None, three.alike).trace[-1])
 
     def test_seeded_bugs_are_found_with_a_short_trace(self):
         for bug in BUGS:
             with self.subTest(bug=bug):
                 rates = (9, 10, 11) if bug == "drift left out" else (10, 10, 10)
-                first = put_back_soon() if bug == "a token without its owner" else start(
-                    2, int(bug in ("token lost at a restart", "granter forgets a grant")))
+                first = (
+                    put_back_soon()
+                    if bug == "a token without its owner"
+                    else start(2, int(bug in ("token lost at a restart", "granter forgets a grant")))
+                )
                 machine = Machine(rates, bug=bug, watched=bug == "token lost at a restart")
                 found = explore(first, machine.steps, 60_000)
                 self.assertIsNotNone(found.trace)
                 self.assertLessEqual(len(found.trace), 24, found.trace)
 
     @settings(max_examples=40, deadline=None)
-    @given(st.integers(0, 2 ** 32), st.sampled_from(((9, 10, 11, 11), (11, 9, 10, 9), (10, 10, 10, 10))))
+    @given(st.integers(0, 2**32), st.sampled_from(((9, 10, 11, 11), (11, 9, 10, 9), (10, 10, 10, 10))))
     def test_long_courses_of_three_managers_with_crashes_and_a_store_put_back(self, seed, rates):
         machine = Machine(rates, most=4)
         self.assertIsNone(wander(start(3, 6, 2), machine.steps, random.Random(seed).choice, 300))
 
     @settings(max_examples=20, deadline=None)
-    @given(st.integers(0, 2 ** 32))
+    @given(st.integers(0, 2**32))
     def test_clocks_beyond_the_bound_harm_no_resource(self, seed):
         machine = Machine((4, 13, 10, 15), most=4)
-        machine.judge = lambda world: None              # two may believe it at once; nothing comes of it
+        machine.judge = lambda world: None  # two may believe it at once; nothing comes of it
         self.assertIsNone(wander(start(3, 4, 1), machine.steps, random.Random(seed).choice, 400))
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -1,4 +1,5 @@
 """The live catalogue on sockets: changes while set-ups are under way, services and streams that fail, refusals."""
+
 import asyncio
 
 from flaxscale.catalogue.state import HOLDING, LEAVING, Drop, Hold, Put, Rungs, Seats
@@ -12,8 +13,12 @@
 
 
 class Live(Rig):
-    titles = [Put("one", "clip", holders=held(1, 2, 3)), Put("sole", "clip", holders=held(1)),
-              Put("cam", "live", low=1, holders=held(1, 2, 3)), Put("pair", "clip", holders=held(1, 2))]
+    titles = [
+        Put("one", "clip", holders=held(1, 2, 3)),
+        Put("sole", "clip", holders=held(1)),
+        Put("cam", "live", low=1, holders=held(1, 2, 3)),
+        Put("pair", "clip", holders=held(1, 2)),
+    ]
 
     async def taken(self, version, log=0):
         """Until this manager and all boxes have taken a version."""
@@ -34,13 +39,13 @@
         await self.taken(reply.version)
         self.assertEqual("plays", (await self.ask("new")).fate)
         self.assertEqual({1: 0, 2: 1, 3: 1}, self.landed("new"))
-        self.assertEqual(1, len(self.boxes[2].box.sessions))        # what plays there plays on
+        self.assertEqual(1, len(self.boxes[2].box.sessions))  # what plays there plays on
         reply = await self.change(Drop("new"))
         await self.taken(reply.version)
         self.assertEqual(404, (await self.ask("new")).status)
 
     async def test_a_box_ahead_of_its_manager_refuses_what_it_lacks_and_another_plays(self):
-        self.fronts[0].watch.task.cancel()                          # this manager hears nothing more
+        self.fronts[0].watch.task.cancel()  # this manager hears nothing more
         reply = await self.change(Hold("pair", 1, "gone"))
         for rows in self.box_rows.values():
             await rows.seen("holds", version=reply.version)
@@ -48,13 +53,13 @@
         self.assertEqual({"plays"}, {s.fate for s in seen})
         refused = [r for r in self.box_rows[1].all("answer") if r["status"] == 404]
         self.assertTrue(refused and not any(r["ran"] for r in refused))
-        self.assertEqual((0, 1), (len(self.boxes[1].box.sessions), len(refused)))     # asked once, then left alone
+        self.assertEqual((0, 1), (len(self.boxes[1].box.sessions), len(refused)))  # asked once, then left alone
         self.assertEqual({"lacking"}, {r["how"] for r in self.log[0].all("tune-in failed")})
 
     async def test_a_change_in_the_middle_of_a_set_up(self):
         self.boxes[1].box.work = 2000
         asked = asyncio.ensure_future(self.ask("sole"))
-        await self.box_rows[1].seen("setup")                        # it is out: the change lets it stand
+        await self.box_rows[1].seen("setup")  # it is out: the change lets it stand
         reply = await self.change(Hold("sole", 2, HOLDING), Hold("sole", 1, LEAVING))
         await self.taken(reply.version)
         self.assertEqual("plays", (await asked).fate)
@@ -78,7 +83,7 @@
         seen = [await self.ask("cam") for _ in range(3)]
         self.assertEqual({"plays"}, {s.fate for s in seen})
         reply = await self.change(Put("touch", "clip", holders=held(1)))
-        await self.taken(reply.version)                             # its acknowledgement tells the seats in use
+        await self.taken(reply.version)  # its acknowledgement tells the seats in use
         while not self.service.in_use():
             await asyncio.sleep(0)
         reply = await self.change(Seats("cam", "live", 2))
@@ -88,7 +93,7 @@
         await self.taken(reply.version)
         self.assertEqual("blocked", (await self.ask("cam")).fate)
         await self.player.end(self.fronts[0].address, seen[0].location)
-        self.assertEqual("blocked", (await self.ask("cam")).fate)   # two of two are in use
+        self.assertEqual("blocked", (await self.ask("cam")).fate)  # two of two are in use
         await self.player.end(self.fronts[0].address, seen[1].location)
         self.assertEqual("plays", (await self.ask("cam")).fate)
 
@@ -97,7 +102,7 @@
         version = self.service.keeper.settled
         await self.service.stop()
         await self.log[0].seen("catalogue not followed")
-        self.assertEqual("plays", (await self.ask("one")).fate)     # the last good one serves on
+        self.assertEqual("plays", (await self.ask("one")).fate)  # the last good one serves on
         self.assertGreaterEqual(self.fronts[0].catalogue_state()["heard_s_ago"], 0)
         await self.start_service(port)
         self.assertEqual(version, self.service.keeper.settled)
@@ -121,7 +126,7 @@
         self.assertEqual("plays", (await self.ask("kept")).fate)
 
     async def test_a_manager_that_refuses_a_version_serves_on_and_who_tells(self):
-        self.fronts[0].sense.packages.pop("push")                   # this manager's terms know no such package
+        self.fronts[0].sense.packages.pop("push")  # this manager's terms know no such package
         version = self.service.keeper.settled
         await self.change(Put("odd", None, "push", holders=held(1)))
         await self.log[0].seen("catalogue refused")
@@ -138,8 +143,10 @@
         version = self.service.keeper.settled
         dry = await self.change(Drop("one"), dry=True)
         self.assertEqual((version, 1), (dry.version, dry.changed))
-        first, second = await asyncio.gather(self.change(Put("x", "clip", holders=held(1)), expect=version),
-                                             self.change(Put("y", "clip", holders=held(1)), expect=version))
+        first, second = await asyncio.gather(
+            self.change(Put("x", "clip", holders=held(1)), expect=version),
+            self.change(Put("y", "clip", holders=held(1)), expect=version),
+        )
         self.assertEqual(1, sum(bool(r.behind) for r in (first, second)))
         async with Client(self.catalogue) as client:
             back = await client.call("Rollback", pb.RollbackRequest(to=version))
@@ -157,6 +164,7 @@
     async def test_a_store_that_fails_acknowledges_nothing_and_takes_nothing_more(self):
         def fail(name):
             raise OSError(28, "no space left on device")
+
         version = self.service.keeper.settled
         self.service.files.sync = fail
         with self.assertRaises(ServiceError):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,4 +1,5 @@
 """Membership and take-over without sockets: simulated losses, all interleavings of small cases, seeded bugs found."""
+
 import collections
 import random
 import unittest
@@ -64,7 +65,7 @@
         world.run(20 * PERIOD)
         self.assertTrue(all(len(world.alive(n)) == 4 for n in world.names))
         world.crash("m1")
-        world.start("m1")                   # so fast that nobody called it dead: another start all the same
+        world.start("m1")  # so fast that nobody called it dead: another start all the same
         world.run(20 * PERIOD)
         boots = {world.swims[n].members["m1"].boot for n in ("m0", "m2", "m3")}
         self.assertEqual({world.swims["m1"].me.boot}, boots)
@@ -73,8 +74,12 @@
         swim = Swim("a", "1:1", "x", 1, 0)
         swim.learn(News("b", "1:2", State.ALIVE, 3, "x"), 0)
         swim.learn(News("b", "1:2", State.DEAD, 3, "x"), 0)
-        for old in (News("b", "1:2", State.ALIVE, 3, "x"), News("b", "1:2", State.SUSPECT, 3, "x"),
-                    News("b", "1:9", State.ALIVE, 2, "w"), News("b", "1:2", State.ALIVE, 3, "w")):
+        for old in (
+            News("b", "1:2", State.ALIVE, 3, "x"),
+            News("b", "1:2", State.SUSPECT, 3, "x"),
+            News("b", "1:9", State.ALIVE, 2, "w"),
+            News("b", "1:2", State.ALIVE, 3, "w"),
+        ):
             self.assertFalse(swim.learn(old, 0))
         self.assertEqual(State.DEAD, swim.members["b"].state)
         self.assertTrue(swim.learn(News("b", "1:2", State.ALIVE, 4, "x"), 0))
@@ -84,8 +89,13 @@
         swim.tick(FORGET + 2 * PERIOD)
         self.assertNotIn("b", swim.members)
 
-    @given(st.lists(st.tuples(st.sampled_from("bc"), st.sampled_from(list(State)), st.integers(0, 3),
-                              st.sampled_from("xy")), max_size=24), st.randoms())
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("bc"), st.sampled_from(list(State)), st.integers(0, 3), st.sampled_from("xy")),
+            max_size=24,
+        ),
+        st.randoms(),
+    )
     @settings(deadline=None)
     def test_news_of_one_start_end_alike_in_any_order(self, rows, draw):
         rows = [News(name, "1:1", state, n, "x") for name, state, n, _ in rows]
@@ -108,7 +118,6 @@
         self.assertLessEqual(len(wire.encode(message, b"k")), wire.MOST)
         self.assertLessEqual(len(wire.encode(swim.message("ack", 1, "a", whole=True), b"k")), wire.MOST)
 
-
     def test_many_dead_at_once_and_a_cut_to_a_living_one_hold_no_death_up(self):
         # Probes of the dead were taken for loss on our own ways, which makes suspicions last longer: seven dead of ten
         # were known after 8 to 10 s, and a third one's death to two that can't reach each other after 9 s.
@@ -141,7 +150,7 @@
     def test_loss_of_our_own_ways_is_known_by_those_that_live(self):
         world = SwimWorld(5, 0.3, 4)
         world.run(60 * PERIOD)
-        lost = [swim.lost for swim in world.swims.values()]     # of a probe and its answer, 0.51 of them one
+        lost = [swim.lost for swim in world.swims.values()]  # of a probe and its answer, 0.51 of them one
         self.assertAlmostEqual(0.51, sum(lost) / 5, delta=0.2)
         self.assertEqual(0, world.false_deaths)
 
@@ -206,13 +215,13 @@
             without = plan(sessions, "m1", me, [m for m in alive if m != "m3" or m == me])
             self.assertLessEqual(set(first.claims), set(without.claims))
             self.assertLessEqual(set(without.claims), set(second.claims))
-        self.assertEqual(((), (), None), plan(sessions, "m1", "m9", alive, 3))       # it takes nothing: it is full
+        self.assertEqual(((), (), None), plan(sessions, "m1", "m9", alive, 3))  # it takes nothing: it is full
 
     def test_whoever_asks_in_vain_is_sent_on_and_never_in_a_circle(self):
         alive, name = [f"m{n}" for n in range(9)], "m3.7-x"
         order = sorted(alive, key=lambda m: rank_of(name, alive, m))
         self.assertEqual("m3", whom(name, "m0", alive, None, []))
-        self.assertEqual("m5", whom(name, "m3", alive, "m5", []))           # whom a box named goes first
+        self.assertEqual("m5", whom(name, "m3", alive, "m5", []))  # whom a box named goes first
         left = [m for m in alive if m != "m3"]
         first = [m for m in order if m != "m3"]
         asked, me = [], first[5]
@@ -226,7 +235,7 @@
     def test_claims_go_by_a_ration_and_within_what_may_be_held(self):
         ration = Ration(0)
         self.assertEqual([BURST, 0], [ration.take(0, 500, 500) for _ in range(2)])
-        self.assertEqual(20, ration.take(100, 500, 500))            # 2,000 a second
+        self.assertEqual(20, ration.take(100, 500, 500))  # 2,000 a second
         self.assertEqual([3, 0, 0], [ration.take(10_000, 500, room) for room in (3, 0, -4)])
         self.assertEqual([False, True, True], [full(94, 100, False), full(95, 100, False), full(0, 100, True)])
 
@@ -240,29 +249,43 @@
 
     def test_look_ups_go_so_many_at_a_time_and_worth_first(self):
         looks = Looks(2)
-        self.assertEqual([True, True, False, False, False], [looks.come(n, worth) for n, worth in enumerate(
-            (1, 1, 1, 5, 3))])
-        self.assertEqual([3, None, 2, None, None], [looks.over(n) for n in (0, 4, 1, 3, 2)])     # 4 left as it waited
+        self.assertEqual(
+            [True, True, False, False, False], [looks.come(n, worth) for n, worth in enumerate((1, 1, 1, 5, 3))]
+        )
+        self.assertEqual([3, None, 2, None, None], [looks.over(n) for n in (0, 4, 1, 3, 2)])  # 4 left as it waited
         self.assertTrue(looks.come(9, 0))
 
     def test_an_order_is_for_one_life_and_said_again_anywhere_it_is_done_once(self):
         def other(state, life="b1"):
             return Member(News("m1", "1:1", state, 0, life, "1:80"), 0)
-        told = {"m0 itself": orders.drain("m0", "a", "m0", "a", False, None),
-                "nobody named": orders.drain("", "", "m0", "a", False, None),
-                "leaving": orders.drain("m0", "a", "m0", "a", True, None),
-                "a later life": orders.drain("m0", "a", "m0", "b", False, None),
-                "alive": orders.drain("m1", "b1", "m0", "a", False, other(State.ALIVE)),
-                "suspect": orders.drain("m1", "", "m0", "a", False, other(State.SUSPECT)),
-                "left": orders.drain("m1", "b1", "m0", "a", False, other(State.LEFT)),
-                "dead": orders.drain("m1", "b1", "m0", "a", False, other(State.DEAD)),
-                "begun anew": orders.drain("m1", "b1", "m0", "a", False, other(State.ALIVE, "b2")),
-                "not known": orders.drain("m7", "x", "m0", "a", False, None)}
-        self.assertEqual({
-            "m0 itself": orders.Leave(False), "nobody named": orders.Leave(False), "leaving": orders.Leave(True),
-            "a later life": orders.Over("m0 has begun anew since"), "alive": orders.SendOn("1:80"),
-            "suspect": orders.SendOn("1:80"), "left": orders.Over("m1 has left"), "dead": orders.Over("m1 is dead"),
-            "begun anew": orders.Over("m1 has begun anew since"), "not known": orders.Unknown()}, told)
+
+        told = {
+            "m0 itself": orders.drain("m0", "a", "m0", "a", False, None),
+            "nobody named": orders.drain("", "", "m0", "a", False, None),
+            "leaving": orders.drain("m0", "a", "m0", "a", True, None),
+            "a later life": orders.drain("m0", "a", "m0", "b", False, None),
+            "alive": orders.drain("m1", "b1", "m0", "a", False, other(State.ALIVE)),
+            "suspect": orders.drain("m1", "", "m0", "a", False, other(State.SUSPECT)),
+            "left": orders.drain("m1", "b1", "m0", "a", False, other(State.LEFT)),
+            "dead": orders.drain("m1", "b1", "m0", "a", False, other(State.DEAD)),
+            "begun anew": orders.drain("m1", "b1", "m0", "a", False, other(State.ALIVE, "b2")),
+            "not known": orders.drain("m7", "x", "m0", "a", False, None),
+        }
+        self.assertEqual(
+            {
+                "m0 itself": orders.Leave(False),
+                "nobody named": orders.Leave(False),
+                "leaving": orders.Leave(True),
+                "a later life": orders.Over("m0 has begun anew since"),
+                "alive": orders.SendOn("1:80"),
+                "suspect": orders.SendOn("1:80"),
+                "left": orders.Over("m1 has left"),
+                "dead": orders.Over("m1 is dead"),
+                "begun anew": orders.Over("m1 has begun anew since"),
+                "not known": orders.Unknown(),
+            },
+            told,
+        )
 
     def test_a_mass_death_with_much_in_hand_is_taken_up_whole_and_once(self):
         for dead in (1, 3, 7):
@@ -271,16 +294,16 @@
             # No faster than the ration, all who live together.
             self.assertGreater(came.all_s - came.known_s + 3.0, (600 * dead / (10 - dead) - BURST) / RATE)
         self.assertEqual(loss(5, 2, 500, 6, 3), loss(5, 2, 500, 6, 3))
-        self.assertGreater(loss(10, 7, 6_000, 20, lease_ms=4_000).lost, 0)      # a lease that is too short is seen
+        self.assertGreater(loss(10, 7, 6_000, 20, lease_ms=4_000).lost, 0)  # a lease that is too short is seen
 
     def test_a_fence_grants_an_epoch_once(self):
         fence = Fence()
         fence.begin("k", "m1")
         self.assertTrue(fence.obeys("k", 0, "m1"))
         self.assertTrue(fence.claim("k", 1, "m2"))
-        self.assertTrue(fence.claim("k", 1, "m2"))              # said again: its answer was lost
+        self.assertTrue(fence.claim("k", 1, "m2"))  # said again: its answer was lost
         self.assertFalse(fence.claim("k", 1, "m3"))
-        self.assertFalse(fence.claim("k", 5, "m3"))             # an epoch that it never saw here
+        self.assertFalse(fence.claim("k", 5, "m3"))  # an epoch that it never saw here
         self.assertFalse(fence.obeys("k", 0, "m1"))
         self.assertTrue(fence.obeys("k", 1, "m2"))
         self.assertFalse(fence.claim("none", 1, "m2"))
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -1,4 +1,5 @@
 """The model: the same seed gives the same course, the rules hold in it, and it agrees with the sockets."""
+
 import json
 import pathlib
 import subprocess
@@ -27,8 +28,9 @@
 class Model(unittest.TestCase):
     def test_a_seed_gives_the_same_bytes_and_another_gives_others(self):
         with tempfile.TemporaryDirectory() as folder:
-            files = [write(Play(bad_day(), seed).run(), f"{folder}/{n}").read_bytes()
-                     for n, seed in enumerate((3, 3, 4))]
+            files = [
+                write(Play(bad_day(), seed).run(), f"{folder}/{n}").read_bytes() for n, seed in enumerate((3, 3, 4))
+            ]
         self.assertEqual(files[0], files[1])
         self.assertNotEqual(files[0], files[2])
 
@@ -53,11 +55,11 @@
                 elif isinstance(event, face.Ended):
                     out[event.id] -= 1
                 self.assertLessEqual(max(out.values(), default=0), 1)
+
             play = Play(bad_day(), seed, tap).run()
             totals = play.totals()
             self.assertEqual([], play.faults)
-            self.assertEqual((0, 0, 0), (totals["fell"], totals["under_floor"],
-                                         totals["fates"].get("unanswered", 0)))
+            self.assertEqual((0, 0, 0), (totals["fell"], totals["under_floor"], totals["fates"].get("unanswered", 0)))
             self.assertEqual({1}, set(taken.values()))
             self.assertLessEqual(max(answers.values()), 1)
             self.assertGreater(totals["fates"]["plays"], 100)
@@ -68,17 +70,18 @@
         self.assertGreater(base["service"], 0.6)
         row = type(bad_day().troubles[0])
         for what, value, seen in (
-                ("crash", 1, lambda t: t["requests"] > base["requests"]),
-                ("hang", 1, lambda t: t["service"] < base["service"]),
-                ("fast_errors", 0.9, lambda t: t["tune_ins"].get("error", 0) > 3),
-                ("answer_lost", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
-                ("reset_after", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
-                ("reset_before", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
-                ("drain", 1, lambda t: t["service"] < base["service"]),
-                ("link", 0.3, lambda t: t["service"] < base["service"]),
-                ("neighbour", 0.7, lambda t: t["service"] < base["service"]),
-                ("manager_stall", 1, lambda t: t["fates"].get("manager stood", 0) > 3),
-                ("manager_crash", 1, lambda t: t["fates"].get("unreached", 0) > 3)):
+            ("crash", 1, lambda t: t["requests"] > base["requests"]),
+            ("hang", 1, lambda t: t["service"] < base["service"]),
+            ("fast_errors", 0.9, lambda t: t["tune_ins"].get("error", 0) > 3),
+            ("answer_lost", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
+            ("reset_after", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
+            ("reset_before", 0.9, lambda t: t["tune_ins"].get("further", 0) > 3),
+            ("drain", 1, lambda t: t["service"] < base["service"]),
+            ("link", 0.3, lambda t: t["service"] < base["service"]),
+            ("neighbour", 0.7, lambda t: t["service"] < base["service"]),
+            ("manager_stall", 1, lambda t: t["fates"].get("manager stood", 0) > 3),
+            ("manager_crash", 1, lambda t: t["fates"].get("unreached", 0) > 3),
+        ):
             trouble = row(at_s=6, what=what, for_s=10, value=value, share=0.5)
             totals = Play(msgspec.structs.replace(quiet, troubles=[trouble]), 5).run().totals()
             self.assertTrue(seen(totals), (what, totals, base))
@@ -103,15 +106,19 @@
             play, came, sent = Play(msgspec.structs.replace(quiet, troubles=[cut]), 5), [], []
             at_box, tune = play.at_box, play.set_up
             play.at_box = lambda manager, life, vw, key, *more: (
-                came.append((play.day_s(), key)), at_box(manager, life, vw, key, *more))
+                came.append((play.day_s(), key)),
+                at_box(manager, life, vw, key, *more),
+            )
             play.set_up = lambda manager, vw, nth, *more: (
-                sent.append((play.day_s(), (manager.me, manager.life, vw.id, nth))), tune(manager, vw, nth, *more))
+                sent.append((play.day_s(), (manager.me, manager.life, vw.id, nth))),
+                tune(manager, vw, nth, *more),
+            )
             play.run()
             mine = [at for at, key in came if key[0] == 0]
             self.assertFalse([at for at in mine if 6.001 < at < 10])
             self.assertTrue([at for at, key in sent if key[0] == 0 and 6 < at < 10])
             self.assertEqual(len(sent), len({key for _, key in came}))
-            self.assertEqual(len(came), len(sent))                      # each once
+            self.assertEqual(len(came), len(sent))  # each once
             self.assertEqual(([], 0), (play.faults, play.totals()["fates"].get("unanswered", 0)))
             others = [at for at, key in came if key[0] != 0 and 6 < at < 10]
             self.assertGreater(len(others), 5)
@@ -135,7 +142,7 @@
     def test_intervals_and_paired_comparison(self):
         known = interval([1.0, 2.0, 3.0, 4.0, 5.0])
         self.assertAlmostEqual(3.0, known.mean)
-        self.assertAlmostEqual(1.9632, known.half, 3)           # t(0.975, 4) x s / sqrt(5), by hand
+        self.assertAlmostEqual(1.9632, known.half, 3)  # t(0.975, 4) x s / sqrt(5), by hand
         day = sweep(EXAMPLES / "bad-day.jsonnet", (1, 2, 3))
         self.assertEqual({0.0}, {i.mean for i in compare(day, day).values()})
 
@@ -148,23 +155,39 @@
         of four days on sockets failed, which had blocked 0.21; the model's seeds themselves span 0 to 0.22.
         """
         day = bad_day()
-        small = msgspec.structs.replace(day, length_s=7.0, settle_s=1.0, boxes=day.boxes[:6], troubles=[
-            msgspec.structs.replace(t, at_s=min(t.at_s, 3.0)) for t in day.troubles
-            if t.what in ("answer_lost", "crash", "fast_errors")],
-            demand=msgspec.structs.replace(day.demand, rate=7.0, pushes=[], play_s=[1.0, 3.0]))
+        small = msgspec.structs.replace(
+            day,
+            length_s=7.0,
+            settle_s=1.0,
+            boxes=day.boxes[:6],
+            troubles=[
+                msgspec.structs.replace(t, at_s=min(t.at_s, 3.0))
+                for t in day.troubles
+                if t.what in ("answer_lost", "crash", "fast_errors")
+            ],
+            demand=msgspec.structs.replace(day.demand, rate=7.0, pushes=[], play_s=[1.0, 3.0]),
+        )
         small = msgspec.convert(msgspec.to_builtins(small), Day)
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / "day.json"
             file.write_bytes(msgspec.json.encode(small))
-            done = subprocess.run([sys.executable, "-m", "flaxscale", "day", str(file), "--seed", "4", "--out",
-                                   f"{folder}/out"], cwd=EXAMPLES.parent, capture_output=True, text=True, timeout=120)
+            done = subprocess.run(
+                [sys.executable, "-m", "flaxscale", "day", str(file), "--seed", "4", "--out", f"{folder}/out"],
+                cwd=EXAMPLES.parent,
+                capture_output=True,
+                text=True,
+                timeout=120,
+            )
             self.assertEqual(0, done.returncode, done.stdout + done.stderr[-2000:])
-            rows = [json.loads(line) for line in (pathlib.Path(folder) / "out" / "clients.jsonl").read_text()
-                    .splitlines()]
+            rows = [
+                json.loads(line) for line in (pathlib.Path(folder) / "out" / "clients.jsonl").read_text().splitlines()
+            ]
         sockets = Counter(r["fate"] for r in rows if r["what"] == "seen")
         seeds = [Play(small, seed).run().totals() for seed in range(1, 21)]
         for fate in ("plays", "blocked", "aborted"):
-            there = [(t["fates"].get(fate, 0) + (t["fates"].get("late", 0) if fate == "plays" else 0)) / t["requests"]
-                     for t in seeds]
+            there = [
+                (t["fates"].get(fate, 0) + (t["fates"].get("late", 0) if fate == "plays" else 0)) / t["requests"]
+                for t in seeds
+            ]
             here = sockets[fate] / sum(sockets.values())
             self.assertTrue(min(there) - 0.1 <= here <= max(there) + 0.1, (fate, sockets, min(there), max(there)))
--- a/tests/test_peaks.py
+++ b/tests/test_peaks.py
@@ -1,4 +1,5 @@
 """Announced peaks: what can't be is refused by name, room is kept ahead, moves, and is handed back. No sockets."""
+
 import unittest
 
 from flaxscale import interface as face
@@ -20,8 +21,10 @@
         return RoomKeeper(peaks or (peak(),), fleet)
 
     def servers(self, *gone):
-        return {n: (face.Listed(n, 0, n, 0, 1.0, 0, State.GONE if n in gone else State.READY), 10_000.0)
-                for n in range(1, 5)}
+        return {
+            n: (face.Listed(n, 0, n, 0, 1.0, 0, State.GONE if n in gone else State.READY), 10_000.0)
+            for n in range(1, 5)
+        }
 
     def kb(self, keeper, s, *gone):
         return sum(keeper.rooms(s, self.servers(*gone))[0].values())
@@ -37,12 +40,16 @@
         return out
 
     def test_what_cannot_be_is_refused_by_name(self):
-        for change, said in ((dict(end_s=100.0), "before or as it starts"), (dict(rate=-1.0), "a rate of -1"),
-                             (dict(titles=("none",)), "the title 'none' is not known"),
-                             (dict(titles=()), "at least one"),
-                             (dict(ramp_s=90.0), "a ramp of 90 s"), (dict(rung=9), "rung 9"),
-                             (dict(sure=0.0), "sure 0"),
-                             (dict(length_s=0.0), "viewings of 0 s")):
+        for change, said in (
+            (dict(end_s=100.0), "before or as it starts"),
+            (dict(rate=-1.0), "a rate of -1"),
+            (dict(titles=("none",)), "the title 'none' is not known"),
+            (dict(titles=()), "at least one"),
+            (dict(ramp_s=90.0), "a ramp of 90 s"),
+            (dict(rung=9), "rung 9"),
+            (dict(sure=0.0), "sure 0"),
+            (dict(length_s=0.0), "viewings of 0 s"),
+        ):
             found = faults([peak(**change)], {"cam"}, 3)
             self.assertTrue(any(name == "eid" and said in detail for name, detail in found), (said, found))
         self.assertEqual([("eid", "a name of its own is needed")], faults([peak(), peak()], {"cam"}, 3))
@@ -57,8 +64,8 @@
     def test_room_is_ready_before_the_start_and_gone_at_the_end(self):
         kept = self.crowd(self.keeper())
         self.assertEqual(0, kept[int(100 - 15) - 1])
-        self.assertAlmostEqual(100 * peak().come_by(99 + 15), kept[99], delta=1)      # who will watch by then
-        self.assertAlmostEqual(2.0 * 20 * 100, kept[130], delta=150)        # 40 viewings of 100 kB a second
+        self.assertAlmostEqual(100 * peak().come_by(99 + 15), kept[99], delta=1)  # who will watch by then
+        self.assertAlmostEqual(2.0 * 20 * 100, kept[130], delta=150)  # 40 viewings of 100 kB a second
         self.assertEqual(0, kept[160])
 
     def test_what_does_not_come_is_handed_back_along_its_curve(self):
--- a/tests/test_peaks_plan.py
+++ b/tests/test_peaks_plan.py
@@ -1,4 +1,5 @@
 """The planner, the fit of lengths and the all-knowing bound: against figures by hand and by trying everything."""
+
 import itertools
 import random
 import unittest
@@ -62,8 +63,18 @@
         for _ in range(25):
             rooms = {b: Room(draw.choice((150.0, 300.0, 520.0)), b % 2, 10) for b in range(3)}
             uplinks = {0: draw.choice((300.0, 900.0)), 1: 350.0}
-            wants = [Want(t, draw.randint(1, 2), draw.choice((1.0, 3.0)), draw.randint(0, 1), 2,
-                          draw.choice((0.3, 1.0)), draw.sample(range(3), draw.randint(1, 2))) for t in range(2)]
+            wants = [
+                Want(
+                    t,
+                    draw.randint(1, 2),
+                    draw.choice((1.0, 3.0)),
+                    draw.randint(0, 1),
+                    2,
+                    draw.choice((0.3, 1.0)),
+                    draw.sample(range(3), draw.randint(1, 2)),
+                )
+                for t in range(2)
+            ]
             bound, best = most(wants, rooms, uplinks, self.KB, self.WORTH, 7), self.best(wants, rooms, uplinks)
             self.assertGreaterEqual(bound + 1e-9, best)
             self.assertLessEqual(bound * KNEE, sum(w.count * w.value for w in wants) + 1e-9)
@@ -71,8 +82,9 @@
     def test_by_hand(self):
         rooms, uplinks = {1: Room(500.0, 0, 10)}, {0: 10_000.0}
         # 500 kB for two viewers: 400 + 100 or 200 + 200 or, in parts, 250 each: 2 x (0.6 + 0.4 x 50/200) = 1.4.
-        self.assertAlmostEqual(1.4 / KNEE, most([Want("a", 2, 1.0, 0, 2, 1.0, [1])], rooms, uplinks, self.KB,
-                                                self.WORTH, 7))
+        self.assertAlmostEqual(
+            1.4 / KNEE, most([Want("a", 2, 1.0, 0, 2, 1.0, [1])], rooms, uplinks, self.KB, self.WORTH, 7)
+        )
         self.assertEqual(0.0, most([Want("a", 2, 1.0, 0, 2, 1.0, [9])], rooms, uplinks, self.KB, self.WORTH, 7))
         one = Want("a", 5, 1.0, 0, 2, 1.0, [1], seats=1)
         self.assertAlmostEqual(1.0 / KNEE, most([one], rooms, uplinks, self.KB, self.WORTH, 7))
@@ -95,8 +107,14 @@
         held = held or {"quay-cam": {1, 2, 3, 4}, "tour-1": {1, 2}, "clip-1": {4, 5, 6}}
         package = {"quay-cam": "dock-live", "tour-1": "boat-tour", "clip-1": "route-clip"}
         peaks = peaks or [Announcement("eid", ("quay-cam",), 100.0, 160.0, 2.0, length_s=20.0, rung=2)]
-        return Ask(Question(day.site, boxes, demand or {"tour-1": 3000.0, "clip-1": 3000.0}, list(lengths)),
-                   tuple(peaks), held, package, 0.0, seen or {})
+        return Ask(
+            Question(day.site, boxes, demand or {"tour-1": 3000.0, "clip-1": 3000.0}, list(lengths)),
+            tuple(peaks),
+            held,
+            package,
+            0.0,
+            seen or {},
+        )
 
     def at(self, plan, name, s):
         return sum(b.at(s) for b in plan.schedules[name])
@@ -117,7 +135,7 @@
         self.assertTrue(short.holders and all(t == "quay-cam" and b != 1 for t, b in short.holders))
         held = {"quay-cam": {1, *(b for _, b in short.holders)}, "tour-1": {2, 3}, "clip-1": {4, 5}}
         again = plan_peaks(self.ask(peaks=[big], held=held)).short
-        self.assertLess(again[0].kb if again else 0.0, 0.4 * short.kb)          # the copies that it named help
+        self.assertLess(again[0].kb if again else 0.0, 0.4 * short.kb)  # the copies that it named help
         huge = msgspec.structs.replace(big, rate=60.0)
         [short] = plan_peaks(self.ask(peaks=[huge])).short
         self.assertGreater(short.boxes, 5)
@@ -127,10 +145,16 @@
         plan = plan_peaks(self.ask(demand={"tour-1": 11_000.0}, held={"quay-cam": {1, 2}, "tour-1": {1, 2}}))
         self.assertGreater(plan.steps_down_kb, 500)
         self.assertLess(plan.steps_down_s, 130)
-        two = [Announcement(name, (title,), 100.0, 160.0, 8.0, length_s=20.0, rung=3)
-               for name, title in (("a", "quay-cam"), ("b", "lock-cam"))]
-        ask = self.ask(boxes=[BoxAsked(n, 20_000.0, 0, 90) for n in (1, 2)], peaks=two,
-                       held={"quay-cam": {1}, "lock-cam": {2}}, demand={"none": 1.0})
+        two = [
+            Announcement(name, (title,), 100.0, 160.0, 8.0, length_s=20.0, rung=3)
+            for name, title in (("a", "quay-cam"), ("b", "lock-cam"))
+        ]
+        ask = self.ask(
+            boxes=[BoxAsked(n, 20_000.0, 0, 90) for n in (1, 2)],
+            peaks=two,
+            held={"quay-cam": {1}, "lock-cam": {2}},
+            demand={"none": 1.0},
+        )
         plan = plan_peaks(ask._replace(package={"quay-cam": "dock-live", "lock-cam": "dock-live"}))
         self.assertTrue(plan.short)
         # Each is planned for its own fullest step: together they may be a little over; the keeper's bound is hard.
@@ -208,24 +232,31 @@
 
     def test_a_cold_fleet_just_before_is_not_pushed_over(self):
         day = self.day(cold=1, boxes=24)
-        day = msgspec.structs.replace(day, settle_s=1.0, peaks=[msgspec.structs.replace(
-            day.peaks[0], start_s=1.0, end_s=30.0)], troubles=[msgspec.structs.replace(day.troubles[0], at_s=1.0)])
+        day = msgspec.structs.replace(
+            day,
+            settle_s=1.0,
+            peaks=[msgspec.structs.replace(day.peaks[0], start_s=1.0, end_s=30.0)],
+            troubles=[msgspec.structs.replace(day.troubles[0], at_s=1.0)],
+        )
         for seed in (1, 2):
             self.play(day, "held", seed)
 
     def test_all_holders_in_one_rack_keep_no_more_than_its_uplink_may(self):
         day = self.day()
         racks = day.site.fleet.racks
-        boxes = [msgspec.structs.replace(b, cell=(b.cell // racks * racks) % 24) if n < 8 else b
-                 for n, b in enumerate(day.boxes)]
+        boxes = [
+            msgspec.structs.replace(b, cell=(b.cell // racks * racks) % 24) if n < 8 else b
+            for n, b in enumerate(day.boxes)
+        ]
         day = msgspec.structs.replace(day, boxes=boxes)
         play = Play(day, 1)
         play.run()
         kept = max(play.seconds[s].kept.get("eid", 0.0) for s in range(20, 65))
         self.assertGreater(kept, 0)
         for manager in play.managers:
-            self.assertLessEqual(max(r.kept for r in manager.runner.manager.racks.values()),
-                                 0.6 * day.site.fleet.uplink_kb + 1)
+            self.assertLessEqual(
+                max(r.kept for r in manager.runner.manager.racks.values()), 0.6 * day.site.fleet.uplink_kb + 1
+            )
         self.assertEqual([], play.faults)
 
     def test_cancelled_while_held_frees_the_room_at_once(self):
@@ -235,6 +266,7 @@
         def cancel():
             for manager in play.managers:
                 manager.keeper.keeper.replace(())
+
         play.world.at(at + 10 * 10_000 + 45 * 10_000, cancel)
         play.run()
         self.assertGreater(play.seconds[43].kept.get("eid", 0.0), 0)
--- a/tests/test_peaks_service.py
+++ b/tests/test_peaks_service.py
@@ -1,4 +1,5 @@
 """Announcements in service: what is refused, versions, durability at every byte, clocks, and managers on sockets."""
+
 import asyncio
 import json
 import pathlib
@@ -38,17 +39,19 @@
     def test_announce_change_cancel_and_what_is_refused(self):
         book = PeakBook()
         self.assertEqual(1, book.announce(peak(), FRAME, 500.0, who="ops"))
-        for act, said in ((lambda: book.announce(peak(), FRAME, 500.0), "announced already"),
-                          (lambda: book.announce(peak("x", end_s=900.0), FRAME, 500.0), "before or as it starts"),
-                          (lambda: book.announce(peak("x", rate=-2.0), FRAME, 500.0), "a rate of -2"),
-                          (lambda: book.announce(peak("x", titles=("zz",)), FRAME, 500.0), "'zz' is not known"),
-                          (lambda: book.announce(peak("x", packages=("odd",)), FRAME, 500.0), "package 'odd'"),
-                          (lambda: book.announce(peak("x", start_s=10.0, end_s=20.0), FRAME, 500.0), "ends 480 s ago"),
-                          (lambda: book.change("none", {"rate": 3}, FRAME, 500.0), "not announced"),
-                          (lambda: book.change("eid", {"rates": 3}, FRAME, 500.0), "no field"),
-                          (lambda: book.change("eid", {"rate": "many"}, FRAME, 500.0), "Expected `float`"),
-                          (lambda: book.change("eid", {}, FRAME, 500.0), "nothing to change"),
-                          (lambda: book.cancel("none", FRAME, 500.0), "not announced")):
+        for act, said in (
+            (lambda: book.announce(peak(), FRAME, 500.0), "announced already"),
+            (lambda: book.announce(peak("x", end_s=900.0), FRAME, 500.0), "before or as it starts"),
+            (lambda: book.announce(peak("x", rate=-2.0), FRAME, 500.0), "a rate of -2"),
+            (lambda: book.announce(peak("x", titles=("zz",)), FRAME, 500.0), "'zz' is not known"),
+            (lambda: book.announce(peak("x", packages=("odd",)), FRAME, 500.0), "package 'odd'"),
+            (lambda: book.announce(peak("x", start_s=10.0, end_s=20.0), FRAME, 500.0), "ends 480 s ago"),
+            (lambda: book.change("none", {"rate": 3}, FRAME, 500.0), "not announced"),
+            (lambda: book.change("eid", {"rates": 3}, FRAME, 500.0), "no field"),
+            (lambda: book.change("eid", {"rate": "many"}, FRAME, 500.0), "Expected `float`"),
+            (lambda: book.change("eid", {}, FRAME, 500.0), "nothing to change"),
+            (lambda: book.cancel("none", FRAME, 500.0), "not announced"),
+        ):
             with self.assertRaisesRegex(Refused, said):
                 act()
         self.assertEqual((1, {"eid": peak()}), (book.version, book.peaks))
@@ -73,7 +76,7 @@
     def test_what_is_over_goes_by_itself_and_hinders_nothing(self):
         book = PeakBook()
         book.announce(peak("old", titles=("tour",)), FRAME, 0.0)
-        gone = FRAME._replace(titles={"cam"})                   # its title was dropped since
+        gone = FRAME._replace(titles={"cam"})  # its title was dropped since
         book.announce(peak("new", start_s=5000.0, end_s=5100.0), gone, 2000.0)
         self.assertEqual({"old", "new"}, set(book.peaks))
         later = 1060.0 + KEEP_ENDED_S + 1
@@ -97,6 +100,7 @@
             except Crash:
                 pass
             return told
+
         whole = FaultyFiles()
         self.assertEqual(6, run(whole))
         for at in range(0, whole.steps, 29):
@@ -106,7 +110,7 @@
                 found = Log(FaultyFiles(disk)).found
                 kept = found.records[-1][1] if found.records else found.snapshot
                 version = decode(kept)[1].version if kept is not None else 0
-                self.assertIn(version, (told, told + 1), at)    # what was being written may have reached the disk
+                self.assertIn(version, (told, told + 1), at)  # what was being written may have reached the disk
 
     @given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(1, 6)), max_size=12))
     def test_any_delivery_leaves_the_newest_of_the_service_last_heard(self, told):
@@ -134,20 +138,28 @@
             decode(msgspec.msgpack.encode([9, "e", 1, [], []]))
 
     def test_the_wire_carries_all_of_it(self):
-        p = peak(titles=("cam", "tour"), packages=("live",), ramp_s=3.0, length_s=9.0, rung=2, sure=0.7, lead_s=4.0,
-                 schedule=(BoxRoom(7, ((1.0, 2.0), (3.0, 4.0))),))
+        p = peak(
+            titles=("cam", "tour"),
+            packages=("live",),
+            ramp_s=3.0,
+            length_s=9.0,
+            rung=2,
+            sure=0.7,
+            lead_s=4.0,
+            schedule=(BoxRoom(7, ((1.0, 2.0), (3.0, 4.0))),),
+        )
         self.assertEqual(p, wire.peak_in(pb.Peak.FromString(wire.peak_out(p).SerializeToString())))
 
 
 class Clocks(unittest.TestCase):
     def test_the_services_clock_counts_and_late_tellings_do_not_pull_it_back(self):
         axis = Axis()
-        self.assertEqual(1000.0, axis.at(10.0, 1000.0))         # nothing heard: this machine's own
-        self.assertEqual(1005.0, axis.at(15.0, 99.0))           # its wall clock jumped an hour back: nothing moves
-        axis.hear(1009.5, 16.0)                                 # the service reads 3.5 s more
-        axis.hear(1010.0, 17.5)                                 # told a second late
+        self.assertEqual(1000.0, axis.at(10.0, 1000.0))  # nothing heard: this machine's own
+        self.assertEqual(1005.0, axis.at(15.0, 99.0))  # its wall clock jumped an hour back: nothing moves
+        axis.hear(1009.5, 16.0)  # the service reads 3.5 s more
+        axis.hear(1010.0, 17.5)  # told a second late
         self.assertEqual(1013.5, axis.at(20.0, 0.0))
-        axis.hear(4610.0, 18.0)                                 # the service's clock was set an hour on
+        axis.hear(4610.0, 18.0)  # the service's clock was set an hour on
         self.assertEqual(4612.0, axis.at(20.0, 0.0))
 
     def test_times_as_people_write_them(self):
@@ -161,8 +173,10 @@
 
 class Sockets(Rig):
     managers = 2
-    titles = [Put("one", "clip", holders={"1": HOLDING, "2": HOLDING, "3": HOLDING}),
-              Put("cam", "live", low=1, holders={"1": HOLDING, "2": HOLDING})]
+    titles = [
+        Put("one", "clip", holders={"1": HOLDING, "2": HOLDING, "3": HOLDING}),
+        Put("cam", "live", low=1, holders={"1": HOLDING, "2": HOLDING}),
+    ]
 
     async def say(self, **what):
         async with grpc.aio.insecure_channel(self.catalogue) as channel:
@@ -187,7 +201,7 @@
             await log.seen("room kept")
         self.assertTrue(all(self.rooms(m) > 0 for m in (0, 1)))
         module = self.fronts[0].runner.manager
-        self.assertTrue(module.servers[1].kept > 0 and module.servers[3].kept == 0)      # box 3 does not hold it
+        self.assertTrue(module.servers[1].kept > 0 and module.servers[3].kept == 0)  # box 3 does not hold it
         self.assertEqual("plays", (await self.ask("cam")).fate)
         self.assertEqual("plays", (await self.ask("one")).fate)
         self.assertEqual(2, (await self.say(cancel="eid")).version)
@@ -204,7 +218,7 @@
         await self.service.stop()
         for log in self.log:
             await log.seen("peaks not followed")
-        await self.fronts[0].stop(0.1)                                  # restarted while the service is away
+        await self.fronts[0].stop(0.1)  # restarted while the service is away
         front = await self.start_front(0, listed=False)
         self.fronts.pop(0)
         self.log.pop(0)
@@ -217,8 +231,12 @@
         await self.taken(2)
 
     async def test_what_cannot_be_is_refused_by_name_and_nothing_moves(self):
-        for more, said in ((dict(end=-5.0, start=-10.0), "it ends"), (dict(end=-1.0), "before or as it starts"),
-                           (dict(rung=77), "rung 77"), (dict(sure=2.0), "sure 2")):
+        for more, said in (
+            (dict(end=-5.0, start=-10.0), "it ends"),
+            (dict(end=-1.0), "before or as it starts"),
+            (dict(rung=77), "rung 77"),
+            (dict(sure=2.0), "sure 2"),
+        ):
             reply = await self.announce(**more)
             self.assertIn(said, reply.faults[0])
             self.assertEqual(0, reply.version)
@@ -239,35 +257,73 @@
             hear(m, said)
             if m.name == "m0" and any(s.came == 6.0 for s in m.seen) and not told.done():
                 told.set_result(None)
+
         peaks.hear = heard
         await asyncio.wait_for(told, 10)
         async with grpc.aio.insecure_channel(self.catalogue) as channel:
             reply = await pb_grpc.PeaksStub(channel).List(pb.ListRequest(), timeout=5.0)
         seen = {m.name: {s.name: s.came for s in m.seen} for m in reply.managers}
-        self.assertEqual(6.0, seen["m0"]["eid"])                # three, times the two managers
+        self.assertEqual(6.0, seen["m0"]["eid"])  # three, times the two managers
 
 
 class Commands(unittest.TestCase):
     def test_an_operators_day_with_a_peak(self):
         with tempfile.TemporaryDirectory() as folder:
             child = subprocess.Popen(
-                [sys.executable, "-m", "flaxscale", "catalogue", "serve", "examples/boats.jsonnet", "--store",
-                 folder + "/store", "--port", "0", "--ready"], cwd=ROOT, stdout=subprocess.PIPE,
-                stderr=subprocess.DEVNULL)
+                [
+                    sys.executable,
+                    "-m",
+                    "flaxscale",
+                    "catalogue",
+                    "serve",
+                    "examples/boats.jsonnet",
+                    "--store",
+                    folder + "/store",
+                    "--port",
+                    "0",
+                    "--ready",
+                ],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+            )
             try:
                 at = "127.0.0.1:%d" % json.loads(child.stdout.readline())["port"]
 
                 def say(*args, status=0):
-                    done = subprocess.run([sys.executable, "-m", "flaxscale", *args, "--at", at], cwd=ROOT,
-                                          capture_output=True, text=True, timeout=60)
+                    done = subprocess.run(
+                        [sys.executable, "-m", "flaxscale", *args, "--at", at],
+                        cwd=ROOT,
+                        capture_output=True,
+                        text=True,
+                        timeout=60,
+                    )
                     self.assertEqual(status, done.returncode, done.stdout + done.stderr)
                     return done.stdout + done.stderr
+
                 say("catalogue", "put", "examples/catalogue.jsonnet")
                 when = ("--start", "+10m", "--end", "+20m")
-                self.assertIn("the title 'nothing' is not known", say("peak", "announce", "x", "--title", "nothing",
-                                                                      *when, "--rate", "3", status=4))
-                self.assertIn("version 1", say("peak", "announce", "eid", "--title", "quay-cam", *when, "--rate", "9",
-                                               "--rung", "3", "--why", "Eid"))
+                self.assertIn(
+                    "the title 'nothing' is not known",
+                    say("peak", "announce", "x", "--title", "nothing", *when, "--rate", "3", status=4),
+                )
+                self.assertIn(
+                    "version 1",
+                    say(
+                        "peak",
+                        "announce",
+                        "eid",
+                        "--title",
+                        "quay-cam",
+                        *when,
+                        "--rate",
+                        "9",
+                        "--rung",
+                        "3",
+                        "--why",
+                        "Eid",
+                    ),
+                )
                 self.assertIn("is no time", say("peak", "change", "eid", "--end", "soon", status=2))
                 self.assertIn("version 2", say("peak", "change", "eid", "--rate", "40"))
                 self.assertRegex(say("peak", "list"), r"eid: quay-cam; .* 40/s; starts in \d+ s")
@@ -289,8 +345,16 @@
     async def asyncSetUp(self):
         row = json.loads(self.terms)
         now_s = time.time()
-        row["peaks"] = [{"name": "eid", "titles": ["cam"], "start": say_time(now_s - 5), "end": say_time(now_s + 60),
-                         "rate": 2, "rung": 1}]
+        row["peaks"] = [
+            {
+                "name": "eid",
+                "titles": ["cam"],
+                "start": say_time(now_s - 5),
+                "end": say_time(now_s + 60),
+                "rate": 2,
+                "rung": 1,
+            }
+        ]
         self.terms = json.dumps(row)
         await super().asyncSetUp()
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -1,4 +1,5 @@
 """The planner: budgets and spread hold, a plan is never worse than what is, and what can't be is said."""
+
 import random
 import unittest
 
@@ -22,8 +23,9 @@
             q, held = question(seed=seed, moves=seed, load=0.7 + 0.05 * seed)
             held = {t: {1, 2, 3} if 2 in boxes else boxes | {1, 2} for t, boxes in held.items()}
             found = plan(q, held, seconds=5)
-            after = {t: (held[t] | {b for x, b in found.add if x == t}) - {b for x, b in found.drop if x == t}
-                     for t in held}
+            after = {
+                t: (held[t] | {b for x, b in found.add if x == t}) - {b for x, b in found.drop if x == t} for t in held
+            }
             self.assertLessEqual(len(found.add), seed)
             self.assertTrue(all(len(b) >= 3 and len({x % 2 for x in b}) == 2 for b in after.values()), after)
             self.assertTrue(all(sum(n in b for b in after.values()) <= 12 for n in range(1, 7)))
@@ -35,7 +37,7 @@
         q = q._replace(demand={**dict.fromkeys(q.demand, 10.0), "t3": 3800.0}, copies=2)
         held["t3"] = {1, 2}
         found = plan(q, held)
-        self.assertIn("t3", [t for t, _ in found.add])      # the other move may mend a title in one rack
+        self.assertIn("t3", [t for t, _ in found.add])  # the other move may mend a title in one rack
         self.assertLess(found.before, 0.6)
         self.assertGreater(found.after, 0.9)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,5 @@
 """The manager on the platform's protocol, against stand-ins on loopback: what can go wrong, each in its own way."""
+
 import json
 import socket
 import struct
@@ -22,8 +23,9 @@
         self.assertEqual(ANSWER, (await self.seen("accept", call=first))["desc"])
         await self.seen("accept", call=second)
         sent = self.all("offer", call=first)[0]
-        self.assertEqual((DESC, "clip", "7f3a9c21e0b4d655"),
-                         (sent["desc"], sent["fields"]["class"], sent["fields"]["key"]))
+        self.assertEqual(
+            (DESC, "clip", "7f3a9c21e0b4d655"), (sent["desc"], sent["fields"]["class"], sent["fields"]["key"])
+        )
         self.assertTrue(0 < sent["fields"]["left"] <= 2000 and sent["fields"]["rung"] in (0, 1))
         conn.say(line("end", first, why=16))
         self.assertEqual(1, (await self.seen("end", who=1, call=first))["who"])
@@ -106,9 +108,15 @@
             def eof_received(self):
                 for row in self.rows.all("offer", conn=self):
                     self.say(line("end", row["call"], why=41))
+
         held = []
-        self.servers[1] = await self.loop.create_server(lambda: Parting(1, self.rows, lambda conn, row: held.append(
-            (conn, row)) if row["op"] == "offer" else plays(conn, row)), "127.0.0.1", 0)
+        self.servers[1] = await self.loop.create_server(
+            lambda: Parting(
+                1, self.rows, lambda conn, row: held.append((conn, row)) if row["op"] == "offer" else plays(conn, row)
+            ),
+            "127.0.0.1",
+            0,
+        )
         await self.start(1)
         conn = await self.viewer()
         first, second = self.ask(conn), self.ask(conn)
@@ -119,8 +127,11 @@
         for call in (first, second):
             await self.seen("accept", who="viewer", call=call)
         went = self.all("offer", call=first)[0]["conn"]
-        next(ln for ln in self.host.reaches[1].lines
-             if ln.transport.get_extra_info("sockname") == went.transport.get_extra_info("peername")).close()
+        next(
+            ln
+            for ln in self.host.reaches[1].lines
+            if ln.transport.get_extra_info("sockname") == went.transport.get_extra_info("peername")
+        ).close()
         self.assertEqual(41, (await self.seen("end", who="viewer", call=first))["why"])
         self.assertIsNot(went, (await self.seen("ended", who=1, call=first))["conn"])
         await self.seen("closed", conn=went)
@@ -190,10 +201,19 @@
         await self.server(1)
         await self.start(1)
         good = await self.viewer("good")
-        for n, sent in enumerate((b"\x00\xff noise\n", b"x" * 20_000, b"[]\n", b'{"op":"offer"}\n', b'{"op":"dance"}\n',
-                                  line("offer", "00000000000000aa", desc=DESC, **{"class": "gold", "left": "5"}),
-                                  line("offer", "nobody", desc=DESC), line("offer", "00000000000000aa"),
-                                  line("info", "x" * 17_000))):
+        for n, sent in enumerate(
+            (
+                b"\x00\xff noise\n",
+                b"x" * 20_000,
+                b"[]\n",
+                b'{"op":"offer"}\n',
+                b'{"op":"dance"}\n',
+                line("offer", "00000000000000aa", desc=DESC, **{"class": "gold", "left": "5"}),
+                line("offer", "nobody", desc=DESC),
+                line("offer", "00000000000000aa"),
+                line("info", "x" * 17_000),
+            )
+        ):
             conn = await self.viewer(n)
             conn.say(sent)
             await self.seen("closed", who=n)
@@ -284,12 +304,20 @@
                     conn.say(*[text.replace(b"CALL", row["call"].encode()) for text in said])
                     if cut:
                         conn.transport.abort()
+
             return play
+
         whole = line("accept", "CALL", desc=ANSWER)
-        for play in (offered(b"\xff\xfe\x00noise\n"), offered(b'{"op":"accept","call":"CALL","desc":"' + b"x" * 20_000),
-                     offered(b'{"op":"accept","call":"CALL"}\n'), offered(whole[:-9], cut=True), offered(cut=True),
-                     offered(line("end", "CALL", why=47)), offered(line("end", "CALL", why=41)),
-                     offered(b'{"op":"accept","call":"CALL","desc":7}\n')):
+        for play in (
+            offered(b"\xff\xfe\x00noise\n"),
+            offered(b'{"op":"accept","call":"CALL","desc":"' + b"x" * 20_000),
+            offered(b'{"op":"accept","call":"CALL"}\n'),
+            offered(whole[:-9], cut=True),
+            offered(cut=True),
+            offered(line("end", "CALL", why=47)),
+            offered(line("end", "CALL", why=41)),
+            offered(b'{"op":"accept","call":"CALL","desc":7}\n'),
+        ):
             with self.subTest(play=play):
                 call = await self.other(play)
                 self.assertEqual(ANSWER, (await self.seen("accept", who="viewer", call=call))["desc"])
@@ -303,6 +331,7 @@
             if row["op"] == "offer":
                 answer = line("accept", row["call"], desc=ANSWER)
                 conn.say(line("accept", "00000000000000ff", desc="not yours"), answer, answer)
+
         await self.server(1, play)
         await self.start(1)
         conn = await self.viewer()
@@ -312,7 +341,7 @@
         third = self.ask(conn)
         await self.seen("accept", who="viewer", call=third)
         self.assertEqual(3, len(self.all("accept", who="viewer")))
-        self.assertLessEqual(len(self.all("open", who=1)), 2)      # its connections stayed of use
+        self.assertLessEqual(len(self.all("open", who=1)), 2)  # its connections stayed of use
 
     async def test_what_may_run_after_a_reset_is_ended_by_name(self):
         opened = []
@@ -323,6 +352,7 @@
                 conn.transport.abort()
             else:
                 plays(conn, row)
+
         await self.server(1, play)
         await self.start(1)
         conn = await self.viewer()
@@ -353,8 +383,9 @@
         await self.seen("accept", who="viewer", call=call)
         reach, terms = self.host.reaches[1], self.host.config.terms
         for every, quiet in ((10_000, 20_000), (30_000, 37_500), (45_000, 54_000), (0, 54_000)):
-            self.host.config = self.host.config._replace(terms=terms._replace(
-                fleet=terms.fleet._replace(note_every=every)))
+            self.host.config = self.host.config._replace(
+                terms=terms._replace(fleet=terms.fleet._replace(note_every=every))
+            )
             self.assertEqual(quiet, reach.quiet())
         opened = len(self.all("open", who=1))
         reach.tend(reach.heard_at + 54_000)
@@ -426,7 +457,7 @@
         again = await self.seen("after", times=2)
         self.assertEqual(2, again["no"])
         self.assertEqual({1, 2}, set(self.host.reaches))
-        again["conn"].say(b'{"no":4}\n')            # 3 is missing: asked for anew
+        again["conn"].say(b'{"no":4}\n')  # 3 is missing: asked for anew
         self.assertEqual(2, (await self.seen("after", times=3))["no"])
         old, self.feed = self.feed, await self.bulletin("new")
         self.addCleanup(old.close)
@@ -457,13 +488,22 @@
 
     def settings(self):
         from tests.platform_rig import SETTINGS
+
         return SETTINGS
 
     def test_events_are_had_once_and_in_order(self):
         self.write()
         bulletin = Bulletin(configuration.read(str(self.file)))
-        row = {"id": "s-00000007", "addr": "10.0.0.1:5060", "zone": "elsewhere", "kind": "new", "cell": 1,
-               "state": "SERVING", "weight": 2, "started_ms": 1500}
+        row = {
+            "id": "s-00000007",
+            "addr": "10.0.0.1:5060",
+            "zone": "elsewhere",
+            "kind": "new",
+            "cell": 1,
+            "state": "SERVING",
+            "weight": 2,
+            "started_ms": 1500,
+        }
         event = json.dumps({"no": 1, "roster": {"full": True, "servers": [row]}}).encode()
         news = bulletin.take(event)
         self.assertEqual((face.Listed(7, 0, 1, 1, 2, 15000, face.State.READY),), news.entries)
@@ -493,10 +533,13 @@
 class Configured(Platform):
     async def test_a_file_that_does_not_fit_is_named_with_its_key(self):
         for key, said, change in (
-                ("bulletin", "bulletin", {"bulletin": "nowhere"}), ("listen", "listen", {"listen": "10.0.0.300:x"}),
-                ("seed", "seed", {"seed": "no hex"}), ("sockets", "limits.sockets", {"limits": {"sockets": 8}}),
-                ("settings", "settings: classes", {"settings": {**self.settings(), "classes": None}}),
-                ("name", "name", {"name": 5})):
+            ("bulletin", "bulletin", {"bulletin": "nowhere"}),
+            ("listen", "listen", {"listen": "10.0.0.300:x"}),
+            ("seed", "seed", {"seed": "no hex"}),
+            ("sockets", "limits.sockets", {"limits": {"sockets": 8}}),
+            ("settings", "settings: classes", {"settings": {**self.settings(), "classes": None}}),
+            ("name", "name", {"name": 5}),
+        ):
             with self.subTest(key=key), self.assertRaises(SiteError) as found:
                 self.write(**change)
                 configuration.read(str(self.file))
@@ -527,17 +570,20 @@
         by_sockets = []
         self.host.runner.tap = lambda now, event, acts: by_sockets.append(event)
         conn = await self.viewer()
-        call = self.ask(conn, left=1500, call="0000000000000001", key="5",
-                        extras="home:0;copies:1;top:1;viewer:6")
+        call = self.ask(conn, left=1500, call="0000000000000001", key="5", extras="home:0;copies:1;top:1;viewer:6")
         server = (await self.seen("offer", who=11))["conn"]
         await self.seen("accept", who="viewer", call=call)
         server.say(line("info", call, note="asked", value="0.5"), line("end", call, why=16, load="x0:0.25"))
         await self.seen("end", who="viewer", call=call)
         kinds = (face.Asked, face.Begun, face.Note, face.Ended)
 
-        def bare(events):   # how long things took is the clock's
-            return [event._replace(took=0) if hasattr(event, "took") else event
-                    for event in events if isinstance(event, kinds)]
+        def bare(events):  # how long things took is the clock's
+            return [
+                event._replace(took=0) if hasattr(event, "took") else event
+                for event in events
+                if isinstance(event, kinds)
+            ]
+
         self.assertEqual(bare(by_wire), bare(by_sockets))
         self.assertEqual(4, len(bare(by_wire)))
         self.assertEqual(wirehost.site_terms(params, 0), self.host.config.terms._replace(seed=0))
@@ -585,6 +631,7 @@
         import time
 
         from flaxscale.serve.clock import unix_clock
+
         self.assertAlmostEqual(time.time() * 10_000, unix_clock()(), delta=1_000)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,4 +1,5 @@
 """What a manager holds of its boxes and its clients' keys: lists, debts, watches, answers. No sockets."""
+
 import json
 import unittest
 
@@ -13,8 +14,18 @@
 
 
 def row(id, state="ready", boot="a", up_ms=1e9, **more):
-    return {"id": id, "address": f"127.0.0.1:{1000 + id}", "kind": "std", "cell": 0, "zone": "one", "weight": 1.0,
-            "boot": boot, "up_ms": up_ms, "state": state, **more}
+    return {
+        "id": id,
+        "address": f"127.0.0.1:{1000 + id}",
+        "kind": "std",
+        "cell": 0,
+        "zone": "one",
+        "weight": 1.0,
+        "boot": boot,
+        "up_ms": up_ms,
+        "state": state,
+        **more,
+    }
 
 
 def told(version, *rows, since=None):
@@ -51,16 +62,27 @@
     def test_bad_messages_change_nothing(self):
         b = book()
         b.apply("full", told(1, row(1)), 0)
-        for text in (b"{", b'{"version":2}', told(2, row(2, kind="odd")), told(2, row(2, cell=3)),
-                     told(2, row(2, zone="far")), told(2, row(2, address="nowhere")), told(2, row(2, weight=0)),
-                     told(2, row(-1)), told(2, row(2, state="odd")), told(2, row(3), row(2, address="h:99999"))):
+        for text in (
+            b"{",
+            b'{"version":2}',
+            told(2, row(2, kind="odd")),
+            told(2, row(2, cell=3)),
+            told(2, row(2, zone="far")),
+            told(2, row(2, address="nowhere")),
+            told(2, row(2, weight=0)),
+            told(2, row(-1)),
+            told(2, row(2, state="odd")),
+            told(2, row(3), row(2, address="h:99999")),
+        ):
             with self.assertRaises(BookError):
                 b.apply("full", text, 0)
         self.assertEqual((1, [1]), (b.version, list(b.places)))
 
     @settings(max_examples=150, deadline=None)
-    @given(st.lists(st.tuples(st.integers(1, 4), st.sampled_from(["ready", "draining", "gone"])), max_size=12),
-           st.lists(st.tuples(st.integers(0, 12), st.booleans()), max_size=30))
+    @given(
+        st.lists(st.tuples(st.integers(1, 4), st.sampled_from(["ready", "draining", "gone"])), max_size=12),
+        st.lists(st.tuples(st.integers(0, 12), st.booleans()), max_size=30),
+    )
     def test_any_delivery_that_ends_with_the_newest_ends_in_its_state(self, changes, deliveries):
         """Deltas lost, repeated and out of order, full lists between: with the last full list all agree."""
         states, at = [{}], {}
@@ -71,6 +93,7 @@
 
         def full(n):
             b.apply("full", told(n, *(row(k, v) for k, v in states[n].items())), 0)
+
         full(0)
         for n, is_full in deliveries:
             n = min(n, len(changes))
@@ -98,7 +121,7 @@
         owed.rung(1, "b", 2)
         self.assertEqual((["a"], {"b": 2}), owed.take(1, 0))
         self.assertIsNone(owed.take(1, 0))
-        owed.rung(1, "b", 0)                    # changed while the batch is out: told again
+        owed.rung(1, "b", 0)  # changed while the batch is out: told again
         owed.end(1, "c")
         owed.sent(1, False, 0)
         self.assertIsNone(owed.take(1, 999))
@@ -146,7 +169,7 @@
         w.opening(["a"])
         # "a" began before we asked and is not there: lost. "b" began since, in this very start: it stands.
         self.assertEqual(["a"], w.hello("boot1", {"c"}, {"a": "boot1", "b": "boot1", "c": "boot1"}))
-        self.assertEqual([], w.closed(False, ["b", "c"], 0))        # broken: proves nothing
+        self.assertEqual([], w.closed(False, ["b", "c"], 0))  # broken: proves nothing
         self.assertFalse(w.wants(0))
         self.assertTrue(w.wants(w.retry_at))
         w.opening(["b", "c"])
@@ -159,7 +182,7 @@
         w = BoxWatch(1, 7)
         w.opening([])
         w.hello("a", set(), {})
-        self.assertEqual([], w.listed_gone(["x"]))      # its stream runs: it is believed
+        self.assertEqual([], w.listed_gone(["x"]))  # its stream runs: it is believed
         self.assertEqual(["x"], w.closed(False, ["x"], 0))
         self.assertEqual(["x"], w.listed_gone(["x"]))
         w.listed()
@@ -178,10 +201,10 @@
         self.assertEqual(Kept(7, "yes"), book.meet("k", 1, 1000))
         self.assertIsNone(book.meet("k", 1, 1100))
         book.begin("k", 1, 8)
-        book.answered(8, None, 0)               # blocked: the same key may try anew
+        book.answered(8, None, 0)  # blocked: the same key may try anew
         self.assertIsNone(book.meet("k", 1, 0))
         book.begin("k", 1, 9)
         book.answered(9, "yes", 0)
-        book.forget(9)                          # it plays no more
+        book.forget(9)  # it plays no more
         self.assertIsNone(book.meet("k", 1, 0))
         self.assertEqual(({}, {}), (dict(book.entries), book.by_id))
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -1,4 +1,5 @@
 """The incident's page: what was written late stands where it belongs, and two stories are both told."""
+
 import json
 import pathlib
 import re
@@ -24,17 +25,31 @@
 
 class Told(unittest.TestCase):
     def story(self, **more):
-        day = {"seed": 4, "site": {"name": "boats", "titles": {"cam": {"view": "live <b>"}}},
-               "managers": {f"m{n}": [] for n in range(3)}}
-        lab = [row(0, "begin"), row(2, "kill", manager="m0"), row(6, "back", manager="m0"),
-               row(3, "fault", n=0, kind="cut", ways=["m1>b1", "b1>m1"]),
-               row(5, "heal", n=0, ways=["m1>b1"]), row(7, "heal", n=0, ways=["b1>m1"]), row(10, "end")]
-        box = [row(-1, "start", box=1), row(4, "adopted", key="m0.x.1.0", manager="m1"),
-               row(1, "answer", key="m0.x.1.0", status=201)]       # written late
+        day = {
+            "seed": 4,
+            "site": {"name": "boats", "titles": {"cam": {"view": "live <b>"}}},
+            "managers": {f"m{n}": [] for n in range(3)},
+        }
+        lab = [
+            row(0, "begin"),
+            row(2, "kill", manager="m0"),
+            row(6, "back", manager="m0"),
+            row(3, "fault", n=0, kind="cut", ways=["m1>b1", "b1>m1"]),
+            row(5, "heal", n=0, ways=["m1>b1"]),
+            row(7, "heal", n=0, ways=["b1>m1"]),
+            row(10, "end"),
+        ]
+        box = [
+            row(-1, "start", box=1),
+            row(4, "adopted", key="m0.x.1.0", manager="m1"),
+            row(1, "answer", key="m0.x.1.0", status=201),
+        ]  # written late
         clients = [row(1, "asked", n=1, title="cam", sends=False, trace="t"), row(1.1, "seen", n=1, fate="plays")]
-        leases = [row(1, "lease", did="granted", piece="compact", owner="m0.a", token=1),
-                  row(1.5, "lease", did="act", piece="compact", owner="m0.a", token=1),
-                  row(5, "lease", did="granted", piece="compact", owner="m2.b", token=2)]
+        leases = [
+            row(1, "lease", did="granted", piece="compact", owner="m0.a", token=1),
+            row(1.5, "lease", did="act", piece="compact", owner="m0.a", token=1),
+            row(5, "lease", did="granted", piece="compact", owner="m2.b", token=2),
+        ]
         rest = {"fronts": {}, "findings": [], **more}
         return tell(Records(day, lab, clients, {"box-1-1.jsonl": box}, leases, **rest)), clients
 
@@ -50,14 +65,16 @@
         held = self.lane(story, "leases", "compact")
         self.assertEqual([(1, 5, "holder m0"), (5, 10, "holder m2")], [span[:3] for span in held.spans])
         self.assertEqual([(4, "m0.x.1.0", "m0", "m1", "b1")], story.take_overs)
-        self.assertEqual((2, 11), (story.late, story.length))           # the box's answer, and the fault
+        self.assertEqual((2, 11), (story.late, story.length))  # the box's answer, and the fault
         self.assertEqual([0, 1], story.charts[1].series["201"][:2])
 
     def test_two_stories_of_one_death_are_both_told_and_one_story_is_none(self):
         def member(second, name, state="dead"):
             return {"event": "member", "name": name, "state": state, "mono": at(second)}
-        story, _ = self.story(fronts={"m0": [], "m1": [member(4, "m0"), member(10.5, "m2", "left")],
-                                      "m2": [member(4.5, "m0")]})
+
+        story, _ = self.story(
+            fronts={"m0": [], "m1": [member(4, "m0"), member(10.5, "m2", "left")], "m2": [member(4.5, "m0")]}
+        )
         self.assertEqual([], story.twos)
         # One whose clock is an hour off is read by what its clients saw.
         wrong = {"event": "answered", "trace": "t", "mono": at(3601.1)}
@@ -69,7 +86,8 @@
         self.assertIn(("m2", "never said that it is dead"), story.twos[0].stories)
         self.assertIn(("the lab", "it was never touched"), story.twos[1].stories)
         findings = [Finding("contradiction", "m1", f"k{n}", "by its box") for n in range(5)] + [
-            Finding("unknown", "m1", "k", "gone")]
+            Finding("unknown", "m1", "k", "gone")
+        ]
         story, _ = self.story(findings=findings)
         self.assertEqual([("m1: contradiction, 5 times", 3)], [(two.about, len(two.stories)) for two in story.twos])
 
@@ -81,7 +99,7 @@
         self.assertIn("live &lt;b&gt;", text)
         self.assertEqual(text.count("<svg"), text.count("</svg>"))
         self.assertGreater(text.count("<svg"), 6)
-        self.assertIsNone(re.search(r'(src|href)="', text))              # nothing is fetched
+        self.assertIsNone(re.search(r'(src|href)="', text))  # nothing is fetched
 
     def test_the_command_writes_it_and_refuses_what_is_no_day(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,4 +1,5 @@
 """The core runner on a virtual clock: what it lets through, what it ends, what it counts as a fault."""
+
 import unittest
 
 from flaxscale import interface as face
@@ -48,8 +49,11 @@
 class Virtual(unittest.TestCase):
     def start(self, **terms):
         self.port, self.events = Port(), []
-        self.runner = Runner(site([terms.pop("pack", None) or pack()], **terms), self.port,
-                             lambda now, event, acts: self.events.append(event))
+        self.runner = Runner(
+            site([terms.pop("pack", None) or pack()], **terms),
+            self.port,
+            lambda now, event, acts: self.events.append(event),
+        )
         self.runner.listing(ListKind.FULL, [face.Listed(n, 0, (n - 1) % 3, 0, 1.0, 0, State.READY) for n in (1, 2)])
         self.until(100 * S + 20 * S)
 
@@ -72,7 +76,7 @@
     def test_a_viewing_from_its_request_to_its_end(self):
         self.start()
         self.ask()
-        (_, id, nth, server, rung, left), = self.did("tune_in")
+        ((_, id, nth, server, rung, left),) = self.did("tune_in")
         self.assertTrue(self.runner.begun(1, 0, 200, [(NoteKind.LINK, 0.4)]))
         self.assertEqual([("answer", 1, Fate.PLAYS, None)], self.did("answer"))
         self.assertEqual([face.Begun, face.Note], [type(e) for e in self.events[-2:]])
@@ -86,7 +90,7 @@
         self.later(10_000)
         self.assertEqual([0, 1], [row[2] for row in self.did("tune_in")][:2])
         self.assertEqual(("abandon", 1, 0), self.did("abandon")[0])
-        self.assertFalse(self.runner.begun(1, 0, 9000))         # too late: its owner must end it there
+        self.assertFalse(self.runner.begun(1, 0, 9000))  # too late: its owner must end it there
         self.assertEqual(How.TIMEOUT, next(e.how for e in self.events if isinstance(e, face.Ended)))
 
     def test_what_never_left_us_never_ran_so_that_an_unsafe_one_may_be_blocked(self):
@@ -108,8 +112,10 @@
             self.runner.left(1)
             self.later(30_000)
             self.assertEqual({"waits": 0, "out": 1, "plays": 1}[step], len(self.did("tune_in")), step)
-            self.assertEqual({"waits": [], "out": ["abandon"], "plays": ["end"]}[step],
-                             [row[0] for row in self.port.did if row[0] in ("abandon", "end")])
+            self.assertEqual(
+                {"waits": [], "out": ["abandon"], "plays": ["end"]}[step],
+                [row[0] for row in self.port.did if row[0] in ("abandon", "end")],
+            )
             self.assertEqual(1, len(self.did("answer")))
             self.assertEqual(({}, {}), (self.runner.held, self.runner.manager.viewings), step)
 
@@ -128,12 +134,12 @@
         self.start()
         self.ask()
         before = list(self.port.did)
-        self.runner.tune_in(face.TuneIn(1, 2, self.port.clock + 5))      # one is out
-        self.runner.tune_in(face.TuneIn(77, 2, self.port.clock + 5))     # never asked for
+        self.runner.tune_in(face.TuneIn(1, 2, self.port.clock + 5))  # one is out
+        self.runner.tune_in(face.TuneIn(77, 2, self.port.clock + 5))  # never asked for
         self.runner.begun(1, 0, 10)
-        self.runner.block(face.Block(1, 0))                              # it plays
+        self.runner.block(face.Block(1, 0))  # it plays
         self.assertEqual(3, self.runner.faults)
-        self.assertEqual(len(before) + 4, len(self.port.did))            # three lines of log and one answer
+        self.assertEqual(len(before) + 4, len(self.port.did))  # three lines of log and one answer
         with self.assertRaises(ValueError):
             self.runner.asked(face.Asked(1, 0, 9, 1, 30_000, 2, 0, 3, 0, False, False))
 
@@ -174,14 +180,26 @@
         self.assertEqual({("probe", 1), ("probe", 2)}, {d for d in self.port.did if d[0] == "probe"})
         self.runner.probed(1, How.TIMEOUT, 2_500)
         self.runner.probed(2, How.OK, 30, (5.0, 0.2, 0.1))
-        self.assertEqual((0.2, None), tuple(srv.link.heard_at and srv.link.base
-                                            for srv in map(self.runner.manager.servers.get, (2, 1))))
+        self.assertEqual(
+            (0.2, None),
+            tuple(srv.link.heard_at and srv.link.base for srv in map(self.runner.manager.servers.get, (2, 1))),
+        )
 
     def test_every_action_has_somewhere_to_go(self):
         """An action type without an entry would fail in service only when the module first wants it."""
-        actions = {face.TuneIn, face.SetRung, face.Block, face.Abort, face.CallOff, face.Move, face.Remind,
-                   face.Probe, face.TellPeers, face.Log}
+        actions = {
+            face.TuneIn,
+            face.SetRung,
+            face.Block,
+            face.Abort,
+            face.CallOff,
+            face.Move,
+            face.Remind,
+            face.Probe,
+            face.TellPeers,
+            face.Log,
+        }
         self.start()
         self.assertEqual(actions, set(self.runner.does))
         rows = [t for t in vars(face).values() if isinstance(t, type) and issubclass(t, tuple)]
-        self.assertEqual(actions, set(rows[rows.index(face.TuneIn):]))
+        self.assertEqual(actions, set(rows[rows.index(face.TuneIn) :]))
