--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -1,4 +1,5 @@
 """Seats that are taken without the module: claims that are out, and what an earlier life of a manager left playing."""
+
 import asyncio
 import unittest
 import unittest.mock
@@ -18,15 +19,15 @@
         self.assertTrue(book.listed([1, 2], 100 * S))
         self.assertFalse(book.listed([1, 2], 100 * S))
         self.assertTrue(book.claim("a", (9, 0)) and book.claim("b", (9, 0)))
-        self.assertFalse(book.claim("a", (9, 0)))                   # asked for again: one seat all the same
+        self.assertFalse(book.claim("a", (9, 0)))  # asked for again: one seat all the same
         self.assertEqual(({(9, 0): 2}, {1, 2}), book.reserved(100 * S))
         book.said(1)
         self.assertTrue(book.settled("a"))
         self.assertFalse(book.settled("a"))
         self.assertEqual(({(9, 0): 1}, {2}), book.reserved(104 * S + DRIFT - 1))
         self.assertEqual(({(9, 0): 1}, set()), book.reserved(104 * S + DRIFT))
-        self.assertFalse(book.listed([3], 104 * S + DRIFT))         # its lease is over too: it has nothing of ours
-        self.assertFalse(book.listed([1], 101 * S))                 # it has said already
+        self.assertFalse(book.listed([3], 104 * S + DRIFT))  # its lease is over too: it has nothing of ours
+        self.assertFalse(book.listed([1], 101 * S))  # it has said already
 
 
 class Decided(Drive):
@@ -60,10 +61,11 @@
 
 class Returned(Rig):
     """A manager that comes back while boxes of its hang."""
+
     terms = Rig.terms.replace('"lease_ms": 1000', '"lease_ms": 8000')
 
     def setUp(self):
-        self.leases = []                            # (box, manager, life) that began after the kill
+        self.leases = []  # (box, manager, life) that began after the kill
 
     def count(self):
         return sum(s.title == "cam" for box in self.boxes.values() for s in box.box.sessions.values())
@@ -82,6 +84,7 @@
         def watch(row):
             self.most = max(self.most, self.count())
             return False
+
         for rows in self.box_rows.values():
             rows.waiting.append((watch, asyncio.get_running_loop().create_future()))
         front, log = Front(Sense(self.site, 0, 0, 8), Rows(), "%s:%d" % self.list.address, self.folder.name), None
@@ -109,13 +112,13 @@
             box.lease, begin = 4_000, box.begin_lease
             box.begin_lease = lambda *life, begin=begin, box=box: (leases.append((box, *life)), begin(*life))
         front, log = await self.come_back(lambda played_at: {min(played_at)})
-        for box in self.boxes.values():             # a stream of the new life neither ends nor begins that lease anew
+        for box in self.boxes.values():  # a stream of the new life neither ends nor begins that lease anew
             front.boxes.keep_stream(box.box.place.id)
         await self.until(lambda: any(rows.all("over", how="lease") for rows in self.box_rows.values()), "a lease ends")
         self.assertEqual(len(leases), len(set(leases)))
         free = 3 - self.count()
         self.assertTrue(free)
-        front.members.book.until = 0                # as when the span has passed by our clock too
+        front.members.book.until = 0  # as when the span has passed by our clock too
         front.members.reserve()
         self.assertEqual(["plays"] * free + ["blocked"], [(await self.ask("cam")).fate for _ in range(free + 1)])
         self.assertEqual(3, self.most)
@@ -132,7 +135,9 @@
                     exchange.kill()
                 else:
                     say(exchange, row)
+
             box.say = once
+
         for box in self.boxes.values():
             claims(box)
         front, log = await self.come_back(lambda played_at: ())
@@ -144,6 +149,7 @@
 
 class TakenOver(Talking):
     """One seat is left where three sessions of a dead manager ask for it."""
+
     managers, boxes_wanted = 2, 1
 
     async def test_one_is_claimed_and_the_lease_ends_the_others(self):
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -1,4 +1,5 @@
 """SDP, fragments and endpoints without sockets."""
+
 import unittest
 
 from hypothesis import given, settings
@@ -30,22 +31,30 @@
 
     def test_each_fault_is_told_with_its_status(self):
         for want, status, old, new in (
-                ("line 1", 400, b"v=0", b"v=1x"), ("o= is missing", 400, b"o=-", b"x=-"),
-                ("BUNDLE", 422, b"a=group:BUNDLE 0 1", b"a=nothing"), ("not in the BUNDLE", 422, b"BUNDLE 0 1",
-                                                                       b"BUNDLE 0"),
-                ("mid of its own", 422, b"a=mid:1", b"a=mid:0"), ("sendonly: a WHEP offer receives", 422,
-                                                                  b"recvonly", b"sendonly"),
-                ("inactive", 422, b"recvonly", b"inactive"), ("ufrag", 422, b"a=ice-ufrag:abcd", b"a=ice-ufrag:a"),
-                ("password", 422, b"p" * 24, b"p" * 9), ("fingerprint", 422, b"sha-256", b"md5"),
-                ("DTLS role", 422, b"actpass", b"passive"), ("protocol", 422, b"UDP/TLS/RTP/SAVPF", b"RTP/AVP"),
-                ("kind", 422, b"m=audio", b"m=application"), ("media line", 400, b"m=audio 9", b"m=audio 99999999"),
-                ("an equals sign", 400, b"s=-", b"rubbish"), ("UTF-8", 400, b"s=-", b"s=\xff\xfe")):
+            ("line 1", 400, b"v=0", b"v=1x"),
+            ("o= is missing", 400, b"o=-", b"x=-"),
+            ("BUNDLE", 422, b"a=group:BUNDLE 0 1", b"a=nothing"),
+            ("not in the BUNDLE", 422, b"BUNDLE 0 1", b"BUNDLE 0"),
+            ("mid of its own", 422, b"a=mid:1", b"a=mid:0"),
+            ("sendonly: a WHEP offer receives", 422, b"recvonly", b"sendonly"),
+            ("inactive", 422, b"recvonly", b"inactive"),
+            ("ufrag", 422, b"a=ice-ufrag:abcd", b"a=ice-ufrag:a"),
+            ("password", 422, b"p" * 24, b"p" * 9),
+            ("fingerprint", 422, b"sha-256", b"md5"),
+            ("DTLS role", 422, b"actpass", b"passive"),
+            ("protocol", 422, b"UDP/TLS/RTP/SAVPF", b"RTP/AVP"),
+            ("kind", 422, b"m=audio", b"m=application"),
+            ("media line", 400, b"m=audio 9", b"m=audio 99999999"),
+            ("an equals sign", 400, b"s=-", b"rubbish"),
+            ("UTF-8", 400, b"s=-", b"s=\xff\xfe"),
+        ):
             bad = self.refused(OFFER.replace(old, new))
             self.assertIn(want, str(bad))
             self.assertEqual(status, bad.status, want)
         self.assertIn("recvonly: a WHIP offer sends", str(self.refused(OFFER, sends=True)))
-        two = sdp.offer(True, "abcd", "p" * 24, PRINT).replace(b"m=audio 9 UDP/TLS/RTP/SAVPF 111",
-                                                               b"m=video 9 UDP/TLS/RTP/SAVPF 111")
+        two = sdp.offer(True, "abcd", "p" * 24, PRINT).replace(
+            b"m=audio 9 UDP/TLS/RTP/SAVPF 111", b"m=video 9 UDP/TLS/RTP/SAVPF 111"
+        )
         self.assertIn("more than one video", str(self.refused(two, sends=True)))
 
     def test_sendrecv_is_taken_from_both(self):
@@ -56,7 +65,7 @@
     @settings(max_examples=300, deadline=None)
     @given(st.binary(max_size=200), st.integers(0, len(OFFER)), st.integers(0, 60))
     def test_any_change_of_an_offer_is_read_or_refused(self, data, at, cut):
-        for body in (data, OFFER[:at] + data + OFFER[at + cut:]):
+        for body in (data, OFFER[:at] + data + OFFER[at + cut :]):
             for read in (lambda b: sdp.check_offer(sdp.parse(b), False), sdp.parse_fragment):
                 try:
                     read(body)
@@ -64,11 +73,12 @@
                     self.assertIn(bad.status, (400, 413, 422))
 
     def test_fragments(self):
-        frag = sdp.parse_fragment(b"a=ice-ufrag:abcd\r\na=ice-pwd:" + b"p" * 22 + b"\r\n"
-                                  b"m=audio 9 UDP/TLS/RTP/SAVPF 0\r\na=mid:0\r\n"
-                                  b"a=candidate:1 1 udp 1 127.0.0.1 9 typ host\r\na=end-of-candidates\r\n")
-        self.assertEqual(("abcd", "p" * 22, 1, True),
-                         (frag.ufrag, frag.pwd, len(frag.candidates), frag.complete))
+        frag = sdp.parse_fragment(
+            b"a=ice-ufrag:abcd\r\na=ice-pwd:" + b"p" * 22 + b"\r\n"
+            b"m=audio 9 UDP/TLS/RTP/SAVPF 0\r\na=mid:0\r\n"
+            b"a=candidate:1 1 udp 1 127.0.0.1 9 typ host\r\na=end-of-candidates\r\n"
+        )
+        self.assertEqual(("abcd", "p" * 22, 1, True), (frag.ufrag, frag.pwd, len(frag.candidates), frag.complete))
         self.assertEqual("0", frag.candidates[0][0])
         for body in (b"", b"a=ice-ufrag:abcd\r\nv=0", b"a=ice-ufrag:abcd\r\na=candidate:1 1", b"a=mid:0"):
             with self.assertRaises(sdp.SdpError):
@@ -82,20 +92,30 @@
         return endpoint.read(Request(method, target, rows, body, True), segments, args, tokens)
 
     def test_what_an_offer_says(self):
-        want = self.read(target="/whep/a%20b?viewer=anna&length=40&top=2", prefer="wait=4",
-                         idempotency_key='"k"', traceparent="t")
-        self.assertEqual(("a b", "anna", 40.0, 2, 4, "k", "t", "abcd"), (
-            want.title, want.viewer, want.length, want.top, want.wait, want.key, want.trace, want.ufrag))
+        want = self.read(
+            target="/whep/a%20b?viewer=anna&length=40&top=2", prefer="wait=4", idempotency_key='"k"', traceparent="t"
+        )
+        self.assertEqual(
+            ("a b", "anna", 40.0, 2, 4, "k", "t", "abcd"),
+            (want.title, want.viewer, want.length, want.top, want.wait, want.key, want.trace, want.ufrag),
+        )
 
     def test_refusals(self):
-        for status, how in ((404, dict(target="/whep/")), (404, dict(target="/whep/a/b")), (405, dict(method="GET")),
-                            (405, dict(method="POST", target="/session/x")), (400, dict(target="/whep/x?length=no")),
-                            (400, dict(target="/whep/x?top=-1")), (400, dict(target="/whep/%ff")),
-                            (414, dict(target="/whep/" + "x" * 201)), (400,
-                                                                       dict(idempotency_key='"' + "k" * 200 + '"')),
-                            (401, dict(tokens=["t"])), (401, dict(tokens=["t"], authorization="Bearer u")),
-                            (428, dict(method="PATCH", target="/session/x", content_type=endpoint.FRAGMENT)),
-                            (415, dict(method="PATCH", target="/session/x", if_match="*"))):
+        for status, how in (
+            (404, dict(target="/whep/")),
+            (404, dict(target="/whep/a/b")),
+            (405, dict(method="GET")),
+            (405, dict(method="POST", target="/session/x")),
+            (400, dict(target="/whep/x?length=no")),
+            (400, dict(target="/whep/x?top=-1")),
+            (400, dict(target="/whep/%ff")),
+            (414, dict(target="/whep/" + "x" * 201)),
+            (400, dict(idempotency_key='"' + "k" * 200 + '"')),
+            (401, dict(tokens=["t"])),
+            (401, dict(tokens=["t"], authorization="Bearer u")),
+            (428, dict(method="PATCH", target="/session/x", content_type=endpoint.FRAGMENT)),
+            (415, dict(method="PATCH", target="/session/x", if_match="*")),
+        ):
             with self.assertRaises(endpoint.Refusal) as caught:
                 self.read(**how)
             self.assertEqual(status, caught.exception.status, how)
@@ -106,5 +126,3 @@
         self.assertEqual({"x0": 0.5, "cpu": 0.1}, load.decode('JSON {"named_metrics":{"x0":0.5},"cpu":0.1}'))
         for bad in (None, "", "TEXT x0=", "TEXT x0=nan", "TEXT x0=-1", "JSON [", "JSON 3", "BIN aGk=", "TEXT =,,="):
             self.assertEqual({}, load.decode(bad), bad)
-
-
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -1,4 +1,5 @@
 """Site and day files: every fault is told with file, key and what was expected there."""
+
 import pathlib
 import tempfile
 import unittest
@@ -25,22 +26,23 @@
     def test_each_fault_is_named(self):
         boats = f"(import '{EXAMPLES / 'boats.jsonnet'}')"
         for change, said in (
-                ("{ packages+: { 'dock-live'+: { value: 'three' } } }",
-                 "packages.*.value: Expected `float`, got `str`"),
-                ("{ packages+: { 'dock-live'+: { patience_ms: 10 } } }",
-                 "packages.dock-live.patience_ms: over the join target of 1500"),
-                ("{ packages+: { 'dock-live'+: { effect: 'odd' } } }", "packages.*.effect: Invalid enum value 'odd'"),
-                ("{ packages+: { 'dock-live'+: { floor: 9 } } }", "packages.dock-live.floor: a rung, 0 to 4"),
-                ("{ fleet+: { racks: 9 } }", "fleet.racks: 1 to 6, the cells"),
-                ("{ titles+: { x: { first_cell: 0, cells: 9, view: 'boat-tour' } } }",
-                 "titles.x.cells: 1 to 6, the cells"),
-                ("{ titles+: { x: { first_cell: 0, cells: 1, view: 'none' } } }", "titles.x.view: one of the packages"),
-                ("{ titles+: { x: { first_cell: 0, cells: 1 } } }", "titles.x: a package to view or to push"),
-                ("{ ladder+: { kb: [3, 2, 1, 4, 5] } }", "ladder.kb: rates in rising order"),
-                ("{ ladder+: { worth: [1] } }", "ladder.worth: 5 figures"),
-                ("{ rules+: { tip_multiple: 1 } }", "rules.tip_multiple: over 1"),
-                ("{ spare: 1 }", "the file's own object: Object contains unknown field `spare`"),
-                ("{ name:: 'hidden' }", "the file's own object: Object missing required field `name`")):
+            ("{ packages+: { 'dock-live'+: { value: 'three' } } }", "packages.*.value: Expected `float`, got `str`"),
+            (
+                "{ packages+: { 'dock-live'+: { patience_ms: 10 } } }",
+                "packages.dock-live.patience_ms: over the join target of 1500",
+            ),
+            ("{ packages+: { 'dock-live'+: { effect: 'odd' } } }", "packages.*.effect: Invalid enum value 'odd'"),
+            ("{ packages+: { 'dock-live'+: { floor: 9 } } }", "packages.dock-live.floor: a rung, 0 to 4"),
+            ("{ fleet+: { racks: 9 } }", "fleet.racks: 1 to 6, the cells"),
+            ("{ titles+: { x: { first_cell: 0, cells: 9, view: 'boat-tour' } } }", "titles.x.cells: 1 to 6, the cells"),
+            ("{ titles+: { x: { first_cell: 0, cells: 1, view: 'none' } } }", "titles.x.view: one of the packages"),
+            ("{ titles+: { x: { first_cell: 0, cells: 1 } } }", "titles.x: a package to view or to push"),
+            ("{ ladder+: { kb: [3, 2, 1, 4, 5] } }", "ladder.kb: rates in rising order"),
+            ("{ ladder+: { worth: [1] } }", "ladder.worth: 5 figures"),
+            ("{ rules+: { tip_multiple: 1 } }", "rules.tip_multiple: over 1"),
+            ("{ spare: 1 }", "the file's own object: Object contains unknown field `spare`"),
+            ("{ name:: 'hidden' }", "the file's own object: Object missing required field `name`"),
+        ):
             self.assertIn(said, self.told(f"{boats} + {change}"))
         two = self.told(f"{boats} + {{ ladder+: {{ worth: [1] }}, fleet+: {{ racks: 9 }} }}")
         self.assertIn("(and 1 more)", two)
@@ -52,14 +54,16 @@
     def test_days(self):
         day = f"(import '{EXAMPLES / 'bad-day.jsonnet'}')"
         for change, said in (
-                ("{ troubles+: [{ at_s: 1, what: 'meteor' }] }", "troubles.14.what: one of answer_lost"),
-                ("{ troubles+: [{ at_s: 99, what: 'hang' }] }", "troubles.14.at_s: within the day, 0 to 24"),
-                ("{ troubles+: [{ at_s: 9, what: 'hang', boxes: [12] }] }",
-                 "troubles.14.boxes: numbers of boxes, 0 to 11"),
-                ("{ demand+: { titles: { odd: 1 } } }", "demand.titles.odd: a title of the site"),
-                ("{ boxes: [{ cell: 0, kind: 'small', zone: 'quay' } for n in std.range(1, 999)] }",
-                 "boxes: at most 400 processes"),
-                ("{ site+: { managers: 0 } }", "site.managers: 1 to 65535")):
+            ("{ troubles+: [{ at_s: 1, what: 'meteor' }] }", "troubles.14.what: one of answer_lost"),
+            ("{ troubles+: [{ at_s: 99, what: 'hang' }] }", "troubles.14.at_s: within the day, 0 to 24"),
+            ("{ troubles+: [{ at_s: 9, what: 'hang', boxes: [12] }] }", "troubles.14.boxes: numbers of boxes, 0 to 11"),
+            ("{ demand+: { titles: { odd: 1 } } }", "demand.titles.odd: a title of the site"),
+            (
+                "{ boxes: [{ cell: 0, kind: 'small', zone: 'quay' } for n in std.range(1, 999)] }",
+                "boxes: at most 400 processes",
+            ),
+            ("{ site+: { managers: 0 } }", "site.managers: 1 to 65535"),
+        ):
             self.assertIn(said, self.told(f"{day} + {change}", read_day))
 
     def test_the_examples_become_terms(self):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,5 @@
 """The durable log on a disk that crashes at every byte, fills up, tears and rots."""
+
 import random
 import tempfile
 import unittest
@@ -45,8 +46,8 @@
             for disk in files.survivors():
                 found = Log(FaultyFiles(disk)).found
                 state = state_of(found)
-                self.assertEqual(acked, state[:len(acked)], at)
-                self.assertEqual(tried[:len(state)], state, at)     # whole records in order, or none
+                self.assertEqual(acked, state[: len(acked)], at)
+                self.assertEqual(tried[: len(state)], state, at)  # whole records in order, or none
 
     def test_what_survived_goes_on_and_survives_again(self):
         for at in range(0, 900, 37):
@@ -72,7 +73,7 @@
             with self.assertRaises(OSError):
                 log.commit()
             with self.assertRaises(OSError):
-                log.append(b"more")         # nothing is taken until it has been opened anew
+                log.append(b"more")  # nothing is taken until it has been opened anew
             files.room, files.failing_sync = None, False
             self.assertEqual(b"good", state_of(Log(FaultyFiles(files.written)).found)[0])
 
@@ -120,8 +121,15 @@
             self.assertEqual((3, 3, 0, 0), verify(Files(folder)))
 
     @settings(max_examples=100, deadline=None)
-    @given(st.lists(st.one_of(st.binary(min_size=1, max_size=30).filter(lambda b: b"|" not in b),
-                              st.sampled_from(["commit", "snapshot", "open"])), max_size=40))
+    @given(
+        st.lists(
+            st.one_of(
+                st.binary(min_size=1, max_size=30).filter(lambda b: b"|" not in b),
+                st.sampled_from(["commit", "snapshot", "open"]),
+            ),
+            max_size=40,
+        )
+    )
     def test_any_order_of_appends_commits_snapshots_and_starts(self, steps):
         files = FaultyFiles()
         log, state = Log(files), []
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,4 +1,5 @@
 """Managers behind, brought up, shut out by floors and back: several processes with faults between them."""
+
 import asyncio
 import json
 import pathlib
@@ -27,6 +28,7 @@
 
 class Fleet(unittest.IsolatedAsyncioTestCase):
     """Three managers, four boxes, list, catalogue and a relay between all of them."""
+
     managers, example, more, lying = 3, "straggler-day.jsonnet", "", ()
 
     async def asyncSetUp(self):
@@ -34,28 +36,41 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         day = self.folder / "day.jsonnet"
-        day.write_text("""local day = import '%s';
+        day.write_text(
+            """local day = import '%s';
             day { ways: true, troubles: [], clocks: {}, groups: {}, boxes: day.boxes[:4], length_s: 60, catalogue: {},
-              site+: { managers: %d, fleet+: { behind_s: 1, floor_by_rule: false }%s } }""" % (
-            ROOT / "examples" / self.example, self.managers, self.more))
+              site+: { managers: %d, fleet+: { behind_s: 1, floor_by_rule: false }%s } }"""
+            % (ROOT / "examples" / self.example, self.managers, self.more)
+        )
         self.run_ = DayRun(read_day(str(day)), 5, self.folder / "out", logs.logger("error", None))
         self.out, self.n, self.faults, self.run_.lies = self.folder / "out", 0, 0, self.lying
         await self.run_.begin()
         self.addAsyncCleanup(self.run_.finish)
         for m in range(self.managers):
-            await self.until(m, lambda s: len(s["boxes"]) == 4 and s["catalogue"]["version"] == 1 and len(
-                s["members"]["alive"]) == self.managers)
+            await self.until(
+                m,
+                lambda s: (
+                    len(s["boxes"]) == 4
+                    and s["catalogue"]["version"] == 1
+                    and len(s["members"]["alive"]) == self.managers
+                ),
+            )
 
     def at(self, m):
         return self.run_.fronts[m].address
 
     def box_rows(self, what):
-        return [json.loads(line) for file in sorted(self.out.glob("box-*.jsonl"))
-                for line in file.read_text().splitlines() if f'"what":"{what}"' in line]
+        return [
+            json.loads(line)
+            for file in sorted(self.out.glob("box-*.jsonl"))
+            for line in file.read_text().splitlines()
+            if f'"what":"{what}"' in line
+        ]
 
     async def get(self, m):
-        result = await self.run_.player.pool.ask(*self.at(m), "GET", "/state", [("Authorization", f"Bearer {TOKEN}")],
-                                                 b"", LIMIT)
+        result = await self.run_.player.pool.ask(
+            *self.at(m), "GET", "/state", [("Authorization", f"Bearer {TOKEN}")], b"", LIMIT
+        )
         return json.loads(result.body)
 
     async def until(self, m, wanted):
@@ -109,8 +124,11 @@
 
     async def ask(self, m, title="clip-1"):
         self.n += 1
-        return await self.run_.player.ask(self.at(m), f"m{m}", Wish(
-            self.n, title, False, f"v{self.n}", 3.0, 5.0, None, None, None, trace_of(5, self.n)))
+        return await self.run_.player.ask(
+            self.at(m),
+            f"m{m}",
+            Wish(self.n, title, False, f"v{self.n}", 3.0, 5.0, None, None, None, trace_of(5, self.n)),
+        )
 
     async def plays(self, m):
         """Asks a manager until it plays: on a machine with much to do one try may be turned away."""
@@ -134,25 +152,26 @@
         await self.version(1, version)
         # On a machine with much to do another's first row may still be on its way to m1.
         told = (await self.until(1, lambda s: [x["name"] for x in s["fleet"]["stragglers"]] == ["m0"]))["fleet"][
-            "stragglers"]
+            "stragglers"
+        ]
         self.assertEqual([["m0", "behind", version]], [[s["name"], s["why"], s["newest"][1]] for s in told])
-        done = flaxscale("fleet", "stragglers", *(arg for m in (1, 2) for arg in ("--at", "%s:%d" % self.at(m))),
-                         "--token", TOKEN)
+        done = flaxscale(
+            "fleet", "stragglers", *(arg for m in (1, 2) for arg in ("--at", "%s:%d" % self.at(m))), "--token", TOKEN
+        )
         self.assertEqual(4, done.returncode, done.stderr)
         self.assertRegex(done.stdout, rf"m0: (behind for .* s, at version \d+ of {version} \(by m1\)|not asked)")
-        up = await self.version(0, version)                 # with its source still out of reach
+        up = await self.version(0, version)  # with its source still out of reach
         self.assertEqual((1, 1), (min(1, up["fleet"]["nudges"]), up["fleet"]["brought_up"]))
         self.assertFalse(up["catalogue"]["up"])
         self.heal(cut)
         version = await self.change(2)
         await self.version(0, version)
-        self.assertIsNone((await self.until(0, lambda s: not s["fleet"]["stragglers"]))["fleet"][
-            "shut_out_for_s"])
+        self.assertIsNone((await self.until(0, lambda s: not s["fleet"]["stragglers"]))["fleet"]["shut_out_for_s"])
 
     async def test_the_last_healthy_one_restarts_as_the_floor_rises_and_nobody_goes_by_its_word_alone(self):
         cut = await self.cut(("m0", "catalogue"), ("m2", "catalogue"))
         version = await self.change()
-        for m in (0, 2):                                    # no third manager tells the digest of what m1 hands over
+        for m in (0, 2):  # no third manager tells the digest of what m1 hands over
             await self.until(m, lambda s: s["fleet"]["copies_refused"])
             self.assertEqual(version - 1, (await self.get(m))["catalogue"]["version"])
         port = self.at(1)[1]
@@ -165,7 +184,7 @@
         for m in (0, 2):
             await self.until(m, lambda s: s["fleet"]["shut_out_for_s"] is not None)
         self.assertIsNone((await self.get(1))["fleet"]["shut_out_for_s"])
-        await self.plays(0)                                 # sent on to the only one
+        await self.plays(0)  # sent on to the only one
         self.heal(cut)
         for m in (0, 2):
             await self.version(m, reply.version)
@@ -183,7 +202,7 @@
         for m in (1, 2):
             await self.version(m, reply.version)
         # Its boxes hold the floor, box 2 by word of the others; what it sends is refused, and nothing of it ran.
-        for _ in range(3):                                  # once it knows, it sends them on
+        for _ in range(3):  # once it knows, it sends them on
             await self.ask(0)
         await self.until(0, lambda s: s["fleet"]["shut_out_for_s"] is not None)
         refused = [r for r in self.box_rows("answer") if r["status"] == 412]
@@ -192,8 +211,9 @@
         for m in (1, 2):
             await self.until(m, lambda s: s["members"]["members"]["m0"]["state"] in ("dead", "left"))
         self.heal(cut)
-        await self.until(0, lambda s: s["fleet"]["shut_out_for_s"] is None and s["catalogue"][
-            "version"] == reply.version)
+        await self.until(
+            0, lambda s: s["fleet"]["shut_out_for_s"] is None and s["catalogue"]["version"] == reply.version
+        )
         await self.until(1, lambda s: "m0" in s["members"]["alive"])
         await self.plays(0)
         judged = await self.finished()
@@ -206,10 +226,11 @@
         reply = await self.floor(version)
         state = await self.until(0, lambda s: s["fleet"]["shut_out_for_s"] is not None)
         self.assertEqual(version, state["fleet"]["floor"])
-        await self.plays(0)                                 # by another: it answered at once with whom to ask
+        await self.plays(0)  # by another: it answered at once with whom to ask
         self.assertEqual([], [r for r in self.box_rows("answer") if r["status"] == 412])
-        await self.until(0, lambda s: s["fleet"]["shut_out_for_s"] is None and s["catalogue"][
-            "version"] == reply.version)
+        await self.until(
+            0, lambda s: s["fleet"]["shut_out_for_s"] is None and s["catalogue"]["version"] == reply.version
+        )
         await self.finished()
 
     async def test_set_ups_in_the_buffers_of_a_manager_that_stood_still_meet_the_floor(self):
@@ -223,7 +244,7 @@
         self.run_.lab.put("go_on", manager="m0")
         await asyncio.gather(*asked)
         await self.version(0, reply.version)
-        await self.finished()                               # nothing of it was done under the floor
+        await self.finished()  # nothing of it was done under the floor
 
     async def test_a_source_put_back_from_an_older_copy_is_another_epoch(self):
         store = self.out / "catalogue"
@@ -240,13 +261,13 @@
             await self.version(m, reply.version)
         await self.run_.catalogue.kill()
         shutil.rmtree(store)
-        shutil.copytree(self.folder / "copy", store)        # it knows nothing of the last two versions
+        shutil.copytree(self.folder / "copy", store)  # it knows nothing of the last two versions
         await self.run_.start_catalogue(port)
         for m in range(3):
             after = await self.version(m, version)
             self.assertNotEqual(before["catalogue"]["epoch"], after["catalogue"]["epoch"])
         self.assertEqual(0, (await self.floor(0)).floor)
-        await self.plays(1)                                 # the floor of the epoch before is none here
+        await self.plays(1)  # the floor of the epoch before is none here
         await self.finished()
 
     async def test_a_version_that_one_refuses_for_ever_and_later_ones_that_fit(self):
@@ -261,8 +282,9 @@
         await self.run_.fronts[2].kill()
         shutil.rmtree(self.out / "state" / "catalogue-m2")
         await self.run_.start_front(2, port)
-        state = await self.until(1, lambda s: any(
-            r["why"] == "refuses" and r["name"] == "m2" for r in s["fleet"]["stragglers"]))
+        state = await self.until(
+            1, lambda s: any(r["why"] == "refuses" and r["name"] == "m2" for r in s["fleet"]["stragglers"])
+        )
         self.assertEqual(1, state["fleet"]["rows"]["m2"]["refused"])
         site.write_bytes(kept)
         await self.run_.fronts[2].kill()
@@ -280,7 +302,7 @@
         self.assertIn("there is no version 99 yet", flaxscale("fleet", "floor", "99", "--at", at, "--force").stderr)
         done = flaxscale("fleet", "floor", str(version), "--at", at, "--force")
         self.assertIn(f"floor {version}; under it: m0, m1, m2", done.stdout)
-        for _ in range(3):                                  # a box tells each of them
+        for _ in range(3):  # a box tells each of them
             await asyncio.gather(*(self.ask(m) for m in range(3)))
         for m in range(3):
             await self.until(m, lambda s: s["fleet"]["shut_out_for_s"] is not None)
@@ -298,7 +320,7 @@
             async with Client("%s:%d" % self.run_.catalogue.address) as client:
                 order = {"ops": [Seats("quay-cam", "dock-live", 3 + n)], "id": f"order-{n}", "again_s": LIMIT}
                 asked = asyncio.ensure_future(client.change(**order))
-                if n % 3 == 1:                      # killed before it may have heard, once it made it, once answered
+                if n % 3 == 1:  # killed before it may have heard, once it made it, once answered
                     await self.written(lambda: f'"version":{n + 2},' in (self.out / "catalogue.jsonl").read_text())
                 elif n % 3 == 2:
                     await asked
@@ -357,8 +379,9 @@
             await self.version(m, version)
         state = await self.until(0, lambda s: s["fleet"]["copies_refused"])
         self.assertEqual((version - 1, 0), (state["catalogue"]["version"], state["fleet"]["brought_up"]))
-        refused = next(json.loads(line) for line in (self.out / "front-0.log").read_text().splitlines()
-                       if '"copy refused"' in line)
+        refused = next(
+            json.loads(line) for line in (self.out / "front-0.log").read_text().splitlines() if '"copy refused"' in line
+        )
         self.assertIn(refused["by"], ("m1", "m2"))
         self.heal(cut)
         await self.version(0, version)
@@ -374,18 +397,24 @@
         self.wish = Wish(1, "clip-1", False, "ann", 3.0, 5.0, None, None, "ann-1", trace_of(5, 1))
 
     async def keyed(self, m, wish, body):
-        return await self.run_.player.pool.ask(*self.at(m), "POST", target_of(wish), headers_of(wish, TOKEN), body,
-                                               LIMIT)
+        return await self.run_.player.pool.ask(
+            *self.at(m), "POST", target_of(wish), headers_of(wish, TOKEN), body, LIMIT
+        )
 
     async def sent(self, m):
         """Bytes that a manager has put on its ways to boxes, whether they pass or not."""
+
         def passed():
             return [line for line in (self.out / "relay.jsonl").read_text().splitlines() if '"what":"passed"' in line]
+
         count = len(passed())
         self.run_.relay.say(count=True)
         rows = await self.written(lambda: passed()[count:])
-        return sum(counts.get("bytes in", 0) for way, counts in json.loads(rows[-1])["ways"].items()
-                   if way.startswith(f"m{m}>b"))
+        return sum(
+            counts.get("bytes in", 0)
+            for way, counts in json.loads(rows[-1])["ways"].items()
+            if way.startswith(f"m{m}>b")
+        )
 
     async def row(self, what, **fields):
         return await self.written(lambda: [r for r in self.box_rows(what) if fields.items() <= r.items()])
@@ -396,19 +425,20 @@
         self.assertEqual(201, first.status)
         self.run_.fronts[0].signal(signal.SIGSTOP)
         self.run_.lab.put("stall", manager="m0")
-        again = await self.keyed(1, self.wish, body)        # its client knows it before any manager does
-        self.assertEqual((201, first.body, first.headers["location"]),
-                         (again.status, again.body, again.headers["location"]))
+        again = await self.keyed(1, self.wish, body)  # its client knows it before any manager does
+        self.assertEqual(
+            (201, first.body, first.headers["location"]), (again.status, again.body, again.headers["location"])
+        )
         other = await self.keyed(2, self.wish, offer_of(self.wish._replace(key="another")))
-        self.assertEqual(422, other.status)                         # another offer under the same key
+        self.assertEqual(422, other.status)  # another offer under the same key
         self.run_.fronts[0].signal(signal.SIGCONT)
         self.run_.lab.put("go_on", manager="m0")
-        await self.until(0, lambda s: not s["viewings"])            # fenced: it lets go
+        await self.until(0, lambda s: not s["viewings"])  # fenced: it lets go
         self.assertEqual(1, len(self.box_rows("setup")))
         # And one whose set-up is still worked on when its manager is killed.
         wish = self.wish._replace(n=2, key="ann-2", trace=trace_of(5, 2), patience=8.0)
         for b in range(4):
-            self.run_.boxes[b].say(trouble="slow", value=18)          # 270 ms, within what its manager waits
+            self.run_.boxes[b].say(trouble="slow", value=18)  # 270 ms, within what its manager waits
         await self.row("trouble", box=4)
         lost = asyncio.ensure_future(self.keyed(0, wish, body))
         await self.written(lambda: len(self.box_rows("setup")) == 2)
@@ -423,7 +453,7 @@
         await self.finished()
 
     async def test_one_that_has_not_come_can_never_begin_once_another_took_it_up(self):
-        wish = self.wish._replace(title="quay-cam", sends=True)     # unsafe: never twice
+        wish = self.wish._replace(title="quay-cam", sends=True)  # unsafe: never twice
         body = offer_of(wish)
         late = await self.strike("delay", 1200, [["m0", f"b{b}"] for b in (1, 2, 3, 4)])
         lost = asyncio.ensure_future(self.keyed(0, wish, body))
@@ -442,12 +472,12 @@
         wish = self.wish._replace(title="quay-cam", sends=True, patience=8.0)
         body = offer_of(wish)
         ways = [way for b in (1, 2, 3, 4) for way in (["m0", f"b{b}"], [f"b{b}", "m0"])]
-        self.heal(await self.strike("reset", 1, ways))          # kept connections would end with their box
+        self.heal(await self.strike("reset", 1, ways))  # kept connections would end with their box
         cut = await self.strike("cut", 1, ways)
         before = await self.sent(0)
         lost = asyncio.ensure_future(self.keyed(0, wish, body))
         async with asyncio.timeout(LIMIT):
-            while await self.sent(0) < before + len(body):      # the whole of it is on its way
+            while await self.sent(0) < before + len(body):  # the whole of it is on its way
                 pass
         self.run_.fronts[0].signal(signal.SIGSTOP)
         self.run_.lab.put("stall", manager="m0")
@@ -474,7 +504,7 @@
         audited = judge(out)
         self.assertEqual([], audited.bad())
         self.assertGreater(audited.agreed, 100)
-        self.assertEqual(set(), {f.manager for f in audited.findings} - {"m3"})     # killed
+        self.assertEqual(set(), {f.manager for f in audited.findings} - {"m3"})  # killed
         self.assertTrue([r for r in rows if r["what"] == "answer" and r["status"] == 412 and not r["ran"]])
         shown = flaxscale("check", "--timeline", str(out)).stdout
         self.assertRegex(shown, r"floor raised to \d+, as version \d+; under it: .*m0")
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -1,4 +1,5 @@
 """Settings that change in a running manager, there and back: on sockets, with set-ups out at both moments."""
+
 import asyncio
 import json
 import pathlib
@@ -22,8 +23,9 @@
         """The rig's own settings as boxes that tell their load to probes only would have them."""
         row = json.loads(self.terms)
         row["managers"] = 1
-        row["fleet"].update(reports="probe", note_every_ms=0, weights="none", uplink_figure="x1",
-                            streams_figure="inflight")
+        row["fleet"].update(
+            reports="probe", note_every_ms=0, weights="none", uplink_figure="x1", streams_figure="inflight"
+        )
         row["allowed"]["probes"] = True
         row["packages"]["clip"]["effect"] = "unsafe"
         row["rules"]["further"] = {"free": 2, "share": 0.2, "span_ms": 5000}
@@ -43,7 +45,7 @@
     async def asks(self, count):
         """So many viewings, all of whose set-ups are out when this returns; their answers come a second later."""
         before = sum(len(self.setups(n)) for n in self.boxes)
-        for box in self.boxes.values():     # a slow machine must not answer the first before the last is out
+        for box in self.boxes.values():  # a slow machine must not answer the first before the last is out
             box.box.work = 10_000
         tries = [asyncio.ensure_future(self.ask("one", length=60.0, patience=40.0)) for _ in range(count)]
         await self.until(lambda: sum(len(self.setups(n)) for n in self.boxes) >= before + count, "all are out")
@@ -63,7 +65,7 @@
         self.assertNotEqual(first_mark, told["mark"])
         self.assertEqual("unsafe", front.runner.manager.terms.packages[0].effect)
         seen = [await t for t in out]
-        for srv in front.runner.manager.servers.values():       # what notes told is not fresh any more
+        for srv in front.runner.manager.servers.values():  # what notes told is not fresh any more
             srv.link.heard_at = None
         later = [await self.ask("one") for _ in range(2)]
         self.assertTrue([r for n in self.boxes for r in self.box_rows[n].all("probed")])
@@ -86,10 +88,11 @@
     async def test_a_bad_file_is_refused_and_service_goes_on(self):
         mark, out = self.fronts[0].mark, await self.asks(2)
         for text, key, said in (
-                (self.other(goal={"whole": "much"}), "goal.whole", "Expected `float`, got `str`"),
-                (self.other(allowed={}), "allowed.probes", "true, as fleet.reports is 'probe', expected"),
-                (self.other(ladder={"kb": [1, 2], "worth": [1, 2]}), "ladder.kb", "3 rates as now"),
-                ("{", "", "not JSON")):
+            (self.other(goal={"whole": "much"}), "goal.whole", "Expected `float`, got `str`"),
+            (self.other(allowed={}), "allowed.probes", "true, as fleet.reports is 'probe', expected"),
+            (self.other(ladder={"kb": [1, 2], "worth": [1, 2]}), "ladder.kb", "3 rates as now"),
+            ("{", "", "not JSON"),
+        ):
             self.put(text)
             status, told = await self.load()
             self.assertEqual((422, key), (status, told["key"]))
@@ -102,8 +105,15 @@
     async def test_a_package_in_use_stays_and_one_that_is_not_may_go(self):
         row = json.loads(self.other())
         await self.asks(1)
-        self.put(json.dumps({**row, "packages": {n: p for n, p in row["packages"].items() if n != "clip"},
-                             "titles": {"cam": row["titles"]["cam"]}}))
+        self.put(
+            json.dumps(
+                {
+                    **row,
+                    "packages": {n: p for n, p in row["packages"].items() if n != "clip"},
+                    "titles": {"cam": row["titles"]["cam"]},
+                }
+            )
+        )
         status, told = await self.load()
         self.assertEqual((422, "packages.clip"), (status, told["key"]))
         self.assertIn("kept while 1 viewings are in it", told["detail"])
@@ -111,7 +121,7 @@
         row["titles"] = {"one": row["titles"]["one"], "two": {"first_cell": 0, "cells": 2, "view": "new"}}
         self.put(json.dumps(row))
         self.assertEqual(200, (await self.load())[0])
-        self.assertEqual({"clip": 0, "new": 3}, self.fronts[0].sense.packages)     # numbers in use stay
+        self.assertEqual({"clip": 0, "new": 3}, self.fronts[0].sense.packages)  # numbers in use stay
         self.assertEqual(["plays", "plays"], [(await self.ask(title)).fate for title in ("one", "two")])
         self.assertEqual(404, (await self.ask("cam")).status)
 
@@ -123,11 +133,13 @@
         self.list.frozen = True
         self.boxes[2].die()
         for box in (1, 2, 3, 99):
-            front.boxes.probe(box, lambda how, took, load, box=box: heard.append((box, how.value, len(load)))
-                              or self.log[0].put("heard"))
+            front.boxes.probe(
+                box,
+                lambda how, took, load, box=box: heard.append((box, how.value, len(load))) or self.log[0].put("heard"),
+            )
         await self.log[0].seen("heard", 4)
         heard = {box: row for box, *row in heard}
-        self.assertIn(heard.pop(2), (["unreached", 0], ["reset", 0]))      # by whether a connection was kept
+        self.assertIn(heard.pop(2), (["unreached", 0], ["reset", 0]))  # by whether a connection was kept
         self.assertEqual({1: ["timeout", 0], 3: ["ok", 3], 99: ["unreached", 0]}, heard)
 
 
@@ -141,18 +153,27 @@
 
     def test_old_files_mean_what_they_meant(self):
         terms = Sense(read_site(EXAMPLES / "boats.jsonnet")).terms
-        self.assertEqual((("link",), False, True, False, 0),
-                         (terms.fleet.load_names, terms.fleet.load_by_probe, terms.fleet.weighed,
-                          terms.allowed.probes, terms.prices.probe))
+        self.assertEqual(
+            (("link",), False, True, False, 0),
+            (
+                terms.fleet.load_names,
+                terms.fleet.load_by_probe,
+                terms.fleet.weighed,
+                terms.allowed.probes,
+                terms.prices.probe,
+            ),
+        )
 
     def test_config_check_names_the_key(self):
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / "site.jsonnet"
-            for change, said in (("fleet+: { reports: 'probes' }", "fleet.reports"),
-                                 ("allowed+: { probes: false }", "allowed.probes"),
-                                 ("fleet+: { weights: 'rough' }", "fleet.weights"),
-                                 ("fleet+: { streams_figure: 'x0' }", "fleet.link_figure"),
-                                 ("prices+: { probe: -1 }", "prices.probe")):
+            for change, said in (
+                ("fleet+: { reports: 'probes' }", "fleet.reports"),
+                ("allowed+: { probes: false }", "allowed.probes"),
+                ("fleet+: { weights: 'rough' }", "fleet.weights"),
+                ("fleet+: { streams_figure: 'x0' }", "fleet.link_figure"),
+                ("prices+: { probe: -1 }", "prices.probe"),
+            ):
                 file.write_text(f"(import '{EXAMPLES / 'choir.jsonnet'}') {{ {change} }}")
                 done = flaxscale("config", "check", str(file))
                 self.assertEqual((2, 1), (done.returncode, done.stderr.count(said)), done.stderr)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,4 +1,5 @@
 """Take-over on sockets: a manager that dies, stands cut off, restarts or leaves; none of its viewings is lost."""
+
 import asyncio
 
 from flaxscale.front.members import Cookie, cookie_in, cookie_out
@@ -24,7 +25,7 @@
         self.assertEqual({1}, {r["epoch"] for r in self.rows("adopted")})
         held = [len(f.viewings) for f in self.fronts[1:]]
         self.assertEqual(6, sum(held))
-        for s in seen:                          # asked at one, sent on to who has it
+        for s in seen:  # asked at one, sent on to who has it
             answer = await self.delete(self.fronts[1].address, s.location)
             if answer.status == 307:
                 self.assertEqual(self.fronts[2].address, elsewhere(answer))
@@ -40,14 +41,14 @@
         await self.all_met()
         seen = await self.ask("one", front=0)
         reader, writer = await self.media(seen)
-        self.fronts[0].members.shell.muted = True           # the others call it dead, its boxes still hear it
+        self.fronts[0].members.shell.muted = True  # the others call it dead, its boxes still hear it
         for log in self.log[1:]:
             await log.seen("member", name="m0", state="dead")
-        await self.log[0].seen("over")                      # the box says that another has it
+        await self.log[0].seen("over")  # the box says that another has it
         self.assertEqual(0, len(self.fronts[0].viewings))
         box = next(b for b in self.boxes.values() if b.box.sessions)
         [key] = box.box.sessions
-        self.fronts[0].boxes.end(box.box.place.id, key)     # an order that it had still wanted to give
+        self.fronts[0].boxes.end(box.box.place.id, key)  # an order that it had still wanted to give
         await self.until(lambda: self.rows("fenced"), "an order is fenced")
         self.assertEqual([("m0", [key])], [(r["manager"], r["keys"]) for r in self.rows("fenced")])
         self.assertEqual(1, self.playing())
@@ -60,7 +61,7 @@
     async def test_a_planned_stop_hands_over_and_sends_on(self):
         await self.all_met()
         left = []
-        for token, status in (("theirs", 401), ("ours", 409)):      # a stranger's; a program that can't be ended so
+        for token, status in (("theirs", 401), ("ours", 409)):  # a stranger's; a program that can't be ended so
             self.assertEqual(status, (await self.operate("/drain", token))[0])
         self.fronts[0].leave = lambda: left.append(asyncio.ensure_future(self.fronts[0].stop(4.0)))
         seen = [await self.ask("one", front=0) for _ in range(4)]
@@ -70,7 +71,7 @@
         await self.log[1].seen("member", name="m0", state="left")
         wish = self.wish("one")
         answer = await self.player.ask(address, "m0", wish)
-        self.assertEqual("plays", answer.fate)              # a 307 that it followed
+        self.assertEqual("plays", answer.fate)  # a 307 that it followed
         self.assertEqual(["sent_on", "plays"], [r["fate"] for r in self.seen_by.all("seen")][-2:])
         await left[0]
         self.assertEqual(5, self.playing())
@@ -82,7 +83,7 @@
 
     async def test_a_fast_restart_takes_its_own_up_again_without_talk(self):
         for front in self.fronts:
-            front.members.shell.muted = True                # as where the terms forbid it
+            front.members.shell.muted = True  # as where the terms forbid it
         seen = await self.ask("one", front=0)
         reader, writer = await self.media(seen)
         await self.kill(0)
@@ -99,10 +100,11 @@
         wish = self.wish("one", key="k1", viewer="ann")
         offer = offer_of(wish)
 
-        async def ask(address):                 # the same offer each time
+        async def ask(address):  # the same offer each time
             came = asyncio.get_running_loop().create_future()
             self.player.pool.send(*address, "POST", target_of(wish), headers_of(wish), offer, came.set_result)
             return await came
+
         seen = await ask(self.fronts[0].address)
         reader, writer = await self.media(seen)
         await self.kill(0)
@@ -111,11 +113,12 @@
         front = await self.start_front(0)
         await self.log[-1].seen("took over")
         again = await ask(front.address)
-        self.assertEqual((201, seen.headers["location"], seen.body),
-                         (again.status, again.headers["location"], again.body))
+        self.assertEqual(
+            (201, seen.headers["location"], seen.body), (again.status, again.headers["location"], again.body)
+        )
         self.assertEqual(1, self.playing())
         self.assertEqual(200, (await self.delete(front.address, seen.headers["location"])).status)
-        other = await ask(front.address)                    # it is over: the key may begin anew
+        other = await ask(front.address)  # it is over: the key may begin anew
         self.assertEqual(201, other.status)
         self.assertNotEqual(seen.headers["location"], other.headers["location"])
         writer.close()
@@ -130,7 +133,7 @@
     async def test_orphans_are_ended_and_seats_bound_what_is_taken_over(self):
         await self.all_met()
         for _ in range(3):
-            for m in (0, 1, 2):                             # all seats of the live title at each manager
+            for m in (0, 1, 2):  # all seats of the live title at each manager
                 self.assertEqual("plays", (await self.ask("cam", front=m)).fate)
         self.assertEqual(9, self.playing())
         await self.kill(0)
@@ -162,6 +165,7 @@
         before = shell.swim.alive()
         message = swim.Message("ping", 1, "m9", "", (swim.News("m0", "x:1", swim.State.DEAD, 99, "x"),))
         from flaxscale.members import wire as members_wire
+
         for key in (b"other", b""):
             shell.datagram_received(members_wire.encode(message, key), ("127.0.0.1", 9))
         self.assertEqual((before, 2), (shell.swim.alive(), shell.refused))
@@ -169,19 +173,21 @@
 
 class Alone(Rig):
     async def test_a_session_of_nobody_is_404_and_boxes_refuse_bad_claims(self):
-        await asyncio.gather(*self.fronts[0].members.jobs.values())     # it looks for what an earlier life left
+        await asyncio.gather(*self.fronts[0].members.jobs.values())  # it looks for what an earlier life left
         answer = await self.player.end(self.fronts[0].address, "/session/m9.1-abc")
         self.assertEqual(404, answer.status)
         came = asyncio.get_running_loop().create_future()
-        self.player.pool.send(*self.boxes[1].address, "POST", "/manager/adopt", [("Flaxscale-Manager", "m1")], b"[1]",
-                              came.set_result)
+        self.player.pool.send(
+            *self.boxes[1].address, "POST", "/manager/adopt", [("Flaxscale-Manager", "m1")], b"[1]", came.set_result
+        )
         self.assertEqual(400, (await came).status)
         self.assertIsInstance(await came, wire.Answer)
 
     async def test_cookies_are_read_back_and_bad_ones_refused(self):
         offer = endpoint.Offer(False, "one", b"", "u", None, None, None, "tr", 2.5, None, None)
-        self.assertEqual(Cookie(1, "m0.1-x", "one", False, 7, 2, 25_000, "tr"), cookie_in(cookie_out("m0.1-x", offer, 7,
-                                                                                                     2)))
+        self.assertEqual(
+            Cookie(1, "m0.1-x", "one", False, 7, 2, 25_000, "tr"), cookie_in(cookie_out("m0.1-x", offer, 7, 2))
+        )
         for bad in ("", "%%%", "AAAA"):
             with self.assertRaises(ValueError):
                 cookie_in(bad)
--- a/tests/test_titles.py
+++ b/tests/test_titles.py
@@ -1,4 +1,5 @@
 """The module with a live catalogue: holders, rungs and seats that change at each step of a set-up."""
+
 from flaxscale import interface as face
 from flaxscale.interface import How
 from tests.drive import Drive, S, pack
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,4 +1,5 @@
 """Floors, who is behind, bringing up and copies handed over: the pure parts, and one manager's sockets."""
+
 import tempfile
 import unittest
 
@@ -32,20 +33,21 @@
 class Floors(unittest.TestCase):
     def test_it_rises_only_and_holds_through_a_start(self):
         book = FloorBook()
-        self.assertFalse(book.refuses(None))                # none stands: nothing is refused
+        self.assertFalse(book.refuses(None))  # none stands: nothing is refused
         self.assertTrue(book.source("a", 0))
         self.assertFalse(book.refuses(At("a", 0)))
         self.assertTrue(book.source("a", 5))
         self.assertFalse(book.told("a", 4))
-        self.assertTrue(book.told("a", 7))                  # by a manager that knows more than our source told us
+        self.assertTrue(book.told("a", 7))  # by a manager that knows more than our source told us
         book = FloorBook(book.dump())
-        self.assertEqual([True, False, True, False], [book.refuses(at) for at in (
-            At("a", 6), At("a", 7), None, At("newer", 1))])
-        book.source("b", 0)                                 # the source was put back: an epoch of its own, no floor yet
+        self.assertEqual(
+            [True, False, True, False], [book.refuses(at) for at in (At("a", 6), At("a", 7), None, At("newer", 1))]
+        )
+        book.source("b", 0)  # the source was put back: an epoch of its own, no floor yet
         self.assertEqual([False, False], [book.refuses(At("a", 6)), book.refuses(At("b", 1))])
         book.source("b", 2)
         self.assertEqual([True, True, False], [book.refuses(At(*at)) for at in (("a", 99), ("b", 1), ("b", 2))])
-        self.assertFalse(book.told("a", 99))                # of an epoch that is over
+        self.assertFalse(book.told("a", 99))  # of an epoch that is over
         with self.assertRaises(ValueError):
             FloorBook(b"x")
 
@@ -57,8 +59,8 @@
             self.assertIn("no version 10 yet", objection(10, 9, fleet, force))
         times = [(4, 0), (8, 50), (9, 100)]
         self.assertEqual([None, 8, 9], [by_rule(times, at, 60, fleet, 0.34) for at in (105, 115, 160)])
-        self.assertEqual(None, by_rule(times, 160, 60, [Watching("m0", 9, 0)], 0.34))      # nobody is behind
-        self.assertEqual(None, by_rule(times, 160, 60, fleet[1:], 0.34))                   # half of them would be out
+        self.assertEqual(None, by_rule(times, 160, 60, [Watching("m0", 9, 0)], 0.34))  # nobody is behind
+        self.assertEqual(None, by_rule(times, 160, 60, fleet[1:], 0.34))  # half of them would be out
 
     def test_a_floor_is_a_version_durable_and_spread_as_one(self):
         files = FaultyFiles()
@@ -71,7 +73,7 @@
             with self.assertRaises(ValueError):
                 keeper.stage_floor(bad)
         self.assertEqual(Delta(2, {}, 1), keeper.stage_floor(1))
-        self.assertIsNone(watcher.next(keeper))             # not told before it is durable
+        self.assertIsNone(watcher.next(keeper))  # not told before it is durable
         keeper.settle()
         self.assertEqual({}, follower.delta("e", watcher.next(keeper)))
         self.assertEqual((2, 1), (follower.version, follower.floor))
@@ -113,8 +115,11 @@
         boards, all_of = self.boards(), ["m0", "m1", "m2", "m3"]
 
         def found(now, suspects=(), who=boards):
-            return [sorted((s.name, s.why, s.since) for s in boards[name].stragglers(all_of, suspects, 30_000, now))
-                    for name in who]
+            return [
+                sorted((s.name, s.why, s.since) for s in boards[name].stragglers(all_of, suspects, 30_000, now))
+                for name in who
+            ]
+
         self.tell(boards, 10)
         self.assertEqual([[]] * 4, found(10))
         for name in ("m0", "m1", "m2"):
@@ -122,10 +127,10 @@
         boards["m3"].mine(up=False)
         boards["m2"].mine(settings="other", refused=7)
         self.tell(boards, 20)
-        self.assertEqual([[]] * 4, found(20))               # not for long yet
+        self.assertEqual([[]] * 4, found(20))  # not for long yet
         self.assertEqual({At("e", 6)}, {board.newest(all_of) for board in boards.values()})
         self.assertEqual([[("m2", "refuses", 20)]] * 3 + [[("m2", "refuses", 20), ("m3", "behind", 20)]], found(30_020))
-        self.tell(boards, 30_030, only=["m3"])              # it knows it, and says so
+        self.tell(boards, 30_030, only=["m3"])  # it knows it, and says so
         self.assertEqual([[("m2", "refuses", 20), ("m3", "behind", 20)]] * 4, found(30_030))
         # Versions that come faster than rows do: whoever moves on is not behind.
         boards["m2"].mine(refused=0)
@@ -144,8 +149,10 @@
         boards["m0"].look(all_of, 10)
         for now in (20, 40_000):
             boards["m0"].hear(boards["m1"].me, "m1", lambda name: "life-m1", now)
-            self.assertEqual([] if now == 20 else [("m1", "behind", 10)], [
-                (s.name, s.why, s.since) for s in boards["m0"].stragglers(all_of, [], 30_000, now)])
+            self.assertEqual(
+                [] if now == 20 else [("m1", "behind", 10)],
+                [(s.name, s.why, s.since) for s in boards["m0"].stragglers(all_of, [], 30_000, now)],
+            )
 
     def test_an_earlier_life_is_not_told_on_and_a_source_put_back_is_right_about_its_epoch(self):
         board = self.boards()["m0"]
@@ -153,21 +160,20 @@
         board.hear(old, "m2", lambda name: "life-m1", 1)
         self.assertEqual({}, board.rows)
         board.hear(old._replace(boot="life-m1", count=2, epoch="f", version=3), "m1", lambda name: None, 2)
-        self.assertEqual(At("e", 5), board.newest(["m0", "m1"]))            # one says this, one that: our own
+        self.assertEqual(At("e", 5), board.newest(["m0", "m1"]))  # one says this, one that: our own
         board.mine(up=False)
-        self.assertEqual(At("f", 3), board.newest(["m0", "m1"]))            # who hears the source knows the epoch
+        self.assertEqual(At("f", 3), board.newest(["m0", "m1"]))  # who hears the source knows the epoch
         board.hear(old._replace(boot="life-m1", count=1, epoch="g"), "m1", lambda name: None, 3)
-        self.assertEqual("f", board.rows["m1"].epoch)                       # told late
+        self.assertEqual("f", board.rows["m1"].epoch)  # told late
 
     def test_rows_ride_on_messages_of_a_bounded_size_and_an_older_build_passes_over_them(self):
         swim = Swim("m0", "127.0.0.1:1", "b", 1, 0)
-        news = tuple(News(f"m{n}", "127.0.0.1:12345", State.ALIVE, 1, "01234567", "127.0.0.1:12345")
-                     for n in range(20))
-        row = Row("m0", "01234567", 3, "0123456789ab", 10 ** 6, 10 ** 6, 2 ** 63, 10 ** 6, "0123456789abcdef", True, 0)
+        news = tuple(News(f"m{n}", "127.0.0.1:12345", State.ALIVE, 1, "01234567", "127.0.0.1:12345") for n in range(20))
+        row = Row("m0", "01234567", 3, "0123456789ab", 10**6, 10**6, 2**63, 10**6, "0123456789abcdef", True, 0)
         message = swim.message("ping", 1, "m1")._replace(news=news, held=(row,) * 6)
         data = wire.encode(message, b"k")
         self.assertLessEqual(len(data), wire.MOST)
-        self.assertEqual(news, wire.decode(data, [b"k"]).news[:20])         # who lives comes first
+        self.assertEqual(news, wire.decode(data, [b"k"]).news[:20])  # who lives comes first
         other = row._replace(name="m1", epoch="f", digest=0)
         small = message._replace(news=news[:4], held=(row, row._replace(name="m2", digest=0), other))
         self.assertEqual(small, wire.decode(wire.encode(small, b"k"), [b"k"]))
@@ -191,17 +197,17 @@
         self.assertEqual((NUDGE, NUDGE + NUDGE_AGAIN), tuple(nudges[:2]))
         gaps = [b - a for a, b in zip(asked, asked[1:])]
         self.assertGreater(asked[0], NUDGE)
-        self.assertGreater(min(gaps[3:]), max(gaps[:2]))                    # refused, it asks less and less
+        self.assertGreater(min(gaps[3:]), max(gaps[:2]))  # refused, it asks less and less
         self.assertEqual("m1", up.look(700_000, 0, 10, ["m1"]).peer)
-        up.came(700_000, False, lied=True)                                  # it is not asked again
+        up.came(700_000, False, lied=True)  # it is not asked again
         self.assertEqual({None}, {up.look(now, 0, 10, ["m1"]).peer for now in range(700_000, 999_999, 2_500)})
-        up.look(10 ** 6, None, 0, ())                                       # level: all is forgotten
-        self.assertEqual("m1", up.look(2 * 10 ** 6, 10 ** 6, 1, ["m1"]).peer)
+        up.look(10**6, None, 0, ())  # level: all is forgotten
+        self.assertEqual("m1", up.look(2 * 10**6, 10**6, 1, ["m1"]).peer)
 
     def test_a_giver_serves_a_few_at_once_and_so_many_bytes_a_second(self):
         giver = Giver(0)
         self.assertEqual([True] * AT_ONCE + [False], [giver.may(0) for _ in range(AT_ONCE + 1)])
-        giver.done(6 * BYTES)                   # into debt
+        giver.done(6 * BYTES)  # into debt
         self.assertFalse(giver.may(10_000))
         self.assertTrue(giver.may(60_000))
 
@@ -229,12 +235,14 @@
             epoch, messages = handing.taken(data, follower, "e", self.told)
             for m in messages:
                 (follower.whole if isinstance(m, Whole) else follower.delta)(epoch, m)
-            self.assertEqual((4, 3, self.giver.sum, {"b": title("b", 2)}),
-                             (follower.version, follower.floor, follower.sum, follower.titles))
+            self.assertEqual(
+                (4, 3, self.giver.sum, {"b": title("b", 2)}),
+                (follower.version, follower.floor, follower.sum, follower.titles),
+            )
         for since in (-1, 5):
             self.assertIsNone(self.changes(since))
         del self.recent[0]
-        self.assertIsNone(self.changes())       # what it no longer knows one by one it gives whole
+        self.assertIsNone(self.changes())  # what it no longer knows one by one it gives whole
 
     def test_what_is_damaged_lies_or_is_of_another_epoch_is_refused_by_name(self):
         data = self.changes()
@@ -243,7 +251,8 @@
             with self.assertRaises(handing.Refused) as no:
                 handing.taken(data, self.ours, wanted, told)
             return no.exception.lied, str(no.exception)
-        for at in range(len(data)):             # any byte: refused, or what it says and others tell
+
+        for at in range(len(data)):  # any byte: refused, or what it says and others tell
             flipped = bytearray(data)
             flipped[at] ^= 0x41
             try:
@@ -256,14 +265,17 @@
                 total = digest.moved(total, titles, m.titles)
                 titles.update(m.titles)
             self.assertEqual(self.giver.sum, total)
-        self.assertEqual((True, "version 4 with a digest that m2 tell otherwise"),
-                         why(data, told=handing.Told({"m2": 5}, True)))
+        self.assertEqual(
+            (True, "version 4 with a digest that m2 tell otherwise"), why(data, told=handing.Told({"m2": 5}, True))
+        )
         self.assertEqual((False, "version 4, which nobody else tells yet"), why(data, told=handing.Told({}, True)))
         self.assertEqual((False, "epoch 'e' where 'f' is in force"), why(data, "f"))
         self.assertTrue(why(data[:-3])[0])
         self.giver.titles["b"] = title("b", 9)  # it lies: says one thing and gives another
-        self.assertEqual((True, "titles of version 4 that do not amount to its digest"),
-                         why(b"".join(handing.whole("m1", self.giver, 5))))
+        self.assertEqual(
+            (True, "titles of version 4 that do not amount to its digest"),
+            why(b"".join(handing.whole("m1", self.giver, 5))),
+        )
         self.ours.version = 4
         self.assertIn("no newer than ours", why(data)[1])
 
@@ -279,7 +291,7 @@
             self.assertEqual([n for n in named if n != gone], tries.keepers(mark, left)[:2])
         book = tries.TryBook()
         self.assertIsNone(book.take(mark, "m0", "a", 10))
-        self.assertIsNone(book.take(mark, "m0", "a", 20))               # its own
+        self.assertIsNone(book.take(mark, "m0", "a", 20))  # its own
         self.assertEqual(("m0", 20), book.take(mark, "m1", "x", 30))
         self.assertEqual(("m1", 30), book.take(mark, "m0", "b", 40))
         self.assertIsNone(book.take(mark, "m1", "y", 20 + tries.KEEP))
@@ -292,15 +304,13 @@
         self.assertFalse(bars.refuses("k", "m0"))
         bars.begun("k", "m0.a.1.0")
         self.assertEqual("m0.a.1.0", bars.take("k", "m1", 5))
-        self.assertEqual([410, None, None], [bars.refuses("k", "m0"), bars.refuses("k", "m1"),
-                                             bars.refuses("l", "m0")])
+        self.assertEqual([410, None, None], [bars.refuses("k", "m0"), bars.refuses("k", "m1"), bars.refuses("l", "m0")])
         bars.over("k", "another")
         self.assertEqual("m0.a.1.0", bars.take("k", "m2", 6))
         bars.over("k", "m0.a.1.0")
         self.assertIsNone(bars.take("k", "m2", 7))
         bars.take("l", "m1", 8 + tries.KEEP)
-        self.assertFalse(bars.refuses("k", "m0"))                       # long past
-
+        self.assertFalse(bars.refuses("k", "m0"))  # long past
 
     def test_a_set_up_is_for_one_start_of_a_box_that_is_older_than_its_try(self):
         bars = tries.Bars("b2")
@@ -315,9 +325,13 @@
         self.assertEqual(("m2", 9), tries.first_of([("m1", 5), silent, ("m2", 9)], unsafe=False))
         none, out, stands = tries.Said(False), tries.Said(False, True), tries.Said(True)
         for unsafe, said, step in (
-                (False, {1: None, 2: none}, tries.Begin()), (True, {1: None, 2: none}, tries.Ask((1,))),
-                (False, {1: out, 2: None}, tries.Ask((1,))), (True, {1: none, 2: none}, tries.Begin()),
-                (True, {1: None, 2: stands}, tries.Join(2)), (False, {}, tries.Begin())):
+            (False, {1: None, 2: none}, tries.Begin()),
+            (True, {1: None, 2: none}, tries.Ask((1,))),
+            (False, {1: out, 2: None}, tries.Ask((1,))),
+            (True, {1: none, 2: none}, tries.Begin()),
+            (True, {1: None, 2: stands}, tries.Join(2)),
+            (False, {}, tries.Begin()),
+        ):
             self.assertEqual(step, tries.settle(said, unsafe))
 
 
@@ -327,7 +341,7 @@
     def test_an_end_is_told_once_it_is_owed_for_a_while_and_again_while_it_stands(self):
         owed, lending = Owed(1), lent.Lending()
         owed.end(1, "a", 0)
-        owed.end(1, "a", 900)                   # asked for again: owed since the first time
+        owed.end(1, "a", 900)  # asked for again: owed since the first time
         owed.end(2, "b", 1_000)
         self.assertEqual({}, lending.due(owed.standing(), lent.AFTER - 1))
         self.assertEqual({1: ["a"]}, lending.due(owed.standing(), lent.AFTER))
@@ -348,8 +362,9 @@
             book.take("m0", 1, {f"k{n}": 0}, 5)
         self.assertEqual(lent.MOST, len(book.rows))
         book.take("m1", 2, {"x": 4}, 10)
-        self.assertEqual([{"x": 4}, {}, {}], [book.of("m1", 2, 11), book.of("m1", 1, 11),
-                                              book.of("m1", 2, 10 + lent.KEEP)])
+        self.assertEqual(
+            [{"x": 4}, {}, {}], [book.of("m1", 2, 11), book.of("m1", 1, 11), book.of("m1", 2, 10 + lent.KEEP)]
+        )
 
     def test_a_keeper_that_lives_is_found_whoever_else_died(self):
         alive = [f"m{n}" for n in range(9)]
@@ -369,6 +384,7 @@
     async def test_a_store_older_than_what_was_told_begins_an_epoch(self):
         from flaxscale.catalogued.service import Service
         from tests.rig import Rows
+
         with tempfile.TemporaryDirectory() as folder:
             service = Service(Files(folder), FRAME, Rows(), fleet=FleetRow(1, 1, {}, 1, 1))
             first = service.epoch
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -1,4 +1,5 @@
 """Faults between processes: what the relay says that it does, it does; and days with such faults keep the rules."""
+
 import asyncio
 import json
 import math
@@ -30,8 +31,13 @@
         self.assertEqual([("m0", "b1"), ("b1", "m0")], struck([["m0"], ["b1"]], False, self.kinds, {}, "x"))
         self.assertEqual([("m0", "m1"), ("m0", "list")], struck([["m0"], ["m1", "list"]], True, self.kinds, {}, "x"))
         self.assertEqual(set(all_ways(self.kinds)), {way[::-1] for way in all_ways(self.kinds)})
-        for between, key in (([["m0"]], "x"), ([["m0"], ["m7"]], "x.1.0"), ([["m0"], []], "x.1"),
-                             ([["b1"], ["b2"]], "x"), ([["none"], ["m0"]], "x.0.0")):
+        for between, key in (
+            ([["m0"]], "x"),
+            ([["m0"], ["m7"]], "x.1.0"),
+            ([["m0"], []], "x.1"),
+            ([["b1"], ["b2"]], "x"),
+            ([["none"], ["m0"]], "x.0.0"),
+        ):
             with self.assertRaises(WayError) as bad:
                 struck(between, False, self.kinds, {}, "x")
             self.assertEqual(key, bad.exception.key)
@@ -45,7 +51,7 @@
         state = ways.of(AB)
         self.assertEqual((50, 10, 0.75, math.inf), (state.delay_ms, state.jitter_ms, state.lose, state.kb_s))
         self.assertEqual([BA], ways.unreached())
-        self.assertEqual([], ways.heal(4, [AB]))                # it never struck that one
+        self.assertEqual([], ways.heal(4, [AB]))  # it never struck that one
         self.assertEqual([BA], ways.heal(4))
         for number in (1, 2, 3):
             ways.heal(number)
@@ -62,8 +68,12 @@
     def test_a_day_that_names_nobody_or_what_is_no_fault_is_refused_with_its_key(self):
         good = read_day("examples/cut-day.jsonnet")
         self.assertEqual([], faults(good, True))
-        for change, key in (({"between": [["m0"], ["m9"]]}, "between.1.0"), ({"kind": "magic"}, "kind"),
-                            ({"kind": "lose", "value": 2.0}, "value"), ({"between": None}, "between")):
+        for change, key in (
+            ({"between": [["m0"], ["m9"]]}, "between.1.0"),
+            ({"kind": "magic"}, "kind"),
+            ({"kind": "lose", "value": 2.0}, "value"),
+            ({"between": None}, "between"),
+        ):
             day = msgspec.structs.replace(good, troubles=[msgspec.structs.replace(good.troubles[0], **change)])
             self.assertEqual([f"troubles.0.{key}"], [found for found, _ in faults(day, True)], change)
         with self.assertRaisesRegex(SiteError, "needs processes"):
@@ -78,8 +88,9 @@
         self.relay = Relay([AB], 3, self.rows)
         self.ports = await self.relay.start()
         self.came = asyncio.Queue()
-        self.server = await asyncio.start_server(lambda reader, writer: self.came.put_nowait((reader, writer)),
-                                                 "127.0.0.1", 0)
+        self.server = await asyncio.start_server(
+            lambda reader, writer: self.came.put_nowait((reader, writer)), "127.0.0.1", 0
+        )
         self.writers = []
         self.relay.command({"target": "b", "address": "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]})
 
@@ -119,9 +130,9 @@
         self.assertEqual(b"one", await self.got(b_in, 3))
         self.put("cut")
         a_out.write(b"two")
-        b_out.write(b"back")                        # the other direction is whole
+        b_out.write(b"back")  # the other direction is whole
         self.assertEqual(b"back", await self.got(a_in, 4))
-        late = await self.dial()                    # it connects, and nobody is there
+        late = await self.dial()  # it connects, and nobody is there
         late[1].write(b"late")
         self.assertEqual(0, self.came.qsize())
         self.assertEqual(3, self.relay.counts[AB, "bytes out"])
@@ -139,8 +150,10 @@
         self.assertEqual(b"three", await asyncio.wait_for(b_in.read(), LIMIT))
         counts = self.relay.counts
         self.assertEqual(0, self.came.qsize())
-        self.assertEqual((20, 15, 4, 4), (counts[AB, "bytes in"], counts[AB, "bytes out"], counts[BA, "bytes in"],
-                                          counts[BA, "bytes out"]))
+        self.assertEqual(
+            (20, 15, 4, 4),
+            (counts[AB, "bytes in"], counts[AB, "bytes out"], counts[BA, "bytes in"], counts[BA, "bytes out"]),
+        )
 
     async def test_refused_reset_and_half_a_message(self):
         a_in, a_out, b_in, b_out = await self.both()
@@ -168,16 +181,16 @@
         self.put("half_open")
         a_out.close()
         side = next(iter(self.relay.sides[AB]))
-        while not side.ended:                       # the relay has heard of it
+        while not side.ended:  # the relay has heard of it
             await asyncio.wait_for(self.loop.run_in_executor(None, lambda: None), LIMIT)
         b_out.write(b"is anybody there")
-        with self.assertRaises(TimeoutError):       # no end, no reset: as a machine that vanished
+        with self.assertRaises(TimeoutError):  # no end, no reset: as a machine that vanished
             await asyncio.wait_for(b_in.read(1), 0.1)
         self.heal()
         try:
             self.assertEqual(b"", await asyncio.wait_for(b_in.read(), LIMIT))
         except ConnectionResetError:
-            pass                                    # what b had said meanwhile was answered so
+            pass  # what b had said meanwhile was answered so
 
     async def test_late_in_order_and_no_faster_than_told(self):
         a_in, a_out, b_in, b_out = await self.both()
@@ -210,7 +223,7 @@
             """What came, and from where, until a last one on a way that is clear again."""
             for n in range(count):
                 ends["a"].sendto(b"%d" % n, ("127.0.0.1", self.ports["a>b"]))
-            while self.relay.counts[AB, "datagrams in"] < self.sent + count:    # fewer than a socket holds unread
+            while self.relay.counts[AB, "datagrams in"] < self.sent + count:  # fewer than a socket holds unread
                 await asyncio.wait_for(self.loop.run_in_executor(None, lambda: None), LIMIT)
             self.sent += count + 1
             self.heal()
@@ -218,9 +231,10 @@
             out = []
             while not out or out[-1] != b"last":
                 data, addr = await asyncio.wait_for(self.loop.sock_recvfrom(ends["b"], 100), LIMIT)
-                self.assertEqual(self.ports["b>a"], addr[1])    # an answer goes by the way back
+                self.assertEqual(self.ports["b>a"], addr[1])  # an answer goes by the way back
                 out.append(data)
             return out[:-1]
+
         self.sent = 0
         self.assertEqual([b"%d" % n for n in range(50)], await send(50))
         self.put("lose", value=0.3)
@@ -235,12 +249,16 @@
         self.put("cut")
         self.assertEqual([], await send(20))
         counts = self.relay.counts
-        self.assertEqual(counts[AB, "datagrams in"] + counts[AB, "datagrams doubled"],
-                         counts[AB, "datagrams out"] + counts[AB, "datagrams lost"])
+        self.assertEqual(
+            counts[AB, "datagrams in"] + counts[AB, "datagrams doubled"],
+            counts[AB, "datagrams out"] + counts[AB, "datagrams lost"],
+        )
         self.assertEqual((lost + 20, doubled), (counts[AB, "datagrams lost"], counts[AB, "datagrams doubled"]))
         ends["b"].sendto(b"back", ("127.0.0.1", self.ports["b>a"]))
-        self.assertEqual((b"back", ("127.0.0.1", self.ports["a>b"])),
-                         await asyncio.wait_for(self.loop.sock_recvfrom(ends["a"], 100), LIMIT))
+        self.assertEqual(
+            (b"back", ("127.0.0.1", self.ports["a>b"])),
+            await asyncio.wait_for(self.loop.sock_recvfrom(ends["a"], 100), LIMIT),
+        )
 
 
 class ByProcesses(Played):
@@ -250,10 +268,10 @@
         struck = [r for r in relay if r["what"] == "ways"]
         self.assertEqual({"cut", "delay", "lose", "reset", "half_open"}, {r["kind"] for r in struck if "kind" in r})
         self.assertTrue(any("m0>b1" in r["unreached"] for r in struck))
-        self.assertEqual([], struck[-1]["unreached"])               # all healed, and so it is said
+        self.assertEqual([], struck[-1]["unreached"])  # all healed, and so it is said
         shown = flaxscale("check", "--timeline", str(out)).stdout
         self.assertRegex(shown, r"1\.\d\d s  way cut m0>b1, b1>m0, m0>b2, b2>m0 and 2 more \(fault 0\)")
-        self.assertRegex(shown, r" s  healed: b\d>m0, m0>b\d|healed: m0>b\d, b\d>m0")     # in pieces: pair by pair
+        self.assertRegex(shown, r" s  healed: b\d>m0, m0>b\d|healed: m0>b\d, b\d>m0")  # in pieces: pair by pair
         self.assertRegex(shown, r" s  kill m2\n")
         # Both accounts of what was done agree, through all of it.
         audited = judge(out)
@@ -270,12 +288,20 @@
     def test_the_checker_finds_boxes_that_give_one_session_to_both_sides_of_a_partition(self):
         with tempfile.TemporaryDirectory() as folder:
             day, out = pathlib.Path(folder, "day.jsonnet"), pathlib.Path(folder, "out")
-            day.write_text("local cut = import '%s';\ncut { length_s: 13, lease_ms: 20000, "
-                           "demand+: { play_s: [16, 18] }, troubles: [%s] }" % (
-                ROOT / "examples/cut-day.jsonnet", ", ".join((
-                    "{ at_s: 0, what: 'way', between: [['m0'], ['m1']], for_s: 13 }",
-                    "{ at_s: 0, what: 'unfenced', for_s: 13, share: 1 }",
-                    "{ at_s: 1.5, what: 'manager_crash', for_s: 11.4, managers: [2] }"))))
+            day.write_text(
+                "local cut = import '%s';\ncut { length_s: 13, lease_ms: 20000, "
+                "demand+: { play_s: [16, 18] }, troubles: [%s] }"
+                % (
+                    ROOT / "examples/cut-day.jsonnet",
+                    ", ".join(
+                        (
+                            "{ at_s: 0, what: 'way', between: [['m0'], ['m1']], for_s: 13 }",
+                            "{ at_s: 0, what: 'unfenced', for_s: 13, share: 1 }",
+                            "{ at_s: 1.5, what: 'manager_crash', for_s: 11.4, managers: [2] }",
+                        )
+                    ),
+                )
+            )
             played = flaxscale("day", str(day), "--seed", "2", "--out", str(out))
             self.assertEqual(3, played.returncode, played.stdout)
             self.assertRegex(played.stdout, r"s  BROKEN rule 2: .* taken over twice under one epoch")
