Platform sockets: no sound request is lost by a bad line, a close, an errno or a standstill

Change: own accepting (listener), poll before late timers and age of what is read (loopwatch), spans of the stop from the settings' deadlines (stopping), starts checked against when they were heard (starttimes), typed sessions and releases, half closed clients answered at once, names of classes, kinds and zones that keep their numbers at SIGHUP, a refused file read again when it changes. Files take the field's names: clients, endpoints, peers, discovery.

--- a/flaxscale/platform/belief.py
+++ b/flaxscale/platform/belief.py
@@ -29,14 +29,14 @@
 
     def taken(self):
         """The figures since the last call."""
-        manager, reaches = self.host.runner.manager, self.host.reaches
+        manager, endpoints = self.host.runner.manager, self.host.endpoints
         apart = out = 0
         for server, srv in manager.servers.items():
             playing = sum(vw.playing for vw in srv.viewings.values())
             out += len(srv.viewings) - playing
-            apart += abs(playing - (len(reaches[server].playing) if server in reaches else 0))
-        sent = sum(line.call is not None for reach in reaches.values() for line in reach.lines) + sum(
-            len(reach.waiting) for reach in reaches.values()
+            apart += abs(playing - (len(endpoints[server].playing) if server in endpoints else 0))
+        sent = sum(one.call is not None for endpoint in endpoints.values() for one in endpoint.connections) + sum(
+            len(endpoint.waiting) for endpoint in endpoints.values()
         )
         n = max(1, self.notes)
         rungs = [vw.rung for vw in manager.viewings.values() if vw.playing]
--- a/flaxscale/platform/bulletin.py
+++ b/flaxscale/platform/bulletin.py
@@ -4,6 +4,7 @@
 
 from ..interface import Listed, ListKind, State
 from ..jsonl.messages import server_number
+from .starttimes import StartTimes
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
@@ -45,8 +46,13 @@
 
 
 class Bulletin:
-    def __init__(self, config):
-        self.last, self.config, self.dropped = 0, config, 0
+    """The events of discovery under one configuration; `before`: those heard under the one before it."""
+
+    def __init__(self, config, now, before=None):
+        self.config, self.now, self.dropped = config, now, 0
+        self.last = before.last if before else 0
+        self.starts = before.starts if before else StartTimes()
+        self.followed = before is not None  # what comes is heard as it changes; else it is what stood before we did
 
     def known(self, known):
         """The events that a configuration brings; those that were had are passed over."""
@@ -60,6 +66,7 @@
                 self.last = event.no
                 found.append(self.news(event.roster))
         self.last = max(self.last, known.no)
+        self.followed = True
         return found
 
     def take(self, line):
@@ -86,8 +93,10 @@
             # A zone or kind that the settings don't name: another zone than ours, and the first kind's places.
             zone = self.config.zones.index(row.zone) if row.zone in self.config.zones else len(self.config.zones)
             kind = self.config.kinds.index(row.kind) if row.kind in self.config.kinds else 0
-            entries.append(
-                Listed(number, kind, row.cell, zone, row.weight, round(row.started_ms * 10), STATES[row.state])
-            )
+            state = STATES[row.state]
+            started_at = self.starts.of(number, row.started_ms, self.now(), self.followed)
+            if state is State.GONE:
+                self.starts.forget(number)
+            entries.append(Listed(number, kind, row.cell, zone, row.weight, started_at, state))
             addresses[number] = host, int(port)
         return News(ListKind.FULL if roster.full else ListKind.DELTA, tuple(entries), addresses)
--- a/flaxscale/platform/config.py
+++ b/flaxscale/platform/config.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..interface import SiteTerms
+from ..serve.clock import MILLISECOND
 from ..site.load import SiteError, shape
 from ..site.settings import site_terms
 
@@ -56,6 +57,9 @@
     kinds: tuple
     figures: tuple  # names in load reports, as the platform gives them
     idle_close: int  # connections that idle are closed after this
+    longest_deadline: int  # of all classes
+    listen_in_file: tuple  # as the file names it; the environment may name another
+    peer_numbers: dict  # address: number of that manager
 
 
 def address(text, file, key):
@@ -81,7 +85,8 @@
         terms = site_terms(top, seed)
         packages, zones = tuple(row["name"] for row in top["classes"]), tuple(top["zones"])
         kinds, figures = tuple(top["flavors"]), tuple(top["loadInfo"]["names"])
-        idle = int(top["caps"]["idleCloseMs"] * 10)
+        idle = int(top["caps"]["idleCloseMs"] * MILLISECOND)
+        longest = max(int(row["deadlineMs"] * MILLISECOND) for row in top["classes"])
     except KeyError as lack:
         raise SiteError(file, f"settings: {lack.args[0]}", "key expected") from None
     except (ValueError, TypeError, IndexError, AttributeError) as bad:
@@ -91,14 +96,16 @@
     talk = terms.allowed.peers and raw.peer_listen is not None
     if not 0 <= terms.me < max(terms.peers, 1):
         raise SiteError(file, "settings: me", f"0 to {terms.peers - 1} expected")
+    listen = address(raw.listen, file, "listen")
+    peers = tuple(address(peer, file, f"peers.{n}") for n, peer in enumerate(raw.peers)) if talk else ()
     return Config(
         raw.name,
-        address(raw.listen, file, "listen"),
+        listen,
         address(raw.bulletin, file, "bulletin"),
         raw.known,
         raw.limits.sockets,
         address(raw.peer_listen, file, "peer_listen") if talk else None,
-        tuple(address(peer, file, f"peers.{n}") for n, peer in enumerate(raw.peers)) if talk else (),
+        peers,
         address(raw.peers_all, file, "peers_all") if talk and raw.peers_all else None,
         terms,
         packages,
@@ -106,9 +113,52 @@
         kinds,
         figures,
         idle,
+        longest,
+        listen,
+        {peer: number for number, peer in enumerate(peers)},
     )
 
 
+def reread(file, old):
+    """The Config of a file that was replaced under a running manager, whose names keep their numbers.
+
+    What plays is known by the numbers of its class, rendition, kind and zone; so new names come after the old ones,
+    and the terms of a name that is no longer there stay those that it had.
+    """
+    found = read(file)
+    for key, now, before in (
+        ("listen", found.listen_in_file, old.listen_in_file),
+        ("settings: me", found.terms.me, old.terms.me),
+        ("settings: peersTotal", found.terms.peers, old.terms.peers),
+        ("settings: specifics: levelKb", len(found.terms.ladder.kb), len(old.terms.ladder.kb)),
+    ):
+        if now != before:
+            raise SiteError(file, key, "the same as at the start of this manager expected")
+    packages, rows = merged(old.packages, old.terms.packages, found.packages, found.terms.packages)
+    kinds, slots = merged(old.kinds, old.terms.fleet.slots, found.kinds, found.terms.fleet.slots)
+    zones, _ = merged(old.zones, old.zones, found.zones, found.zones)
+    own_zone = found.terms.zone
+    zone = zones.index(found.zones[own_zone]) if own_zone < len(found.zones) else own_zone
+    fleet = found.terms.fleet._replace(slots=slots)
+    terms = found.terms._replace(packages=rows, fleet=fleet, zone=zone, seed=old.terms.seed)
+    return found._replace(listen=old.listen, packages=packages, kinds=kinds, zones=zones, terms=terms)
+
+
+def merged(old_names, old_rows, new_names, new_rows):
+    """(names, rows): the old names first, each with its new row where it has one, then the new ones."""
+    rows = dict(zip(old_names, old_rows)) | dict(zip(new_names, new_rows))
+    return tuple(rows), tuple(rows.values())
+
+
+def stamp(file):
+    """What changes when a file is replaced or written; None where there is none."""
+    try:
+        found = os.stat(file)
+    except OSError:
+        return None
+    return found.st_ino, found.st_mtime_ns, found.st_size
+
+
 def from_environment(env=os.environ):
     """(file, Config): BALANCER_CONFIG names the file; the other variables must not contradict it."""
     file = env.get("BALANCER_CONFIG")
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -1,10 +1,11 @@
 """One session manager on the platform: the port of its runner, and all that its sockets share.
 
-It decides nothing about viewings. A viewing is a record here from its set-up until the module forgets it: the names it
-has on the wire, the line it came on, and where a set-up of it is out or it plays.
+It decides nothing about sessions. A session is a record here from its set-up until the module forgets it: the names it
+has on the wire, the connection it came on, and where an attempt is out or it plays.
 """
 
 import asyncio
+import heapq
 import resource
 from collections import Counter
 
@@ -18,54 +19,41 @@
 from . import config as configuration
 from .belief import Belief
 from .bulletin import Bulletin, Unreadable
-from .follow import Follower
-from .servers import Reach
-from .viewers import ViewerLine
-from .words import Words
+from .clients import POLLED, ClientConnection
+from .discovery import DiscoveryWatch
+from .endpoints import Endpoint
+from .listener import Listener
+from .loopwatch import LoopWatch
+from .peers import PeerMessages
+from .releases import ClientReleases
+from .sessions import session_of
+from .stopping import stop_times
 
 TEND = 0.1  # seconds between two rounds of upkeep
+TEND_TENTHS = 1_000
 STATE_EVERY = 100  # rounds between two lines of state in the log
 SAID_MOST = 20  # log lines of one sort; further ones are counted
-RESERVE = 16  # descriptors for the listener, the bulletin, the peers, the log and the loop
-RELEASE_AGAIN, RELEASE_MOST = 1_500, 80_000  # a release that no viewer heard of goes again, for so long
-STAYS, STAYS_MOST = 9_000, 33_000  # after SIGTERM: at least while requests may come; at most
-
-
-class Viewing:
-    __slots__ = (
-        "id",
-        "call",
-        "package",
-        "key",
-        "desc",
-        "client",
-        "line",
-        "server",
-        "nth",
-        "rung",
-        "expire_at",
-        "sent_at",
-        "answer",
-    )
-
-    def __init__(self, setup, client):
-        self.id, self.call, self.desc = setup.id, setup.call, setup.desc
-        self.package, self.key = setup.package, setup.key
-        self.client, self.line, self.server, self.answer = client, None, None, None
-        self.nth = self.rung = self.expire_at = self.sent_at = 0
+RESERVE = 16  # descriptors for the listener, discovery, the peers, the log and the loop
+CLIENTS_OVER = RESERVE // 2  # connections past the clients' part that are let in while others make room for them
+CLIENTS_PART = 5, 8  # of the other descriptors, for clients; the rest is for servers
+READ_AGAIN_MOST = 50  # rounds in which a configuration that was refused is read again if its file changes
+FLUSHED_MOST = 0.2  # seconds that answers have to go out before the process ends
 
 
 class Host:
     def __init__(self, file, config, log):
         self.file, self.config, self.log_to, self.now = file, config, log, unix_clock()
         self.counts = Counter()
-        self.viewings, self.reaches, self.viewer_lines = {}, {}, {}
-        self.releases = {}  # call: [cause, since, said at, the line that it goes on, lines that did not hear]
+        self.sessions, self.endpoints, self.clients = {}, {}, {}
+        self.addresses = {}  # address: the server that serves there
+        self.busy = set()  # endpoints where something of ours is, or is under way
+        self.releases = ClientReleases(self)
+        self.watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
         self.over, self.leaving_since, self.rounds = False, None, 0
-        self.alarm = None
+        self.alarm, self.tend_due, self.refused_file = None, 0, None
         self.runner = Runner(config.terms, self)
-        self.bulletin, self.belief = Bulletin(config), Belief(self)
+        self.bulletin, self.belief = Bulletin(config, self.now), Belief(self)
         self.done = asyncio.Event()
 
     # Start and end
@@ -77,60 +65,93 @@
                 self.hear(news)
         except Unreadable as bad:
             raise SiteError(self.file, "known", str(bad)) from None
-        self.words = Words(self)
-        if self.config.peer_listen:
-            await self.words.start(self.config.peer_listen)
-        self.follower = Follower(self, self.config.bulletin)
-        self.follower.start()
-        self.listener = await self.loop.create_server(
-            lambda: ViewerLine(self), *self.config.listen, backlog=1024, reuse_address=True
-        )
-        self.loop.call_later(TEND, self.tend)
+        self.peers = PeerMessages(self, self.config.peer_listen)
+        await self.peers.start()
+        self.discovery = DiscoveryWatch(self, self.config.bulletin)
+        self.discovery.start()
+        self.listener = Listener(self.loop, lambda: ClientConnection(self), self.not_accepted)
+        try:
+            await self.listener.start(self.config.listen)
+        except OSError as error:
+            raise SiteError(self.file, "listen", f"can't be listened on: {error.strerror}") from None
+        self.plan_round()
+
+    def not_accepted(self, error):
+        self.said("local error", call="accept", error=str(error))
 
     def leave(self):
         """SIGTERM: goes on serving while requests may still come, then until all are answered."""
         if self.leaving_since is None:
             self.leaving_since = self.now()
             self.log_to.info("leaves", waiting=self.unanswered())
+            times = stop_times(self.config.longest_deadline)
+            self.runner.answer_by(self.leaving_since + times.answer_by)
+
+    def left(self, now):
+        """Whether a manager that leaves has stayed long enough, and has read and answered all that came."""
+        if self.leaving_since is None:
+            return False
+        times, stayed = stop_times(self.config.longest_deadline), now - self.leaving_since
+        if stayed <= times.stay or not self.watch.caught_up():
+            return False
+        return not self.unanswered() or stayed > times.answer_by
 
     async def stop(self):
         self.over = True
         self.log_to.info("over", faults=self.runner.faults, overdue=self.runner.overdue, **self.figures())
-        self.listener.close()
-        self.follower.stop()
-        self.words.stop()
-        for line in list(self.viewer_lines):
-            line.close()
-        for reach in self.reaches.values():
-            for line in list(reach.lines):
-                line.close(read_on=False)
+        self.listener.stop()
+        self.discovery.stop()
+        self.peers.stop()
+        for endpoint in self.busy:
+            for connection in list(endpoint.connections):
+                connection.close(read_on=False)
+        await self.close_clients()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def close_clients(self):
+        """Closes once the answers have left this process: its end would drop what is still buffered."""
+        ends = self.loop.time() + FLUSHED_MOST
+        for client in list(self.clients):
+            if not client.closed:
+                client.close()
+        while self.loop.time() < ends and any(one.transport.get_write_buffer_size() for one in self.clients):
+            await asyncio.sleep(POLLED)
+        for client in list(self.clients):
+            client.transport.abort()
+
     def reload(self):
-        """SIGHUP: all or nothing. A file that can't be taken on is said once, and the old one goes on."""
+        """SIGHUP: all or nothing. A file that can't be taken on is named once, and the old settings go on."""
+        if self.loop is None or self.over:
+            return
         try:
-            found = configuration.read(self.file)
-            old = self.config.terms
-            if (found.listen, found.terms.me, found.terms.peers) != (self.config.listen, old.me, old.peers):
-                raise SiteError(self.file, "listen", "the address and number of this manager expected")
-            bulletin = Bulletin(found)
-            bulletin.last = self.bulletin.last
+            found = configuration.reread(self.file, self.config)
+            bulletin = Bulletin(found, self.now, self.bulletin)
             news = bulletin.known(found.known)
         except (SiteError, Unreadable) as bad:
             self.log_to.warning("settings refused", why=str(bad))
+            self.refused_file = configuration.stamp(self.file), self.rounds + READ_AGAIN_MOST
             return
+        self.refused_file = None
         moved = found.bulletin != self.config.bulletin
-        changed = found.terms._replace(seed=old.seed) != old
+        changed = found.terms != self.config.terms
         self.config, self.bulletin = found, bulletin
         self.log_to.info("settings taken on", bulletin="%s:%d" % found.bulletin, terms_changed=changed)
         if changed:
-            self.runner.changed(found.terms._replace(seed=old.seed))
+            self.runner.changed(found.terms)
         for one in news:
             self.hear(one)
         if moved:
-            self.follower.go_to(found.bulletin)
+            self.discovery.go_to(found.bulletin)
+
+    def read_again(self):
+        """A configuration that was refused may have been half written: it is read again when its file changes."""
+        stamp, last_round = self.refused_file
+        if self.rounds > last_round:
+            self.refused_file = None
+        elif configuration.stamp(self.file) != stamp:
+            self.reload()
 
     def keep(self, work):
         task = self.loop.create_task(work)
@@ -148,90 +169,184 @@
         if self.counts[what] <= SAID_MOST:
             self.log_to.warning(what, **more)
 
-    # Upkeep
+    # Timers
 
-    def tend(self):
+    def after_poll(self, run):
+        """Runs this once the loop has polled and has handled what was read.
+
+        A timer that is due after the poll runs before the callbacks that the poll scheduled; hence the turn after it.
+        """
+        self.loop.call_later(POLLED, self.loop.call_soon, run)
+
+    def wake(self, at):
+        if self.alarm:
+            self.alarm.cancel()
+        self.alarm = self.loop.call_later(max(0, at - self.now()) / 10_000, self.alarmed, at)
+
+    def alarmed(self, due):
+        if self.watch.timer(self.now(), due):
+            self.after_poll(self.runner.tick)
+        else:
+            self.runner.tick()
+
+    def plan_round(self):
+        self.tend_due = self.now() + TEND_TENTHS
+        self.loop.call_later(TEND, self.round)
+
+    def round(self):
+        """A round of upkeep; after a standstill not before what came meanwhile was read."""
         if self.over:
             return
+        now = self.now()
+        if self.watch.timer(now, self.tend_due):
+            self.after_poll(self.run_round)
+            return
+        self.watch.round_in_time(now)
+        self.run_round()
+
+    def run_round(self):
+        if self.over:
+            return
+        self.plan_round()
+        self.tend()
+
+    # Upkeep
+
+    def tend(self):
         now, self.rounds = self.now(), self.rounds + 1
-        for line in [line for line in self.viewer_lines if line.overdue(now)]:
-            self.counts["silent viewers closed"] += 1
-            line.close()
-        self.release_again(now)
-        for server, reach in list(self.reaches.items()):
-            reach.tend(now)
-            if reach.forgettable():
-                reach.shut()
-                del self.reaches[server]
-        self.follower.tend(now)
+        self.tend_clients(now)
+        self.releases.tend(now)
+        self.tend_endpoints(now)
+        self.discovery.tend(now)
+        self.peers.tend(now)
+        if self.refused_file is not None:
+            self.read_again()
         if self.rounds % STATE_EVERY == 0:
             self.log_to.info("state", **self.figures(), belief=self.belief.taken())
-        if self.leaving_since is not None:
-            stayed = now - self.leaving_since
-            if stayed > STAYS_MOST or stayed > STAYS and not self.unanswered():
-                self.done.set()
-        self.loop.call_later(TEND, self.tend)
+        if self.left(now):
+            self.done.set()
+
+    def tend_clients(self, now):
+        for client in [client for client in self.clients if client.overdue(now)]:
+            if client.closed:
+                client.abort()
+            else:
+                self.counts["silent viewers closed"] += 1
+                client.leave()
+
+    def tend_endpoints(self, now):
+        for endpoint in list(self.busy):
+            endpoint.tend(now)
+            if endpoint.forgettable():
+                self.forget(endpoint)
+            elif not endpoint.busy():
+                self.busy.discard(endpoint)
+
+    def forget(self, endpoint):
+        endpoint.shut()
+        self.busy.discard(endpoint)
+        if self.endpoints.get(endpoint.server) is endpoint:
+            del self.endpoints[endpoint.server]
+        if self.addresses.get(endpoint.address) is endpoint:
+            del self.addresses[endpoint.address]
 
     def figures(self):
         return {
-            "viewings": len(self.viewings),
+            "viewings": len(self.sessions),
             "waiting": self.unanswered(),
-            "servers": len(self.reaches),
-            "viewer_lines": len(self.viewer_lines),
-            "server_lines": sum(len(r.lines) for r in self.reaches.values()),
-            "owed": sum(len(r.owed) for r in self.reaches.values()),
+            "servers": len(self.endpoints),
+            "viewer_lines": len(self.clients),
+            "server_lines": sum(len(endpoint.connections) for endpoint in self.busy),
+            "owed": sum(len(endpoint.releases) for endpoint in self.busy),
             "releases": len(self.releases),
             "list": self.bulletin.last,
             "counts": dict(self.counts),
         }
 
     def unanswered(self):
-        return sum(len(line.open) for line in self.viewer_lines)
+        return sum(len(client.open) for client in self.clients)
 
-    # Descriptors: a part for viewers, the rest for servers, of what is not reserved
+    # Descriptors: a part for clients, the rest for servers, of what is not reserved
 
-    def room_for_line(self):
-        used = sum(len(reach.lines) + reach.dialing for reach in self.reaches.values())
-        if used < (self.config.sockets - RESERVE) * 3 // 8:
+    def clients_most(self):
+        part, whole = CLIENTS_PART
+        return (self.config.sockets - RESERVE) * part // whole
+
+    def room_to_dial(self):
+        used = sum(len(endpoint.connections) + endpoint.dialing for endpoint in self.busy)
+        if used < self.config.sockets - RESERVE - self.clients_most():
             return True
-        idle = [line for reach in self.reaches.values() for line in reach.lines if line.free()]
+        idle = [one for endpoint in self.busy for one in endpoint.connections if one.free()]
         if not idle:
             return False
-        min(idle, key=lambda line: line.since).close()
+        min(idle, key=lambda connection: connection.since).close()
         return True
 
-    def joined(self, line):
-        self.viewer_lines[line] = True
-        if len(self.viewer_lines) > (self.config.sockets - RESERVE) * 5 // 8:
-            now = self.now()
-            first = max(self.viewer_lines, key=lambda one: one.spare(now))
-            first = line if first.open else first
-            self.said("viewers closed for room", good=first.good, idle=now - first.used_at, age=now - first.since)
-            self.viewer_lines.pop(first, None)
-            first.close()
-
-    def parted(self, line):
-        self.viewer_lines.pop(line, None)
-        for vw in list(line.open.values()):
-            self.leave_viewing(vw)
-        line.open.clear()
-
-    # What viewers want
-
-    def offered(self, line, message):
-        if message.call in line.open:
+    def client_joined(self, client):
+        self.clients[client] = True
+        self.make_client_room()
+
+    def make_client_room(self):
+        """Past our share whoever is spared most easily leaves; where nobody is, newcomers wait in the kernel."""
+        over = len(self.clients) - self.clients_most()
+        if over > 0:
+            self.close_spare_clients()
+        if over >= CLIENTS_OVER:
+            self.abort_closing_clients(1 + over - CLIENTS_OVER)
+        self.listener.hold(len(self.clients) - self.clients_most() >= CLIENTS_OVER)
+
+    def close_spare_clients(self):
+        staying = [one for one in self.clients if not (one.closed or one.leaving)]
+        over = len(staying) - self.clients_most()
+        if over <= 0:
+            return
+        now = self.now()
+        for first in heapq.nlargest(over, staying, key=lambda one: one.spare(now)):
+            if not first.open:
+                self.said("viewers closed for room", good=first.good, idle=now - first.used_at, age=now - first.since)
+                first.leave()
+
+    def abort_closing_clients(self, count):
+        """Those that we closed longest ago have had most of their time to read."""
+        closing = [one for one in self.clients if one.closing_at is not None]
+        for first in heapq.nsmallest(count, closing, key=lambda one: one.closing_at):
+            first.abort()
+            self.clients.pop(first, None)
+
+    def client_left(self, client):
+        """The client closed: nothing further is begun for it, and what is open gets its answer at once."""
+        for session in list(client.open.values()):
+            self.leave_session(session)
+            why = messages.CUT if session.sent_at else messages.NEVER
+            client.say(messages.line("end", session.call, why=why))
+        client.open.clear()
+
+    def client_parted(self, client):
+        self.clients.pop(client, None)
+        for session in list(client.open.values()):
+            self.leave_session(session)
+        client.open.clear()
+        if self.listener.held:
+            self.make_client_room()
+
+    # What clients want
+
+    def offered(self, client, message, arrived_at):
+        """A set-up. What the client has left counts from when its line came, which may be before it was read."""
+        if message.call in client.open:
             raise Fault("call: that of an open set-up")
         setup = messages.set_up(message, self.config.packages)
         if setup.at is not None:
-            self.handed_over(line, setup)
+            self.handed_over(client, setup)
             return
-        if setup.id in self.runner.held or setup.id in self.viewings:
+        if setup.id in self.runner.held or setup.id in self.sessions:
             raise Fault("call: that of a viewing that we hold")
         self.counts["asked"] += 1
-        vw = self.viewings[setup.id] = Viewing(setup, line)
-        line.open[setup.call] = vw
-        self.runner.asked(self.asked(setup, span(setup.left)))
-        self.settle(vw)
+        session = self.sessions[setup.id] = session_of(setup, client)
+        client.open[setup.call] = session
+        left = span(setup.left) - max(0, self.now() - arrived_at)
+        self.runner.asked(self.asked(setup, max(0, left)))
+        self.settle(session)
 
     def asked(self, setup, left):
         return Asked(
@@ -248,207 +363,183 @@
             setup.again,
         )
 
-    def handed_over(self, line, setup):
-        if setup.id in self.viewings:
+    def handed_over(self, client, setup):
+        if setup.id in self.sessions:
             return
-        reach = self.reaches.get(setup.at)
-        if reach is None:
+        endpoint = self.endpoints.get(setup.at)
+        if endpoint is None:
             raise Fault("extras.at: no server of the list")
         self.counts["handed over"] += 1
-        vw = self.viewings[setup.id] = Viewing(setup, line)
-        vw.server = reach
-        reach.playing.add(vw.id)
+        session = self.sessions[setup.id] = session_of(setup, client)
+        self.stands(session, endpoint)
         self.runner.handed_over(self.asked(setup, 0), setup.at, None)
 
-    def given_up(self, line, message):
-        """A viewer's own end: of an open set-up on its connection, of what stands on any."""
-        vw = self.by_call(message.call)
-        if vw is None or vw.call in vw.client.open and vw.client is not line:
-            line.say(messages.line("ended", message.call[:64]))
+    def given_up(self, client, message):
+        """A client's own end: of an open set-up on its connection, of what stands on any."""
+        session = self.by_call(message.call)
+        if session is None or session.call in session.client.open and session.client is not client:
+            client.say(messages.line("ended", message.call[:64]))
             return
-        line.say(messages.line("ended", message.call))
+        client.say(messages.line("ended", message.call))
         self.counts["left"] += 1
-        vw.client.open.pop(vw.call, None)
-        self.leave_viewing(vw)
-
-    def leave_viewing(self, vw):
-        self.runner.left(vw.id)
-        self.settle(vw)
-
-    def settle(self, vw):
-        """Forgets a viewing that the runner holds no longer."""
-        if vw.id not in self.runner.held and self.viewings.get(vw.id) is vw:
-            del self.viewings[vw.id]
-            if vw.server is not None:
-                vw.server.playing.discard(vw.id)
+        session.client.open.pop(session.call, None)
+        self.leave_session(session)
+        session.client.close_if_answered()
+
+    def leave_session(self, session):
+        self.runner.left(session.id)
+        if session.id in self.runner.held and session.endpoint is not None and session.endpoint.withdraw(session):
+            # The settings allow no calling off, but what has not left us yet never goes.
+            self.runner.ended(session.id, session.nth, How.MOOT, self.now() - session.sent_at)
+        self.settle(session)
+
+    def settle(self, session):
+        """Forgets a session that the runner holds no longer."""
+        if session.id not in self.runner.held and self.sessions.get(session.id) is session:
+            del self.sessions[session.id]
+            if session.endpoint is not None:
+                session.endpoint.playing.discard(session.id)
 
     def by_call(self, call):
-        return self.viewings.get(int(call, 16)) if messages.CALL.match(call) else None
-
-    # What is owed to viewers
-
-    def release(self, vw, cause):
-        self.releases[vw.call] = [cause, self.now(), 0, vw.client, set()]
-        self.say_release(vw.call)
-
-    def say_release(self, call):
-        """On the connection of its set-up; if that is gone or does not hear, on others that carry viewings, in turn."""
-        row = self.releases[call]
-        if row[2] or row[3].closed:
-            row[4].add(row[3])
-            row[3] = max(
-                (one for one in self.viewer_lines if one.good and not one.closed and one is not row[3]),
-                default=row[3],
-                key=lambda one: (one not in row[4], one.carried, one.heard_at),
-            )
-        if not row[3].closed:
-            row[2] = self.now()
-            row[3].say(messages.line("end", call, why=row[0]))
-
-    def release_again(self, now):
-        for call, (_, since, said, _, _) in list(self.releases.items()):
-            if now - since > RELEASE_MOST:
-                del self.releases[call]
-                self.counts["releases not heard"] += 1
-            elif now - said > RELEASE_AGAIN:
-                if now - since > 8_000:
-                    line = self.releases[call][3]
-                    self.said("slow release", call=call, since=now - since, carried=line.carried, closed=line.closed)
-                self.say_release(call)
-
-    def release_heard(self, call):
-        self.releases.pop(call, None)
+        return self.sessions.get(int(call, 16)) if messages.CALL.match(call) else None
 
     # What servers say
 
-    def begun(self, reach, vw, message):
-        vw.answer, vw.server = message.desc, reach
-        reach.playing.add(vw.id)
-        if self.runner.begun(vw.id, vw.nth, self.now() - vw.sent_at):
+    def stands(self, session, endpoint):
+        session.endpoint = endpoint
+        endpoint.playing.add(session.id)
+        self.busy.add(endpoint)
+
+    def begun(self, endpoint, session, message):
+        session.answer = message.desc
+        self.stands(session, endpoint)
+        if self.runner.begun(session.id, session.nth, self.now() - session.sent_at):
             self.counts["plays"] += 1
         else:
-            reach.playing.discard(vw.id)
-            reach.release(vw.call, messages.NORMAL)
-        vw.answer = vw.desc = None  # nobody needs them again, and there are thousands
-        self.settle(vw)
-
-    def ended(self, vw, how, load=()):
-        """A set-up that came to nothing."""
-        self.said(
-            f"set-up {how.value}",
-            call=vw.call,
-            server=f"{vw.server.server:08x}",
-            key=vw.key,
-            nth=vw.nth,
-            took=self.now() - vw.sent_at,
-        )
-        self.runner.ended(vw.id, vw.nth, how, self.now() - vw.sent_at, load)
-        self.settle(vw)
-
-    def soon_ended(self, vw, how):
-        nth = vw.nth
-        self.loop.call_soon(lambda: vw.nth == nth and self.ended(vw, how))
-
-    def over_there(self, reach, vw, message):
+            endpoint.playing.discard(session.id)
+            endpoint.release(session.call, messages.NORMAL)
+        session.answer = session.desc = None  # nobody needs them again, and there are thousands
+        self.settle(session)
+
+    def ended(self, session, how, load=()):
+        """An attempt that came to nothing."""
+        took = self.now() - session.sent_at
+        server = f"{session.endpoint.server:08x}" if session.endpoint else None
+        self.said(f"set-up {how.value}", call=session.call, server=server, key=session.key, nth=session.nth, took=took)
+        self.runner.ended(session.id, session.nth, how, took, load)
+        self.settle(session)
+
+    def soon_ended(self, session, how):
+        """As ended(), after the runner's present step."""
+        nth = session.nth
+        self.loop.call_soon(lambda: session.nth == nth and self.ended(session, how))
+
+    def over_there(self, endpoint, session, message):
         """What stood is over, as its server says."""
         how = messages.AFTER.get(message.why, How.RESET)
         self.counts[f"over {how.value}"] += 1
-        self.runner.ended(vw.id, vw.nth, how, self.now() - vw.sent_at, messages.load(message, self.config.figures))
-        self.settle(vw)
+        load = messages.load(message, self.config.figures)
+        self.runner.ended(session.id, session.nth, how, self.now() - session.sent_at, load)
+        self.settle(session)
         if how is not How.CANCELLED:
-            self.release(vw, message.why)
+            self.releases.release(session, message.why)
 
     def cut(self, id):
         """What stood at a server that is gone."""
-        vw = self.viewings.get(id)
-        if vw is None:
+        session = self.sessions.get(id)
+        if session is None:
             return
         self.counts["cut with its server"] += 1
-        vw.server.release(vw.call, messages.NORMAL) if not vw.server.gone else None
-        self.runner.ended(id, vw.nth, How.RESET, self.now() - vw.sent_at)
-        self.settle(vw)
-        self.release(vw, messages.CUT)
+        if not session.endpoint.gone:
+            session.endpoint.release(session.call, messages.NORMAL)
+        self.runner.ended(id, session.nth, How.RESET, self.now() - session.sent_at)
+        self.settle(session)
+        self.releases.release(session, messages.CUT)
 
-    def noted(self, reach, vw, message):
+    def noted(self, endpoint, session, message):
         kind = NOTE_NAMES.get(message.fields.get("note"))
-        if vw is None or kind is None or vw.id not in reach.playing:
+        if session is None or kind is None or session.id not in endpoint.playing:
             self.counts["notes on nothing"] += 1
             return
         value = messages.figure(message.fields.get("value", ""), "value")
-        self.belief.noted(reach.server, kind, value)
-        self.runner.note(vw.id, kind, value)
+        self.belief.noted(endpoint.server, kind, value)
+        self.runner.note(session.id, kind, value)
 
     def hear(self, news):
-        """The list, as the bulletin tells it."""
+        """The list, as discovery tells it."""
         for row in news.entries:
-            address, reach = news.addresses[row.server], self.reaches.get(row.server)
-            if reach is not None:
-                reach.told(row)
-            if (
-                row.state is State.GONE
-                or reach is not None
-                and reach.address == address
-                and (not reach.gone or row.state is not State.READY)
-            ):
-                continue
-            # Who serves now has the address; what is told later of one that had it before must not take it away.
-            for other in self.reaches.values():
-                if row.state is State.READY and other.address == address and other.server != row.server:
-                    other.shut()
-            if reach is not None:
-                reach.shut()
-                reach.lost()
-            self.reaches[row.server] = Reach(self, row.server, address, row.started_at)
+            self.hear_row(row, news.addresses[row.server])
         self.counts["events"] += 1
         self.runner.listing(news.kind, news.entries)
 
-    # The port: what the module wants
+    def hear_row(self, row, address):
+        endpoint = self.endpoints.get(row.server)
+        if endpoint is not None:
+            endpoint.told(row)
+        if row.state is State.GONE:
+            if endpoint is not None and endpoint.forgettable():
+                self.forget(endpoint)
+            return
+        ready = row.state is State.READY
+        if endpoint is not None and endpoint.address == address and not (endpoint.gone and ready):
+            return
+        # Who serves now has the address; what is told later of one that had it before must not take it away.
+        before = self.addresses.get(address)
+        if ready and before is not None and before.server != row.server:
+            before.shut()
+            self.busy.add(before)
+        if endpoint is not None:
+            endpoint.shut()
+            endpoint.lost()
+            self.busy.add(endpoint)
+        self.endpoints[row.server] = Endpoint(self, row.server, address, row.started_at)
+        if ready or before is None:
+            self.addresses[address] = self.endpoints[row.server]
 
-    def wake(self, at):
-        if self.alarm:
-            self.alarm.cancel()
-        self.alarm = self.loop.call_later(max(0, at - self.now()) / 10_000, self.runner.tick)
+    # The port: what the module wants
 
     def tune_in(self, id, nth, server, rung, left):
-        vw, reach = self.viewings[id], self.reaches.get(server)
-        vw.nth, vw.rung, vw.sent_at = nth, rung, self.now()
-        vw.expire_at = vw.sent_at + left
+        session, endpoint = self.sessions[id], self.endpoints.get(server)
+        session.nth, session.rung, session.sent_at = nth, rung, self.now()
+        session.expire_at = session.sent_at + left
         self.counts["tune-ins"] += 1
-        if reach is None:
-            self.soon_ended(vw, How.UNREACHED)
+        if endpoint is None:
+            self.soon_ended(session, How.UNREACHED)
         else:
-            vw.server = reach
-            reach.tune_in(vw)
+            session.endpoint = endpoint
+            self.busy.add(endpoint)
+            endpoint.attempt(session)
 
     def abandon(self, id, nth, server):
-        vw = self.viewings.get(id)
-        return vw is not None and vw.server is not None and vw.server.abandon(vw)
+        session = self.sessions.get(id)
+        return session is not None and session.endpoint is not None and session.endpoint.abandon(session)
 
     def end(self, id, nth, server):
-        vw = self.viewings[id]
-        vw.server.playing.discard(id)
-        vw.server.release(vw.call, messages.NORMAL)
+        session = self.sessions[id]
+        session.endpoint.playing.discard(id)
+        session.endpoint.release(session.call, messages.NORMAL)
 
     def set_rung(self, id, nth, server, rung):
-        vw = self.viewings[id]
-        vw.server.set_rung(vw.call, rung)
+        session = self.sessions[id]
+        session.endpoint.set_rung(session.call, rung)
 
     def answer(self, id, answer):
-        vw = self.viewings[id]
-        vw.client.open.pop(vw.call, None)
+        session = self.sessions[id]
         self.counts[f"answered {answer.fate.value}"] += 1
         if answer.fate is Fate.PLAYS:
-            vw.client.carried += 1
-            vw.client.say(messages.line("accept", vw.call, desc=vw.answer))
+            session.client.carried += 1
+            session.client.answer(session, messages.line("accept", session.call, desc=session.answer))
         elif answer.fate is Fate.BLOCKED:
             # The platform's clients stay away for whole milliseconds.
             fields = {"wait": answer.hold_off // 10} if answer.hold_off else {}
-            vw.client.say(messages.line("end", vw.call, fields, messages.FULL))
+            session.client.answer(session, messages.line("end", session.call, fields, messages.FULL))
         elif answer.fate is Fate.ABORTED:
-            vw.client.say(messages.line("end", vw.call, why=messages.CUT))
+            session.client.answer(session, messages.line("end", session.call, why=messages.CUT))
+        else:
+            session.client.open.pop(session.call, None)
 
     def tell_peers(self, server, kb):
-        self.words.say(PEER_WORD.pack(server, kb))
+        self.peers.say(PEER_WORD.pack(server, kb))
 
     def probe(self, server):
         self.loop.call_soon(self.runner.probed, server, How.ERROR, 0)
--- /dev/null
+++ b/flaxscale/platform/sessions.py
@@ -0,0 +1,32 @@
+"""What the sockets hold of one session, from its set-up until the decision module forgets it."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .clients import ClientConnection
+    from .endpoints import Endpoint, ServerConnection
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """`client`: the connection that it came on. `endpoint`, `connection`: where an attempt is out or it plays."""
+
+    id: int
+    call: str
+    package: str
+    key: str
+    desc: str | None
+    client: "ClientConnection"
+    endpoint: "Endpoint | None" = None
+    connection: "ServerConnection | None" = None
+    answer: str | None = None  # the server's description, until it is passed on
+    nth: int = 0  # number of the attempt
+    rung: int = 0
+    sent_at: int = 0
+    expire_at: int = 0
+
+
+def session_of(setup, client):
+    """The Session of a set-up that was read on this connection."""
+    return Session(setup.id, setup.call, setup.package, setup.key, setup.desc, client)
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -85,6 +85,7 @@
         self.held, self.queue, self.timers = {}, deque(), []
         self.seq = self.faults = self.overdue = 0
         self.now, self.woken, self.busy = 0, None, False
+        self.last_answer_at = None  # of a manager that leaves
         self.due = 0  # the time that this step was due at: now, or that of the timer that is late
         # What came of each action, by its type: one look-up an action, since this is the hot path.
         self.does = {
@@ -119,11 +120,22 @@
         """Room kept for announced peaks, from now on."""
         self.step(face.Kept(rooms, titles, packages))
 
+    def answer_by(self, at):
+        """A planned stop: whoever waits for an answer has one by then, and whoever comes later too."""
+        self.last_answer_at = at
+        for id, held in self.held.items():
+            if not held.answered and held.deadline > at:
+                held.deadline = at
+                self.at(at - GUARD, OVERDUE, id, 0)
+        self.set_alarm()
+
     def asked(self, ask):
         """A viewing is taken: from here on it gets exactly one answer."""
         if ask.id in self.held:
             raise ValueError(f"viewing {ask.id} is held already")
         self.now = self.port.now()
+        if self.last_answer_at is not None:
+            ask = ask._replace(left=max(0, min(ask.left, self.last_answer_at - self.now)))
         self.held[ask.id] = Held(ask, self.now + ask.left)
         self.at(self.now + max(0, ask.left - GUARD), OVERDUE, ask.id, 0)
         self.step(ask, self.now)
--- a/flaxscale/serve/clock.py
+++ b/flaxscale/serve/clock.py
@@ -2,6 +2,9 @@
 
 import time
 
+MILLISECOND = 10  # in tenths of a millisecond, the unit of all times
+SECOND = 1000 * MILLISECOND
+
 wrong = None  # lab only: what the clock says for the machine's nanoseconds
 
 
