--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -74,7 +74,8 @@
         self.kb, self.unheard = max(kb, 1.0), unheard  # unheard: what others are taken to ask, by their use
         self.own, self.heard_at = 0.0, None  # own: kB a second that our viewings ask
         self.base = self.own_then = self.kept = 0.0
-        self.links, self.reckoned = [], (-SECOND, 0)  # of an uplink: as of when, what others ask of it
+        self.servers = []  # of an uplink: those behind it
+        self.reckoned = -SECOND, 0  # of an uplink: as of when, what others ask of it
         self.changes = Ring(SECOND // 10, 64)
 
     def asks(self, now, own, new=True):
@@ -156,6 +157,7 @@
         width = max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60))
         self.taken, self.further, self.counts_back = Ring(width, 64), Ring(width, 64), 60 * width
         self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0  # asked_kb: by all our viewings
+        self.links_kb = None  # of all links together, until the list changes
         self.stood = Ring(8 * SECOND, 9)  # the longest between two beats
         self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)  # others' use of links, as heard
         self.rule(terms)
@@ -723,11 +725,16 @@
         if self.usual_at != self.now:
             self.usual_at, peers, few = self.now, self.terms.peers, FEW / (len(self.viewings) + FEW)
             n, told = (sum(ring.since(self.now - 8 * SECOND)) for ring in (self.tellings, self.told))
-            links = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
-            guess = (peers - 1) * ((1 - few) * self.asked_kb / links + few * GUESS / peers)
+            guess = (peers - 1) * ((1 - few) * self.asked_kb / self.all_links() + few * GUESS / peers)
             self.usual_use = (told + FEW * min(UNSEEN, guess)) / (n + FEW)
         return self.usual_use
 
+    def all_links(self):
+        """kB a second of all links together: added up when the list changes, not at each question."""
+        if self.links_kb is None:
+            self.links_kb = max(1.0, sum(srv.link.kb for srv in self.servers.values()))
+        return self.links_kb
+
     def usual_uplink(self, rack):
         """What others ask of an unreported uplink, by its own links: the usual alone is that of busy ones."""
         if self.now - rack.reckoned[0] > FRESH:
@@ -739,7 +746,7 @@
                         else self.usual()
                     )
                     * link.kb
-                    for link in rack.links
+                    for link in (srv.link for srv in rack.servers)
                 )
                 / rack.kb
             )
@@ -821,7 +828,8 @@
     def drop(self, srv):
         """Gone and empty is forgotten, or replaced machines fill the memory and weigh on their rack."""
         if srv.row.state is State.GONE and not srv.viewings and self.servers.pop(srv.row.server, None):
-            srv.rack.links.remove(srv.link)
+            srv.rack.servers.remove(srv)
+            self.links_kb = None
             self.cells.get(srv.row.cell, {}).pop(srv.row.server, None)
 
     def stand(self, srv):
@@ -833,7 +841,8 @@
         if number not in self.racks:
             rack = self.racks[number] = Meter(fleet.uplink_kb, lambda: self.usual_uplink(rack))
         srv.rack = self.racks[number]
-        srv.rack.links.append(srv.link)
+        srv.rack.servers.append(srv)
+        self.links_kb = None
         srv.rack.own += srv.link.own
 
     def peer_says(self, event):
@@ -857,7 +866,7 @@
             srv.rack.heard(self.now, lag, event.amount)
         self.step_down(srv, srv.use())
         if event.kind is NoteKind.UPLINK:
-            self.step_up([o for o in self.servers.values() if o.rack is srv.rack])
+            self.step_up(srv.rack.servers)
         elif srv.rack.heard_at is None:
             self.step_up([srv])
 
@@ -875,9 +884,8 @@
         if "uplink" not in self.terms.fleet.load_names:
             ours = [
                 o
-                for o in self.servers.values()
-                if o.rack is srv.rack
-                and any(vw.playing and self.now >= vw.stepped_at + STANDS for vw in o.viewings.values())
+                for o in srv.rack.servers
+                if any(vw.playing and self.now >= vw.stepped_at + STANDS for vw in o.viewings.values())
             ]
             asked = min((o.asked if self.now < o.short_at + STANDS else 0 for o in ours), default=0)
             told = [o.link.use() for o in ours if (o.link.heard_at or 0) >= o.short_since + lag]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -131,7 +131,7 @@
         self.at(0, gone._replace(entries=(gone.entries[0]._replace(cell=77),)), self.list(26, kind=ListKind.DELTA))
         rack = self.manager.racks[0]
         self.lines.append(
-            f"held {sorted(self.manager.servers)}, links of the rack {len(rack.links)}, its use {rack.use():.2f}"
+            f"held {sorted(self.manager.servers)}, links of the rack {len(rack.servers)}, its use {rack.use():.2f}"
         )
         self.compare()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -446,7 +446,7 @@
         manager = self.host.runner.manager
         self.assertEqual([1], list(manager.servers))
         self.assertEqual(1, sum(len(cell) for cell in manager.cells.values()))
-        self.assertEqual(1, sum(len(rack.links) for rack in manager.racks.values()))
+        self.assertEqual(1, sum(len(rack.servers) for rack in manager.racks.values()))
 
 
 class Feed(Platform):
