A disk that failed is used again without losing what was acknowledged; the crossing cancel is taken back

At a start what was read of the last segment was taken for durable, though a sync that failed leaves pages that read well and never arrive; records put after them were acknowledged and lost with the next power cut (log.py, open). The faulty disk of the tests now drops the pages of a failed sync, as Linux does. Tests: fails before: a sync that failed is taken for done (damage at the record after it); a crash at every seventh step of write, fault, resume, write for a full disk and a failed sync.

--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -764,10 +764,11 @@
             self.gate.answered(now() - vw.taken_at)
         askers, vw.askers = vw.askers, []
 
-        def say():
+        def say(more=()):
             for exchange in askers:
                 if reply is not None:
-                    exchange.respond(*reply)
+                    status, headers, body = reply
+                    exchange.respond(status, [*headers, *more], body)
             self.steps.at("answered")
 
         if not (vw.plays and self.journal.put_down(vw, reply, say)):
--- a/flaxscale/front/journal.py
+++ b/flaxscale/front/journal.py
@@ -10,6 +10,8 @@
 from ..store.log import StoreError
 
 COMMIT_S = 0.002  # keys of answers within this are made durable with one sync
+RESUME_S = 1.0  # a disk that failed is tried again so often
+NOT_KEPT = ("Idempotency-Key-Kept", "no")  # says that a restart may forget the answer to this key
 
 
 class FrontJournal:
@@ -25,36 +27,27 @@
             front.lines.error("journal not used", detail=str(bad))
 
     def put_down(self, vw, reply, say):
-        """True where say() is called once the key is durable; False where there is nothing to wait for."""
+        """True where say() is called, with headers to add, once the key is durable or can't be; else False."""
         keys = self.front.keys
         if self.kept is None or vw.id not in keys.by_id:
             return False
         viewer, title, key = keys.by_id[vw.id]
         status, headers, body = reply
-        self.write(
-            lambda: self.kept.put(
-                Played(
-                    vw.name,
-                    viewer,
-                    title,
-                    key,
-                    xxhash.xxh3_64_intdigest(vw.offer.body),
-                    time.time() + keys.keep / 10_000,
-                    status,
-                    list(headers),
-                    body,
-                )
-            )
-        )
+        until = time.time() + keys.keep / 10_000
+        offer_print = xxhash.xxh3_64_intdigest(vw.offer.body)
+        self.kept.put(Played(vw.name, viewer, title, key, offer_print, until, status, list(headers), body))
+        if self.kept.failed():
+            say((NOT_KEPT,))
+            return True
         self.unsaid.append(say)
-        self.soon()
+        self.soon(COMMIT_S)
         return True
 
     def over(self, name):
         """A viewing is over; written with whatever is written next."""
         if self.kept is not None and name in self.kept.rows:
-            self.write(lambda: self.kept.over(name))
-            self.soon()
+            self.kept.over(name)
+            self.soon(COMMIT_S)
 
     def restore(self, vw):
         """What an earlier life answered for a viewing that was taken up again."""
@@ -64,24 +57,33 @@
                 (row.viewer, row.title, row.key), row.print, vw.id, (row.status, row.headers, row.body), now() + left
             )
 
-    def write(self, act):
-        try:
-            act()
-        except OSError as bad:
-            self.front.lines.error("journal failed", detail=str(bad))
-            self.kept = None
-
-    def soon(self):
+    def soon(self, after_s):
         if self.timer is None:
-            self.timer = asyncio.get_running_loop().call_later(COMMIT_S, self.commit)
+            self.timer = asyncio.get_running_loop().call_later(after_s, self.commit)
 
     def commit(self):
+        """Answers leave once their keys are durable; while the disk fails they leave at once, and say so."""
         self.timer, unsaid, self.unsaid = None, self.unsaid, []
-        if self.kept is not None:
-            self.write(lambda: self.kept.commit(time.time()))
-            self.front.steps.at("kept")
+        kept = self.settle()
+        self.front.steps.at("kept")
         for say in unsaid:
-            say()
+            say(() if kept else (NOT_KEPT,))
+
+    def settle(self):
+        """Whether all that was put is durable."""
+        failed_before = self.kept.failed()
+        try:
+            if failed_before:
+                self.kept.resume(time.time())
+                self.front.lines.info("journal kept again")
+            else:
+                self.kept.commit(time.time())
+            return True
+        except OSError as bad:
+            if not failed_before:
+                self.front.lines.error("journal failed", detail=str(bad))
+            self.soon(RESUME_S)
+            return False
 
     def stop(self):
         if self.timer is not None:
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -37,7 +37,6 @@
 CLIENTS_OVER = RESERVE // 2  # connections past the clients' part that are let in while others make room for them
 CLIENTS_PART = 5, 8  # of the other descriptors, for clients; the rest is for servers
 READ_AGAIN_MOST = 50  # rounds in which a configuration that was refused is read again if its file changes
-CROSSED = 1_000  # a session that its client ended so soon may have ended before our answer arrived
 FLUSHED_MOST = 0.2  # seconds that answers have to go out before the process ends
 
 
@@ -418,7 +417,7 @@
         self.busy.add(endpoint)
 
     def begun(self, endpoint, session, message):
-        session.answer, session.began_at = message.desc, self.now()
+        session.answer = message.desc
         self.stands(session, endpoint)
         if self.runner.begun(session.id, session.nth, self.now() - session.sent_at):
             self.counts["plays"] += 1
@@ -450,9 +449,6 @@
         self.settle(session)
         if how is not How.CANCELLED:
             self.releases.release(session, message.why)
-        elif self.now() - session.began_at < CROSSED:
-            # Its client went while our answer was on its way, and may wait for one that says how it ended.
-            session.client.say(messages.line("end", session.call, why=messages.CUT))
 
     def cut(self, id):
         """What stood at a server that is gone."""
--- a/flaxscale/platform/sessions.py
+++ b/flaxscale/platform/sessions.py
@@ -25,7 +25,6 @@
     rung: int = 0
     sent_at: int = 0
     expire_at: int = 0
-    began_at: int = 0  # when its answer was passed on
 
 
 def session_of(setup, client):
--- a/flaxscale/recovery/journal.py
+++ b/flaxscale/recovery/journal.py
@@ -58,12 +58,16 @@
 
     def put(self, row):
         self.take(row)
-        self.log.append(msgspec.msgpack.encode(row))
+        self.append(row)
 
     def over(self, name):
         if name in self.rows:
             self.take(Over(name))
-            self.log.append(msgspec.msgpack.encode(Over(name)))
+            self.append(Over(name))
+
+    def append(self, record):
+        if not self.failed():  # else resume() writes the rows as they are then
+            self.log.append(msgspec.msgpack.encode(record))
 
     def commit(self, now_s):
         """Durable when it returns; OSError: not, and nothing more is taken."""
@@ -72,6 +76,14 @@
         if self.log.since_snapshot >= max(SNAPSHOT_EVERY, 2 * len(self.rows)):
             self.compact(now_s)
 
+    def failed(self):
+        return self.log.failed is not None
+
+    def resume(self, now_s):
+        """After a fault: when it returns all that is kept is durable, answers given meanwhile too; OSError: not yet."""
+        self.rows = {name: row for name, row in self.rows.items() if row.until > now_s}
+        self.log.resume(msgspec.msgpack.encode(Whole(SHAPE, list(self.rows.values()))))
+
     def compact(self, now_s):
         self.rows = {name: row for name, row in self.rows.items() if row.until > now_s}
         self.log.snapshot(msgspec.msgpack.encode(Whole(SHAPE, list(self.rows.values()))))
--- a/flaxscale/store/faulty.py
+++ b/flaxscale/store/faulty.py
@@ -20,7 +20,7 @@
         self.synced = {name: bytes(data) for name, data in self.written.items()}
         self.names_synced = dict.fromkeys(self.written)
         self.crash_at, self.steps, self.room, self.failing_sync = crash_at, 0, room, False
-        self.dead = False
+        self.dead, self.lost = False, {}
 
     def step(self, count=1):
         """How many of these steps are still taken; raises Crash when none is left and some were wanted."""
@@ -60,9 +60,15 @@
 
     def sync(self, name):
         self.one()
+        begun = len(self.synced.get(name, b""))
         if self.failing_sync:
+            # As Linux has it: the pages count as clean now, so that a later sync says yes and writes none of them.
+            self.lost.setdefault(name, []).append((begun, len(self.written[name])))
             raise OSError(errno.EIO, "input/output error")
-        self.synced[name] = bytes(self.written[name])
+        arrived = bytearray(self.written[name])
+        for first, last in self.lost.get(name, ()):
+            arrived[first:last] = bytes(last - first)
+        self.synced[name] = bytes(arrived)
         self.names_synced[name] = None
 
     def close(self, name):
@@ -75,6 +81,7 @@
 
     def rename(self, old, new):
         self.one()
+        self.lost[new] = self.lost.pop(old, [])
         self.written[new] = self.written.pop(old)
         self.synced[new] = self.synced.pop(old, b"")
         self.names_synced.pop(old, None)
--- a/flaxscale/store/log.py
+++ b/flaxscale/store/log.py
@@ -158,10 +158,9 @@
             records += found
             if found:
                 seq = found[-1][0]
-            if last and good < len(data):
-                cut = len(data) - good
-                files.truncate(name, good)
             if last:
+                cut = len(data) - good
+                self.make_sure(name, data[:good], cut)
                 self.segment, self.size = name, good
         if not needed:
             self.segment, self.size = log_name(base), 0
@@ -177,6 +176,58 @@
                 files.remove(name)
         return Found(max(seq, base), snapshot, base, [(n, c) for n, c in records if n > base], cut)
 
+    def make_sure(self, name, good, cut):
+        """Puts what was read of the last segment on the disk before anything is built on it.
+
+        What is read may be in the page cache alone: a sync that failed marks pages as clean, and neither a later sync
+        nor a look at the file tells that they never arrived. Only what is written and synced anew is known to be there.
+        """
+        files = self.files
+        if len(good) > HEAD.size:
+            part = name + ".part"
+            files.append(part, good)
+            files.sync(part)
+            files.close(name)
+            files.rename(part, name)
+        elif cut:
+            files.truncate(name, len(good))
+
+    def resume(self, content):
+        """After a fault: takes records again, from this state, which has to hold all that was acknowledged.
+
+        Raises OSError while the disk still fails. The state goes into a snapshot under a number after all that may
+        have reached the disk, so that nothing of what failed is ever read again.
+        """
+        self.pending = []
+        before, self.failed = self.failed, None
+        seq = self.seq + 1
+        part, name, fresh = snap_name(seq) + ".part", snap_name(seq), log_name(seq)
+        try:
+            self.begin_from(part, name, fresh, seq, content)
+        except OSError:
+            self.failed, self.seq = before, seq  # the number is not used again
+            raise
+        self.seq = self.committed = seq
+        self.since_snapshot = 0
+
+    def begin_from(self, part, name, fresh, seq, content):
+        """A snapshot and an empty segment after it; then what was before goes."""
+        files = self.files
+        if part in files.names():
+            files.close(part)
+            files.remove(part)
+        files.append(part, SNAP.pack(MAGIC_SNAP, seq, len(content), body_check(seq, content)) + content)
+        files.sync(part)
+        files.rename(part, name)
+        files.append(fresh, HEAD.pack(MAGIC_LOG, seq))
+        files.sync(fresh)
+        files.sync_folder()
+        files.close(self.segment)
+        self.segment, self.size = fresh, HEAD.size
+        for _, old in numbered(files.names(), "log-") + numbered(files.names(), "snap-"):
+            if old not in (name, fresh):
+                files.remove(old)
+
     def append(self, content):
         """Takes a record; returns its seq. Durable only after the next commit()."""
         if self.failed:
@@ -190,8 +241,8 @@
     def commit(self):
         """Makes all that was appended durable, in one write and one sync. OSError: none of it was.
 
-        After an error nothing more is taken: what reached the disk is not known, and only opening the store anew
-        tells it (a second sync may say yes for pages that the first one lost).
+        After an error nothing more is taken: what reached the disk is not known, and a second sync may say yes for
+        pages that the first one lost. resume() goes on from the owner's state.
         """
         if self.failed:
             raise self.failed
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -77,6 +77,55 @@
             files.room, files.failing_sync = None, False
             self.assertEqual(b"good", state_of(Log(FaultyFiles(files.written)).found)[0])
 
+    def test_a_sync_that_failed_is_never_taken_for_done(self):
+        """The process is started anew on a machine that went on: what it reads may be in the page cache alone."""
+        files = FaultyFiles()
+        log = Log(files)
+        log.append(b"good")
+        log.commit()
+        files.failing_sync = True
+        log.append(b"unknown")
+        with self.assertRaises(OSError):
+            log.commit()
+        files.failing_sync = False
+        again = Log(files)
+        again.append(b"acknowledged")
+        again.commit()
+        # Now the machine loses its power: what was read at the start is there, and what was built on it.
+        for disk in files.survivors():
+            state = state_of(Log(FaultyFiles(disk)).found)
+            self.assertEqual([b"good", b"acknowledged"], [row for row in state if row != b"unknown"])
+
+    def test_after_a_fault_it_goes_on_from_the_owners_state_and_survives_a_crash_at_each_step(self):
+        for fault in ("room", "failing_sync"):
+            for at in range(0, 2_000, 7):
+                files = FaultyFiles(crash_at=at)
+                acked = []
+                try:
+                    log = Log(files)
+                    for content in (b"a", b"b"):
+                        log.append(content)
+                        log.commit()
+                        acked.append(content)
+                    setattr(files, fault, 10 if fault == "room" else True)
+                    log.append(b"c" * 40)
+                    with self.assertRaises(OSError):
+                        log.commit()
+                    with self.assertRaises(OSError):
+                        log.resume(b"|".join(acked))  # it still fails
+                    files.room, files.failing_sync = None, False
+                    log.resume(b"|".join(acked))
+                    for content in (b"d", b"e"):
+                        log.append(content)
+                        log.commit()
+                        acked.append(content)
+                except Crash:
+                    pass
+                for disk in files.survivors():
+                    state = [row for row in state_of(Log(FaultyFiles(disk)).found) if row != b"c" * 40]
+                    self.assertEqual(acked, state[: len(acked)], (fault, at))
+            self.assertEqual([b"a", b"b", b"d", b"e"], acked)
+
     def test_a_flipped_bit_anywhere_is_reported_with_file_and_offset(self):
         files = FaultyFiles()
         work(files, [], [])
