A wall clock that steps an hour ends no key of a client early, in a life or between two

Cause: read for wall time over the whole program. Elsewhere: tokens of leases only grow whatever the clock says; the peaks' axis follows the service's clock; ages of kept copies are only shown. Change: within a life the steady clock from the Unix time of its start; between two lives a key that looks over by less than 3,700 s is kept, and gets its whole span where what is left makes no sense.

--- a/flaxscale/front/journal.py
+++ b/flaxscale/front/journal.py
@@ -1,12 +1,11 @@
 """The journal of keys at one manager: answers under a key leave when they are durable, many with one sync."""
 
 import asyncio
-import time
 
 import xxhash
 
 from ..recovery.journal import KeyJournal, Played
-from ..serve.clock import now
+from ..serve.clock import SECOND, now, unix_clock
 from ..store.log import StoreError
 
 COMMIT_S = 0.002  # keys of answers within this are made durable with one sync
@@ -18,10 +17,12 @@
     def __init__(self, front, files=None):
         """files: None keeps nothing."""
         self.front, self.kept, self.timer, self.unsaid = front, None, None, []
+        unix = unix_clock()  # a step of the wall clock ends no key of this life early
+        self.unix_s = lambda: unix() / SECOND
         if files is None:
             return
         try:
-            self.kept = KeyJournal(files, time.time())
+            self.kept = KeyJournal(files, self.unix_s())
         except (StoreError, ValueError, OSError) as bad:
             # Serving goes on without: a retry after a restart may then make a second viewing.
             front.lines.error("journal not used", detail=str(bad))
@@ -33,7 +34,7 @@
             return False
         viewer, title, key = keys.by_id[vw.id]
         status, headers, body = reply
-        until = time.time() + keys.keep / 10_000
+        until = self.unix_s() + keys.keep / SECOND
         offer_print = xxhash.xxh3_64_intdigest(vw.offer.body)
         self.kept.put(Played(vw.name, viewer, title, key, offer_print, until, status, list(headers), body))
         if self.kept.failed():
@@ -52,7 +53,7 @@
     def restore(self, vw):
         """What an earlier life answered for a viewing that was taken up again."""
         if self.kept is not None and (row := self.kept.rows.get(vw.name)):
-            left = round((row.until - time.time()) * 10_000)
+            left = round(self.kept.renew(vw.name, self.unix_s(), self.front.keys.keep / SECOND) * SECOND)
             self.front.keys.restore(
                 (row.viewer, row.title, row.key), row.print, vw.id, (row.status, row.headers, row.body), now() + left
             )
@@ -74,10 +75,10 @@
         failed_before = self.kept.failed()
         try:
             if failed_before:
-                self.kept.resume(time.time())
+                self.kept.resume(self.unix_s())
                 self.front.lines.info("journal kept again")
             else:
-                self.kept.commit(time.time())
+                self.kept.commit(self.unix_s())
             return True
         except OSError as bad:
             if not failed_before:
--- a/flaxscale/recovery/journal.py
+++ b/flaxscale/recovery/journal.py
@@ -12,6 +12,8 @@
 
 SHAPE = 1
 SNAPSHOT_EVERY = 5_000
+# Seconds that wall clocks may step between two lives, either way: a key that looks over by less is kept all the same.
+CLOCK_STEP_S = 3_700
 
 
 class Played(msgspec.Struct, array_like=True, tag="p"):
@@ -48,7 +50,19 @@
             self.rows = {row.name: row for row in decoded(found.snapshot, Whole, SHAPE, "journal of keys").rows}
         for _, content in found.records:
             self.take(read_record(content))
-        self.rows = {name: row for name, row in self.rows.items() if row.until > now_s}
+        self.rows = {name: row for name, row in self.rows.items() if row.until > now_s - CLOCK_STEP_S}
+
+    def renew(self, name, now_s, keep_s):
+        """Seconds that the answer of an earlier life is kept in this one: what was left, as far as clocks can tell.
+
+        Where the wall clock stepped meanwhile, more than the span or less than nothing seems left; then it is the span.
+        """
+        row = self.rows[name]
+        left = row.until - now_s
+        if not 0 < left <= keep_s:
+            left = keep_s
+            row.until = now_s + left
+        return left
 
     def take(self, record):
         if isinstance(record, Over):
