Decisions in named modules: windows, capacity, slow start, retries, renditions, state, chance

Change: seven modules under flaxscale/decisions, all under policy; each has one job and a typed owner or a pure function, constants stand beside what they tune. Moves and renames only: Ring is BucketWindow, Meter CapacityAccount, Server ServerState, Viewing SessionState; a step of the ladder is a RenditionStep in place of a tuple. tests/test_policy.py holds that the files under policy import pure parts, the core and each other only, without a cycle, and that all of them are listed.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -7,15 +7,20 @@
 
 from collections import Counter
 from math import exp, log
-from zlib import crc32
 
 from . import interface as face
+from .decisions.capacity import CapacityAccount
+from .decisions.chance import Chance
+from .decisions.renditions import MARK, rendition_steps
+from .decisions.retries import RetryBudget
+from .decisions.slow_start import may_send, turn_at
+from .decisions.state import SERVES, ServerState, SessionState
+from .decisions.windows import BucketWindow
 from .interface import How, ListKind, NoteKind, State
+from .units import SECOND
 
-SECOND = 10_000
 SLOT = 500  # viewings gathered this long are placed together
 BRIM = 0.97  # the lowest rung fits while a link or uplink stays under this
-MARK, MARK_SPREAD = 0.97, 0.5  # mark for the rung step that earns most per kB; so much lower for the least
 SHED_OVER, SHED_TO = 1.1, 1.0  # only over this do playing viewings step down, to here: less passes by itself
 STEP_PAUSE = 3 * SECOND  # a viewing that stepped stays there this long before it steps up
 PAYBACK = 3  # a step up must earn its price this many times over in the life expected
@@ -25,7 +30,6 @@
 TRY_LEAST = SECOND // 4  # no tune-in gets less than this
 DRAWN = 8  # so many are looked at of the holders heard of, and of the rest; near ones first
 DARK = 0.25  # kept free of a link that nothing was heard of, where others use it unseen
-PACE_SHARE = 0.7  # of the pace that pushes a cold server over
 DEEP, STILL = 0.94, 0.25  # shares delivered that shed by themselves; under the lower nothing flows at all
 SETTLE = 2 * SECOND  # the share delivered is smoothed over about this
 FRESH = SECOND // 10  # what others ask of an uplink is reckoned anew after this, or when a figure comes
@@ -38,112 +42,10 @@
 FEW, GUESS, UNSEEN = 4, 0.5, 0.8  # so few viewings or figures are half believed; most that a guess says
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
 LOOK_AGAIN, LOOK_LAG = 2 * SECOND, SECOND // 2  # a younger figure is not asked for again; a probe's is so old
-LOOK_UP = 4 * SECOND  # what plays lowest is looked after so long after its last step, then 3 times that
-SERVES = 5 * SECOND  # a server that answered well so lately serves
 SLOT_ALARM, BEAT_ALARM = 0, 1
 BEAT = SECOND // 4  # we look this often whether we stood still
 
 
-class Ring:
-    """Amounts over time in fixed buckets that are used again."""
-
-    def __init__(self, width, count):
-        self.width, self.cells, self.last = width, [None] * count, -1  # last: number of the newest bucket
-
-    def cell(self, now):
-        b = now // self.width
-        cell = self.cells[b % len(self.cells)]
-        if cell is None or cell[0] != b:
-            cell = self.cells[b % len(self.cells)] = [b, 0]
-            self.last = max(self.last, b)
-        return cell
-
-    def add(self, now, amount):
-        self.cell(now)[1] += amount
-
-    def since(self, then):
-        first, count = max(0, -(-then // self.width), self.last - len(self.cells) + 1), len(self.cells)
-        cells = ((b, self.cells[b % count]) for b in range(first, self.last + 1))
-        return [cell[1] for b, cell in cells if cell is not None and cell[0] == b]
-
-
-class Meter:
-    """Account of one link or uplink: the last figure heard, corrected by our own asking since."""
-
-    def __init__(self, kb, unheard):
-        self.kb, self.unheard = max(kb, 1.0), unheard  # unheard: what others are taken to ask, by their use
-        self.own, self.heard_at = 0.0, None  # own: kB a second that our viewings ask
-        self.base = self.own_then = self.kept = 0.0
-        self.servers = []  # of an uplink: those behind it
-        self.reckoned = -SECOND, 0  # of an uplink: as of when, what others ask of it
-        self.changes = Ring(SECOND // 10, 64)
-
-    def asks(self, now, own, new=True):
-        # What was handed over ran before: a late figure has it in already.
-        if new:
-            self.changes.add(now, own - self.own)
-        else:
-            self.own_then += own - self.own
-        self.own = own
-
-    def others(self, now, kb):
-        self.changes.add(now, kb)
-        self.own_then -= kb
-
-    def use(self):
-        return (
-            self.own / self.kb + self.unheard()
-            if self.heard_at is None
-            else max(0.0, self.base + (self.own - self.own_then) / self.kb)
-        )
-
-    def share(self):
-        return min(1.0, max(self.own, 1.0) / self.kb / max(self.use(), 1e-9))
-
-    def heard(self, now, lag, amount):
-        self.base, self.own_then, self.heard_at = amount, self.own - sum(self.changes.since(now - lag)), now
-
-
-class Server:
-    """What this manager holds of one video server."""
-
-    def __init__(self, row, link):
-        self.row, self.link, self.rack = row, link, None
-        self.viewings = {}
-        self.ills = self.shut_until = self.rests_until = self.shed_at = 0  # ills: failures, halved by good
-        self.doubt_at, self.cold_until = None, 0  # doubt: seen failing then, not seen working since
-        self.turn, self.seen_warm = None, False  # last turn of the pace used; it carried others' viewings
-        self.well_at = -SERVES  # when it last answered well
-        self.short_at = self.short_since = self.asked = 0  # short delivery: last told, since when, how short
-        self.looking, self.others = False, 0  # a probe of it is out; others' streams, as last reported
-        self.judged, self.usable, self.kept = -1, False, 0.0  # in which call; how; kB kept for a peak
-
-    def use(self):
-        return max(self.link.use(), self.rack.use())
-
-
-class Viewing:
-    """One request for a viewing, from its arrival to its last outcome."""
-
-    def __init__(self, ask, now):
-        self.ask, self.id, self.seat = ask, ask.id, (ask.title, ask.package)
-        self.asked_at, self.sent_at, self.deadline = now, now, now + ask.left
-        self.nth, self.server = -1, None  # number of the last tune-in; where one is out or it plays
-        self.playing = self.answered = self.waiting = False
-        self.held = self.rung = 0  # held: slots in which nothing fitted
-        self.erred = {}  # servers that serve and answered it with an error: what they were before
-        self.stepped_at, self.begun_at = now, None
-        self.ran_at = self.ran_near = None  # when and to whom a tune-in was sent that may have run
-        self.life, self.look_after = None, LOOK_UP  # look_after: when its server is looked at for room
-
-    def bound(self, low, top):
-        self.floor = max(self.pack.floor, low)
-        self.top = max(self.floor, min(self.ask.top, self.pack.top, top))
-
-    def in_bounds(self):
-        return min(max(self.rung, self.floor), self.top)
-
-
 class Manager:
     def __init__(self, terms):
         self.servers, self.racks, self.cells = {}, {}, {}
@@ -153,13 +55,12 @@
         self.lacking = {}  # (server, title): until when it is not asked for it
         self.kept_for = {}, {}  # titles, packages of an announced peak: the rung that room is kept for
         self.slot_at = self.started_at = self.beat_at = self.usual_at = None
-        self.calls = self.draws = self.weighed_at = self.usual_use = 0
-        width = max(SECOND // 2, -(-(terms.rules.further_span or 0) // 60))
-        self.taken, self.further, self.counts_back = Ring(width, 64), Ring(width, 64), 60 * width
+        self.calls = self.weighed_at = self.usual_use = 0
+        self.retries, self.chances = RetryBudget(terms.rules), Chance()
         self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0  # asked_kb: by all our viewings
         self.links_kb = None  # of all links together, until the list changes
-        self.stood = Ring(8 * SECOND, 9)  # the longest between two beats
-        self.told, self.tellings = Ring(SECOND, 8), Ring(SECOND, 8)  # others' use of links, as heard
+        self.stood = BucketWindow(8 * SECOND, 9)  # the longest between two beats
+        self.told, self.tellings = BucketWindow(SECOND, 8), BucketWindow(SECOND, 8)  # others' use of links, as heard
         self.rule(terms)
 
     def rule(self, terms):
@@ -176,7 +77,7 @@
         )
         # A viewing changes our asking about three times, a word has eight bytes, the price is for 256.
         self.tells = terms.allowed.peers and terms.prices.peer * 24 / 256 * (terms.peers - 1) <= WORDS_COST
-        self.marks = self.rung_marks({})
+        self.marks = rendition_steps(self.terms, {})
 
     def changed(self, event):
         """New terms in service: who waits or plays goes by them at once; what was counted stands."""
@@ -201,7 +102,8 @@
             return
         near = {p: exp(-served[p] / asked[p] / NEAR_WORST) for p in asked}
         total = sum(self.terms.packages[p].value * asked[p] for p in asked)
-        self.marks = self.rung_marks(
+        self.marks = rendition_steps(
+            self.terms,
             {
                 p: 1
                 + goal.worst_package
@@ -211,26 +113,9 @@
                 * total
                 / (self.terms.packages[p].value * asked[p])
                 for p in asked
-            }
+            },
         )
 
-    def rung_marks(self, weights):
-        """For each package and rung: its rate, the mark of the step to it, and what that earns per kB.
-
-        Lower marks for steps that earn less (trunk reservation) keep links open for crowds that come later.
-        """
-        ladder, steps = self.terms.ladder, {}
-        for p, pack in enumerate(self.terms.packages):
-            for r, (kb, worth) in enumerate(zip(ladder.kb, ladder.worth)):
-                less_kb, less = (ladder.kb[r - 1], ladder.worth[r - 1]) if r > pack.floor else (0, 0)
-                gain = pack.value * weights.get(p, 1) * (worth - less)
-                steps[p, r] = gain / (max(kb - less_kb, 1e-9) * pack.scale)
-        order = sorted(set(steps.values()), reverse=True)
-        mark = {earns: MARK - MARK_SPREAD * i / max(1, len(order) - 1) for i, earns in enumerate(order)}
-        return {
-            (p, r): (ladder.kb[r] * self.terms.packages[p].scale, mark[earns], earns) for (p, r), earns in steps.items()
-        }
-
     def step(self, vw, rung):
         return self.marks[vw.ask.package, rung]
 
@@ -263,7 +148,7 @@
         return self.out
 
     def take(self, ask):
-        self.taken.add(self.now, 1)
+        self.retries.session(self.now)
         vw = self.viewing(ask)
         self.look(vw)
         self.resume(vw, None)
@@ -322,7 +207,7 @@
         srv.seen_warm |= others > WARM_SIGN
 
     def viewing(self, ask):
-        vw = Viewing(ask, self.now)
+        vw = SessionState(ask, self.now)
         self.viewings[ask.id], vw.life = vw, self.life(vw)
         self.bind(vw)
         return vw
@@ -426,13 +311,13 @@
         return max(self.kept_for[0].get(vw.ask.title, -1), self.kept_for[1].get(vw.ask.package, -1))
 
     def mark(self, vw, rung):
-        return MARK if self.eased and rung <= self.kept_rung(vw) else self.step(vw, rung)[1]
+        return MARK if self.eased and rung <= self.kept_rung(vw) else self.step(vw, rung).mark
 
     def alarm(self, event):
         if event.token == SLOT_ALARM and self.slot_at is not None:
             self.slot()
         elif event.token == BEAT_ALARM:
-            longest = self.stood.cell(self.now)
+            longest = self.stood.bucket(self.now)
             longest[1], self.beat_at = max(longest[1], self.now - self.beat_at), self.now
             self.look_up()
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
@@ -491,7 +376,7 @@
     def slot(self):
         """The slot's end: the waiting viewings in the order of what their lowest rung earns per kB."""
         queue, self.waiting, self.slot_at = self.waiting, [], None
-        queue.sort(key=lambda vw: (-self.step(vw, vw.floor)[2], vw.asked_at, vw.id))
+        queue.sort(key=lambda vw: (-self.step(vw, vw.floor).earns, vw.asked_at, vw.id))
         for vw in queue:
             vw.waiting = False
             spot = self.spot(vw)
@@ -501,9 +386,8 @@
                 vw.held = 1
                 self.wait(vw)
 
-    def chance(self):  # multiplied, since the checksums of like seeds are alike
-        self.draws += 1
-        return crc32(b"%d:%d" % (self.terms.seed, self.draws)) * 0x9E3779B1 % 2**32 / 2**32
+    def chance(self):
+        return self.chances.draw(self.terms.seed)
 
     def may_repeat(self, vw):
         late = self.now + TRY_LEAST > self.out_until(vw)
@@ -518,12 +402,7 @@
             )
         ):
             return False
-        if self.rules.further_span is None:
-            return True
-        # The oldest bucket counts whole against us and not for us, so that the ration holds in any window.
-        width, start = self.further.width, self.now - self.rules.further_span
-        ration = self.rules.further_free + self.rules.further_share * sum(self.taken.since(start + 1))
-        return sum(self.further.since(start - width)) + 1 <= ration
+        return self.retries.allows(self.now, self.rules)
 
     def give_up(self, vw):
         """The final answer, at once: a block wherever a repeat by the viewer is harmless."""
@@ -537,7 +416,7 @@
 
     def tune(self, vw, srv, rung):
         if vw.nth >= 0:
-            self.further.add(self.now, 1)
+            self.retries.retry(self.now)
         vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, self.out_until(vw)
         # Against servers that answer nothing: leave time for another, except where it could not be used.
         if vw.pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
@@ -683,7 +562,7 @@
         joins = vw.pack.live and any(
             o.rung == rung and o.seat == vw.seat and o is not vw for o in srv.viewings.values()
         )
-        return self.step(vw, rung)[0] * (self.terms.ladder.join if joins else 1)
+        return self.step(vw, rung).kb * (self.terms.ladder.join if joins else 1)
 
     def fit(self, srv, vw):
         """The rung rule: the highest under its mark, else the lowest that fits under the brim."""
@@ -709,7 +588,7 @@
             key = vw.ask.package, vw.rung, vw.ask.title if vw.pack.live else vw.id
             streams[key] = streams.get(key, 0) + 1
         return sum(
-            self.marks[p, rung][0] * (1 + self.terms.ladder.join * (n - 1)) for (p, rung, _), n in streams.items()
+            self.marks[p, rung].kb * (1 + self.terms.ladder.join * (n - 1)) for (p, rung, _), n in streams.items()
         )
 
     def recount(self, srv, new=True):
@@ -785,18 +664,13 @@
 
     def pace_turn(self, srv):
         """Turns of the time in which one set-up of all managers may go to a cold server."""
-        rules, places = self.rules, self.terms.fleet.slots[srv.row.kind]
-        rate = PACE_SHARE * rules.tip_multiple * rules.start_capacity * places / rules.warm_within
-        return int(self.now * rate)
+        return turn_at(self.now, self.rules, self.terms.fleet.slots[srv.row.kind])
 
     def in_pace(self, srv):
         if not self.is_cold(srv):
             return True
-        turn, peers = self.pace_turn(srv), self.terms.peers
-        # Known to be cold: by turns. For all a new list can't tell: our share, and it counts for later turns.
-        if srv.turn is not None and turn - srv.turn < peers:
-            return False
-        return srv.doubt_at is None and self.now >= srv.cold_until or turn % peers == self.terms.me
+        known_cold = srv.doubt_at is not None or self.now < srv.cold_until
+        return may_send(self.pace_turn(srv), srv.turn, known_cold, self.terms.me, self.terms.peers)
 
     # What is heard of servers
 
@@ -816,7 +690,7 @@
         if row.server not in self.servers and row.state is State.GONE:
             return
         if (srv := self.servers.get(row.server)) is None:
-            srv = self.servers[row.server] = Server(row, Meter(1, self.usual))
+            srv = self.servers[row.server] = ServerState(row, CapacityAccount(1, self.usual))
             self.stand(srv)
             self.cells.setdefault(row.cell, {})[row.server] = srv
         if row.started_at > srv.row.started_at and srv.doubt_at is not None and row.started_at > srv.doubt_at:
@@ -839,7 +713,7 @@
             size = fleet.slots[srv.row.kind] * len(fleet.slots) / sum(fleet.slots)
         srv.link.kb = max(1.0, size * fleet.kb_per_weight)
         if number not in self.racks:
-            rack = self.racks[number] = Meter(fleet.uplink_kb, lambda: self.usual_uplink(rack))
+            rack = self.racks[number] = CapacityAccount(fleet.uplink_kb, lambda: self.usual_uplink(rack))
         srv.rack = self.racks[number]
         srv.rack.servers.append(srv)
         self.links_kb = None
@@ -920,11 +794,11 @@
             vw = min(
                 (vw for vw in plan if plan[vw] > vw.floor),
                 default=None,
-                key=lambda vw: (self.step(vw, plan[vw])[2], vw.id),
+                key=lambda vw: (self.step(vw, plan[vw]).earns, vw.id),
             )
             if vw is None:
                 break
-            less = self.step(vw, plan[vw])[0] - self.step(vw, plan[vw] - 1)[0]
+            less = self.step(vw, plan[vw]).kb - self.step(vw, plan[vw] - 1).kb
             if kb < less and self.chance() * less > kb:
                 break
             plan[vw] -= 1
@@ -947,11 +821,11 @@
         }
         open_to = set(plan)
         while open_to:
-            vw = max(open_to, key=lambda vw: (self.step(vw, plan[vw] + 1)[2], -vw.id))
+            vw = max(open_to, key=lambda vw: (self.step(vw, plan[vw] + 1).earns, -vw.id))
             mark, srv, link = self.mark(vw, plan[vw] + 1), vw.server, vw.server.link
             if self.kept_rung(vw) < 0:
                 mark -= max(srv.kept / link.kb, rack.kept / rack.kb)
-            kb = self.step(vw, plan[vw] + 1)[0] - self.step(vw, plan[vw])[0]
+            kb = self.step(vw, plan[vw] + 1).kb - self.step(vw, plan[vw]).kb
             alone = max(use[srv] + 2 * kb / link.kb, both + 2 * kb / rack.kb) <= mark
             # All who hear of this room take their own share of it, less than a step by chance.
             part = min(
--- /dev/null
+++ b/flaxscale/decisions/capacity.py
@@ -0,0 +1,56 @@
+"""Accounting of links and uplinks: how much of their capacity is in use (formulas 5 and 14 of the paper).
+
+The paper's dispatcher sees all load. A manager hears figures late and sees its own traffic only, so an account is the
+last figure heard, corrected by what this manager has asked more or less since the time that the figure tells of.
+"""
+
+from ..units import SECOND
+from .windows import BucketWindow
+
+CHANGE_BUCKET = SECOND // 10  # changes of our load are kept by tenths of a second ...
+CHANGE_BUCKETS = 64  # ... for longer than a figure is late
+
+
+class CapacityAccount:
+    """One link, or one rack's uplink.
+
+    kb: its capacity, kB a second. own: what our sessions ask of it. unheard(): the use that others are taken to make of
+    it while no figure was heard. servers: of an uplink, those behind it. reckoned: of an uplink that is not reported,
+    as of when, and what others ask of it. kept: kB a second that are kept for an announced peak.
+    """
+
+    def __init__(self, kb, unheard):
+        self.kb, self.unheard = max(kb, 1.0), unheard
+        self.own, self.heard_at = 0.0, None
+        self.base = self.own_then = self.kept = 0.0  # the last figure, and our load at the time that it tells of
+        self.servers = []
+        self.reckoned = -SECOND, 0
+        self.changes = BucketWindow(CHANGE_BUCKET, CHANGE_BUCKETS)
+
+    def asks(self, now, own, new=True):
+        """Our load from now on; not new: it ran before, and a figure that comes late has it in already."""
+        if new:
+            self.changes.add(now, own - self.own)
+        else:
+            self.own_then += own - self.own
+        self.own = own
+
+    def others(self, now, kb):
+        """Another manager asks so much more, until a figure shows it."""
+        self.changes.add(now, kb)
+        self.own_then -= kb
+
+    def use(self):
+        """The part of it that is in use."""
+        if self.heard_at is None:
+            return self.own / self.kb + self.unheard()
+        return max(0.0, self.base + (self.own - self.own_then) / self.kb)
+
+    def share(self):
+        """Our part of what is in use."""
+        return min(1.0, max(self.own, 1.0) / self.kb / max(self.use(), 1e-9))
+
+    def heard(self, now, lag, amount):
+        """A figure, which tells of the time `lag` ago."""
+        self.base, self.heard_at = amount, now
+        self.own_then = self.own - sum(self.changes.since(now - lag))
--- /dev/null
+++ b/flaxscale/decisions/retries.py
@@ -0,0 +1,34 @@
+"""The budget of retries: in any window of the stated length a few, plus a share of the sessions taken (rule 6)."""
+
+from ..units import SECOND
+from .windows import BucketWindow
+
+BUCKETS = 64
+BUCKETS_A_SPAN = 60  # so that what the oldest bucket rounds away stays a sixtieth of the span
+BUCKET_LEAST = SECOND // 2
+
+
+class RetryBudget:
+    """Counts sessions and retries; the rules that bound them may change in service, what was counted stays."""
+
+    def __init__(self, rules):
+        width = max(BUCKET_LEAST, -(-(rules.further_span or 0) // BUCKETS_A_SPAN))
+        self.sessions, self.retries = BucketWindow(width, BUCKETS), BucketWindow(width, BUCKETS)
+        self.longest_span = BUCKETS_A_SPAN * width  # of new rules: what is older was not counted
+
+    def session(self, now):
+        self.sessions.add(now, 1)
+
+    def retry(self, now):
+        self.retries.add(now, 1)
+
+    def allows(self, now, rules):
+        """Whether one more retry stays within the budget.
+
+        The oldest bucket counts whole against us and not at all for us, so that the budget holds in any window.
+        """
+        if rules.further_span is None:
+            return True
+        start = now - rules.further_span
+        budget = rules.further_free + rules.further_share * sum(self.sessions.since(start + 1))
+        return sum(self.retries.since(start - self.retries.width)) + 1 <= budget
--- /dev/null
+++ b/flaxscale/decisions/windows.py
@@ -0,0 +1,28 @@
+"""Amounts over time, kept in fixed buckets that are used again: memory stays the same however long a manager lives."""
+
+
+class BucketWindow:
+    """Sums of what was added, by buckets of `width`; the last `count` buckets are kept."""
+
+    def __init__(self, width, count):
+        self.width, self.buckets = width, [None] * count
+        self.newest = -1  # number of the newest bucket
+
+    def bucket(self, now):
+        """[number, sum] of the bucket that this time is in."""
+        number = now // self.width
+        found = self.buckets[number % len(self.buckets)]
+        if found is None or found[0] != number:
+            found = self.buckets[number % len(self.buckets)] = [number, 0]
+            self.newest = max(self.newest, number)
+        return found
+
+    def add(self, now, amount):
+        self.bucket(now)[1] += amount
+
+    def since(self, then):
+        """The sums of all buckets that begin at this time or later."""
+        first = max(0, -(-then // self.width), self.newest - len(self.buckets) + 1)
+        count = len(self.buckets)
+        found = ((number, self.buckets[number % count]) for number in range(first, self.newest + 1))
+        return [bucket[1] for number, bucket in found if bucket is not None and bucket[0] == number]
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -214,7 +214,7 @@
             self.sense.me,
             in_use,
             self.book.rows.values(),
-            self.runner.manager.counts_back / 10,
+            self.runner.manager.retries.longest_span / 10,
         )
         if self.watch is not None:  # a catalogue may name packages that no viewing is in yet
             told = {name for t in self.watch.follower.titles.values() for name in (t.view, t.push) if name}
--- a/flaxscale/serve/clock.py
+++ b/flaxscale/serve/clock.py
@@ -2,8 +2,9 @@
 
 import time
 
-MILLISECOND = 10  # in tenths of a millisecond, the unit of all times
-SECOND = 1000 * MILLISECOND
+from ..units import MILLISECOND, SECOND
+
+__all__ = ["MILLISECOND", "SECOND", "http_date", "now", "set_wrong", "unix_clock"]
 
 wrong = None  # lab only: what the clock says for the machine's nanoseconds
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -426,7 +426,7 @@
         self.at(0, self.ask(4))
         self.at(S)
         self.lines.append(
-            f"further tune-ins counted: {sum(self.manager.further.since(0))}, "
+            f"further tune-ins counted: {sum(self.manager.retries.retries.since(0))}, "
             f"asked of links: {[srv.link.own for srv in self.manager.servers.values()]}, "
             f"of the rack: {[round(m.own, 3) for m in self.manager.racks.values()]}, "
             f"others' streams: {[srv.others for srv in self.manager.servers.values()]}"
