Platform: the list of servers and the descriptors stand in modules of their own

Need: host.py had 561 lines and five jobs. Change: ServerList (endpoints, addresses, upkeep of those in use) and Descriptors (shares, who makes room) move out as they were; host.py has 467 lines.

--- a/flaxscale/cli/platform.py
+++ b/flaxscale/cli/platform.py
@@ -6,7 +6,8 @@
 import click
 
 from ..platform import config as configuration
-from ..platform.host import Host, descriptors
+from ..platform.descriptors import raise_limit
+from ..platform.host import Host
 from . import service, site_errors
 from .logs import LEVELS, logger
 
@@ -16,7 +17,7 @@
 def platform(log_level):
     """Serve as one session manager of the platform: BALANCER_CONFIG names its configuration."""
     file, config = site_errors(configuration.from_environment)
-    descriptors(config)
+    raise_limit(config)
     log = logger(log_level, None, manager=config.name)
 
     async def main():
--- a/flaxscale/platform/belief.py
+++ b/flaxscale/platform/belief.py
@@ -29,7 +29,7 @@
 
     def taken(self):
         """The figures since the last call."""
-        manager, endpoints = self.host.runner.manager, self.host.endpoints
+        manager, endpoints = self.host.runner.manager, self.host.servers.endpoints
         apart = out = 0
         for server, srv in manager.servers.items():
             playing = sum(vw.playing for vw in srv.viewings.values())
--- a/flaxscale/platform/clients.py
+++ b/flaxscale/platform/clients.py
@@ -170,7 +170,7 @@
     def leave_unused(self, heard_at):
         self.leaving = False
         if self.open or self.heard_at != heard_at:
-            self.host.make_client_room()
+            self.host.descriptors.make_client_room()
         elif self.closed:
             self.abort()
         else:
--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -145,7 +145,7 @@
             self.host.soon_ended(session, How.UNREACHED)
         elif connection := self.idle_connection():
             self.send(connection, session)
-        elif self.host.room_to_dial():
+        elif self.host.descriptors.room_to_dial():
             self.waiting[session.call] = session
             self.host.counts["dialled for a set-up"] += 1
             self.dial(session)
@@ -223,7 +223,7 @@
 
     def dial(self, session):
         self.dialing += 1
-        self.host.busy.add(self)
+        self.host.servers.busy.add(self)
         self.host.keep(self.dialed(session))
 
     async def dialed(self, session):
@@ -298,7 +298,7 @@
         elif self.fails >= PROOFS and now - self.heard_at > LOST:
             self.lost()
         elif not self.dialing and now >= self.again_at and (not connected or now - self.heard_at > self.quiet()):
-            if self.host.room_to_dial():
+            if self.host.descriptors.room_to_dial():
                 self.host.counts["dialled to prove the way"] += 1
                 self.dial(None)
 
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -5,11 +5,9 @@
 """
 
 import asyncio
-import heapq
-import resource
 from collections import Counter
 
-from ..interface import Asked, How, State
+from ..interface import Asked, How
 from ..jsonl import messages
 from ..jsonl.messages import CallTaken, Fault
 from ..run import Fate, Runner
@@ -20,12 +18,13 @@
 from .belief import Belief
 from .bulletin import Bulletin, Unreadable
 from .clients import POLLED, ClientConnection
+from .descriptors import Descriptors
 from .discovery import DiscoveryWatch
-from .endpoints import Endpoint
 from .listener import Listener
 from .loopwatch import LoopWatch
 from .peers import PeerMessages
 from .releases import ClientReleases
+from .serverlist import ServerList
 from .sessions import session_of
 from .stopping import stop_times
 
@@ -33,9 +32,6 @@
 TEND_TENTHS = 1_000
 STATE_EVERY = 100  # rounds between two lines of state in the log
 SAID_MOST = 20  # log lines of one sort; further ones are counted
-RESERVE = 16  # descriptors for the listener, discovery, the peers, the log and the loop
-CLIENTS_OVER = RESERVE // 2  # connections past the clients' part that are let in while others make room for them
-CLIENTS_PART = 5, 8  # of the other descriptors, for clients; the rest is for servers
 READ_AGAIN_MOST = 50  # rounds in which a configuration that was refused is read again if its file changes
 FLUSHED_MOST = 0.2  # seconds that answers have to go out before the process ends
 
@@ -44,9 +40,8 @@
     def __init__(self, file, config, log):
         self.file, self.config, self.log_to, self.now = file, config, log, unix_clock()
         self.counts = Counter()
-        self.sessions, self.endpoints, self.clients = {}, {}, {}
-        self.addresses = {}  # address: the server that serves there
-        self.busy = set()  # endpoints where something of ours is, or is under way
+        self.sessions, self.clients = {}, {}
+        self.servers, self.descriptors = ServerList(self), Descriptors(self)
         self.releases = ClientReleases(self)
         self.watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
@@ -102,7 +97,7 @@
         self.listener.stop()
         self.discovery.stop()
         self.peers.stop()
-        for endpoint in self.busy:
+        for endpoint in self.servers.busy:
             for connection in list(endpoint.connections):
                 connection.close(read_on=False)
         await self.close_clients()
@@ -221,7 +216,7 @@
         now, self.rounds = self.now(), self.rounds + 1
         self.tend_clients(now)
         self.releases.tend(now)
-        self.tend_endpoints(now)
+        self.servers.tend(now)
         self.discovery.tend(now)
         self.peers.tend(now)
         if self.refused_file is not None:
@@ -239,30 +234,14 @@
                 self.counts["silent viewers closed"] += 1
                 client.leave()
 
-    def tend_endpoints(self, now):
-        for endpoint in list(self.busy):
-            endpoint.tend(now)
-            if endpoint.forgettable():
-                self.forget(endpoint)
-            elif not endpoint.busy():
-                self.busy.discard(endpoint)
-
-    def forget(self, endpoint):
-        endpoint.shut()
-        self.busy.discard(endpoint)
-        if self.endpoints.get(endpoint.server) is endpoint:
-            del self.endpoints[endpoint.server]
-        if self.addresses.get(endpoint.address) is endpoint:
-            del self.addresses[endpoint.address]
-
     def figures(self):
         return {
             "viewings": len(self.sessions),
             "waiting": self.unanswered(),
-            "servers": len(self.endpoints),
+            "servers": len(self.servers.endpoints),
             "viewer_lines": len(self.clients),
-            "server_lines": sum(len(endpoint.connections) for endpoint in self.busy),
-            "owed": sum(len(endpoint.releases) for endpoint in self.busy),
+            "server_lines": sum(len(endpoint.connections) for endpoint in self.servers.busy),
+            "owed": sum(len(endpoint.releases) for endpoint in self.servers.busy),
             "releases": len(self.releases),
             "list": self.bulletin.last,
             "counts": dict(self.counts),
@@ -271,52 +250,11 @@
     def unanswered(self):
         return sum(len(client.open) for client in self.clients)
 
-    # Descriptors: a part for clients, the rest for servers, of what is not reserved
-
-    def clients_most(self):
-        part, whole = CLIENTS_PART
-        return (self.config.sockets - RESERVE) * part // whole
-
-    def room_to_dial(self):
-        used = sum(len(endpoint.connections) + endpoint.dialing for endpoint in self.busy)
-        if used < self.config.sockets - RESERVE - self.clients_most():
-            return True
-        idle = [one for endpoint in self.busy for one in endpoint.connections if one.free()]
-        if not idle:
-            return False
-        min(idle, key=lambda connection: connection.since).close()
-        return True
+    # Clients' connections
 
     def client_joined(self, client):
         self.clients[client] = True
-        self.make_client_room()
-
-    def make_client_room(self):
-        """Past our share whoever is spared most easily leaves; where nobody is, newcomers wait in the kernel."""
-        over = len(self.clients) - self.clients_most()
-        if over > 0:
-            self.close_spare_clients()
-        if over >= CLIENTS_OVER:
-            self.abort_closing_clients(1 + over - CLIENTS_OVER)
-        self.listener.hold(len(self.clients) - self.clients_most() >= CLIENTS_OVER)
-
-    def close_spare_clients(self):
-        staying = [one for one in self.clients if not (one.closed or one.leaving)]
-        over = len(staying) - self.clients_most()
-        if over <= 0:
-            return
-        now = self.now()
-        for first in heapq.nlargest(over, staying, key=lambda one: one.spare(now)):
-            if not first.open:
-                self.said("viewers closed for room", good=first.good, idle=now - first.used_at, age=now - first.since)
-                first.leave()
-
-    def abort_closing_clients(self, count):
-        """Those that we closed longest ago have had most of their time to read."""
-        closing = [one for one in self.clients if one.closing_at is not None]
-        for first in heapq.nsmallest(count, closing, key=lambda one: one.closing_at):
-            first.abort()
-            self.clients.pop(first, None)
+        self.descriptors.make_client_room()
 
     def client_left(self, client):
         """The client closed: nothing further is begun for it, and what is open gets its answer at once."""
@@ -332,7 +270,7 @@
             self.leave_session(session)
         client.open.clear()
         if self.listener.held:
-            self.make_client_room()
+            self.descriptors.make_client_room()
 
     # What clients want
 
@@ -372,7 +310,7 @@
         )
 
     def handed_over(self, client, setup):
-        endpoint = self.endpoints.get(setup.at)
+        endpoint = self.servers.endpoints.get(setup.at)
         if endpoint is None:
             raise Fault("extras.at: no server of the list")
         self.counts["handed over"] += 1
@@ -414,7 +352,7 @@
     def stands(self, session, endpoint):
         session.endpoint = endpoint
         endpoint.playing.add(session.id)
-        self.busy.add(endpoint)
+        self.servers.busy.add(endpoint)
 
     def begun(self, endpoint, session, message):
         session.answer = message.desc
@@ -473,39 +411,14 @@
 
     def hear(self, news):
         """The list, as discovery tells it."""
-        for row in news.entries:
-            self.hear_row(row, news.addresses[row.server])
+        self.servers.hear(news)
         self.counts["events"] += 1
         self.runner.listing(news.kind, news.entries)
 
-    def hear_row(self, row, address):
-        endpoint = self.endpoints.get(row.server)
-        if endpoint is not None:
-            endpoint.told(row)
-        if row.state is State.GONE:
-            if endpoint is not None and endpoint.forgettable():
-                self.forget(endpoint)
-            return
-        ready = row.state is State.READY
-        if endpoint is not None and endpoint.address == address and not (endpoint.gone and ready):
-            return
-        # Who serves now has the address; what is told later of one that had it before must not take it away.
-        before = self.addresses.get(address)
-        if ready and before is not None and before.server != row.server:
-            before.shut()
-            self.busy.add(before)
-        if endpoint is not None:
-            endpoint.shut()
-            endpoint.lost()
-            self.busy.add(endpoint)
-        self.endpoints[row.server] = Endpoint(self, row.server, address, row.started_at)
-        if ready or before is None:
-            self.addresses[address] = self.endpoints[row.server]
-
     # The port: what the module wants
 
     def tune_in(self, id, nth, server, rung, left):
-        session, endpoint = self.sessions[id], self.endpoints.get(server)
+        session, endpoint = self.sessions[id], self.servers.endpoints.get(server)
         session.nth, session.rung, session.sent_at = nth, rung, self.now()
         session.expire_at = session.sent_at + left
         self.counts["tune-ins"] += 1
@@ -513,7 +426,7 @@
             self.soon_ended(session, How.UNREACHED)
         else:
             session.endpoint = endpoint
-            self.busy.add(endpoint)
+            self.servers.busy.add(endpoint)
             endpoint.attempt(session)
 
     def abandon(self, id, nth, server):
@@ -552,10 +465,3 @@
 
     def log(self, text):
         self.said("module", text=text)
-
-
-def descriptors(config):
-    """Raises the soft limit to what the configuration gives, where the platform left it lower."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < min(config.sockets, hard):
-        resource.setrlimit(resource.RLIMIT_NOFILE, (min(config.sockets, hard), hard))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -48,7 +48,7 @@
         server.say(line("end", call, why=16))
         await self.seen("ended", who=1, call=call)
         self.assertEqual([], self.all("end", who="viewer"))
-        self.assertEqual({}, self.host.endpoints[1].releases)
+        self.assertEqual({}, self.host.servers.endpoints[1].releases)
 
     async def test_a_release_finds_its_way_when_the_viewers_connection_is_gone(self):
         await self.server(1)
@@ -129,7 +129,7 @@
         went = self.all("offer", call=first)[0]["conn"]
         next(
             ln
-            for ln in self.host.endpoints[1].connections
+            for ln in self.host.servers.endpoints[1].connections
             if ln.transport.get_extra_info("sockname") == went.transport.get_extra_info("peername")
         ).close()
         self.assertEqual(41, (await self.seen("end", who="viewer", call=first))["why"])
@@ -385,7 +385,7 @@
         conn = await self.viewer()
         call = self.ask(conn)
         await self.seen("accept", who="viewer", call=call)
-        reach, terms = self.host.endpoints[1], self.host.config.terms
+        reach, terms = self.host.servers.endpoints[1], self.host.config.terms
         for every, quiet in ((10_000, 20_000), (30_000, 37_500), (45_000, 54_000), (0, 54_000)):
             self.host.config = self.host.config._replace(
                 terms=terms._replace(fleet=terms.fleet._replace(note_every=every))
@@ -419,7 +419,7 @@
         self.host.hear(self.host.bulletin.take(json.dumps(self.event(self.row(1, "DELETED"))).encode()))
         again = self.ask(conn)
         await self.seen("accept", who="viewer", call=again)
-        self.assertEqual([2], list(self.host.endpoints))
+        self.assertEqual([2], list(self.host.servers.endpoints))
 
     async def test_refused_and_never_made_connections_prove_that_nothing_ran(self):
         await self.server(1)
@@ -442,7 +442,7 @@
                 text = json.dumps(self.event(self.row(1000 + n, state, port=port))).encode()
                 self.host.hear(self.host.bulletin.take(text))
         self.host.tend()
-        self.assertEqual([1], list(self.host.endpoints))
+        self.assertEqual([1], list(self.host.servers.endpoints))
         manager = self.host.runner.manager
         self.assertEqual([1], list(manager.servers))
         self.assertEqual(1, sum(len(cell) for cell in manager.cells.values()))
@@ -460,7 +460,7 @@
         feed.transport.abort()
         again = await self.seen("after", times=2)
         self.assertEqual(2, again["no"])
-        self.assertEqual({1, 2}, set(self.host.endpoints))
+        self.assertEqual({1, 2}, set(self.host.servers.endpoints))
         again["conn"].say(b'{"no":4}\n')  # 3 is missing: asked for anew
         self.assertEqual(2, (await self.seen("after", times=3))["no"])
         old, self.feed = self.feed, await self.bulletin("new")
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -199,7 +199,7 @@
     async def test_when_nobody_can_be_spared_newcomers_wait_in_the_kernel_and_are_served_later(self):
         await self.server(1, lambda conn, row: None)
         await self.start(1)
-        self.host.clients_most = lambda: 4
+        self.host.descriptors.clients_most = lambda: 4
         most = 4 + 8
         busy = []
         for n in range(most):
@@ -382,12 +382,12 @@
                 self.assertEqual({face.How.MOOT}, {e.how for e in heard if isinstance(e, face.Ended)})
                 server = self.host.runner.manager.servers[1]
                 self.assertEqual((0, 0, None), (server.ills, server.shut_until, server.doubt_at))
-                self.assertEqual(0, self.host.endpoints[1].fails)
+                self.assertEqual(0, self.host.servers.endpoints[1].fails)
 
     async def test_an_error_of_the_way_counts_against_the_server_and_proves_nothing_else(self):
         await self.server(1)
         await self.start(1)
-        endpoint, server = self.host.endpoints[1], self.host.runner.manager.servers[1]
+        endpoint, server = self.host.servers.endpoints[1], self.host.runner.manager.servers[1]
         heard = []
         self.host.runner.tap = lambda now, event, acts: heard.append(event)
         for number in (errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT):
@@ -406,7 +406,7 @@
         await self.one_out()
         heard = []
         self.host.runner.tap = lambda now, event, acts: heard.append(event)
-        (connection,) = self.host.endpoints[1].connections
+        (connection,) = self.host.servers.endpoints[1].connections
         connection.connection_lost(OSError(errno.ENOBUFS, "made to fail"))
         self.assertEqual([face.How.CANCELLED], [e.how for e in heard if isinstance(e, face.Ended)])
         self.assertEqual(0, self.host.runner.manager.servers[1].ills)
@@ -416,17 +416,17 @@
         await self.start(1)
         conn = await self.viewer()
         await self.seen("accept", who="viewer", call=self.ask(conn))
-        (connection,) = self.host.endpoints[1].connections
-        self.assertIs(connection, self.host.endpoints[1].idle_connection())
+        (connection,) = self.host.servers.endpoints[1].connections
+        self.assertIs(connection, self.host.servers.endpoints[1].idle_connection())
         connection.eof_received()  # the loop tells of the lost connection a turn later
-        self.assertIsNone(self.host.endpoints[1].idle_connection())
+        self.assertIsNone(self.host.servers.endpoints[1].idle_connection())
 
     async def test_less_than_a_millisecond_is_not_told_as_one(self):
         await self.server(1)
         await self.start(1)
         conn = await self.viewer()
         await self.seen("accept", who="viewer", call=self.ask(conn))
-        endpoint = self.host.endpoints[1]
+        endpoint = self.host.servers.endpoints[1]
         session = next(iter(self.host.sessions.values()))
         session.expire_at = self.host.now() + 9
         endpoint.send(endpoint.idle_connection(), session)
@@ -438,7 +438,7 @@
         await self.start(1)
         connect = self.host.connect
         self.fail_dials(errno.ETIMEDOUT)
-        endpoint = self.host.endpoints[1]
+        endpoint = self.host.servers.endpoints[1]
         endpoint.release("00000000000000a1", 16)
         while endpoint.dialing:
             await self.turn()
@@ -469,7 +469,7 @@
             await self.turn()
         watch.tend(before + discovery.SILENCE + 1)  # silent since before, were a part of a line nothing
         feed.say(event[30:])
-        while 2 not in self.host.endpoints:
+        while 2 not in self.host.servers.endpoints:
             await self.turn()
         self.assertEqual(1, len(self.all("after")))
 
@@ -541,7 +541,7 @@
         conn = await self.viewer()
         call = self.ask(conn)
         await self.seen("accept", who="viewer", call=call)
-        self.host.endpoints[1].started_at = self.host.now() + 5_000  # as told before the clocks were set right
+        self.host.servers.endpoints[1].started_at = self.host.now() + 5_000  # as told before the clocks were set right
         row = self.row(1, started=(self.host.now() - HOUR) / 10)
         self.host.hear(self.host.bulletin.take(json.dumps(self.event(row)).encode()))
         self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
@@ -663,9 +663,9 @@
         await self.start(1, settings={**SETTINGS, "specifics": {**SETTINGS["specifics"], "cells": 2}})
         rows = [{**self.row(1000 + n, port=1024 + n), "cell": 1} for n in range(3_200)]
         self.host.hear(self.host.bulletin.take(json.dumps(self.event(*rows)).encode()))
-        self.assertEqual(3_201, len(self.host.endpoints))
+        self.assertEqual(3_201, len(self.host.servers.endpoints))
         tended = []
-        for endpoint in self.host.endpoints.values():
+        for endpoint in self.host.servers.endpoints.values():
             endpoint.tend = lambda now, endpoint=endpoint: tended.append(endpoint.server)
         conn = await self.viewer()
         await self.seen("accept", who="viewer", call=self.ask(conn))
