--- a/flaxscale/platform/descriptors.py
+++ b/flaxscale/platform/descriptors.py
@@ -1,4 +1,4 @@
-"""Descriptors: a part for clients, the rest for servers, of what is not reserved; who makes room when they run short."""
+"""Descriptors: a part for clients, the rest for servers, less a reserve; who makes room when they run short."""
 
 import heapq
 import resource
--- a/flaxscale/platform/serverlist.py
+++ b/flaxscale/platform/serverlist.py
@@ -5,7 +5,7 @@
 
 
 class ServerList:
-    """endpoints: by server. addresses: by address, who serves there. busy: where something of ours is, or is on its way."""
+    """endpoints: by server. addresses: who serves there. busy: where something of ours is, or is on its way."""
 
     def __init__(self, host):
         self.host = host
