--- a/flaxscale/decisions/capacity.py
+++ b/flaxscale/decisions/capacity.py
@@ -4,6 +4,9 @@
 last figure heard, corrected by what this manager has asked more or less since the time that the figure tells of.
 """
 
+from collections.abc import Callable
+from typing import Any
+
 from ..units import SECOND
 from .windows import BucketWindow
 
@@ -19,15 +22,16 @@
     as of when, and what others ask of it. kept: kB a second that are kept for an announced peak.
     """
 
-    def __init__(self, kb, unheard):
+    def __init__(self, kb: float, unheard: Callable[[], float]) -> None:
         self.kb, self.unheard = max(kb, 1.0), unheard
-        self.own, self.heard_at = 0.0, None
+        self.own = 0.0
+        self.heard_at: int | None = None
         self.base = self.own_then = self.kept = 0.0  # the last figure, and our load at the time that it tells of
-        self.servers = []
-        self.reckoned = -SECOND, 0
+        self.servers: list[Any] = []
+        self.reckoned: tuple[int, float] = (-SECOND, 0)
         self.changes = BucketWindow(CHANGE_BUCKET, CHANGE_BUCKETS)
 
-    def asks(self, now, own, new=True):
+    def asks(self, now: int, own: float, new: bool = True) -> None:
         """Our load from now on; not new: it ran before, and a figure that comes late has it in already."""
         if new:
             self.changes.add(now, own - self.own)
@@ -35,22 +39,22 @@
             self.own_then += own - self.own
         self.own = own
 
-    def others(self, now, kb):
+    def others(self, now: int, kb: float) -> None:
         """Another manager asks so much more, until a figure shows it."""
         self.changes.add(now, kb)
         self.own_then -= kb
 
-    def use(self):
+    def use(self) -> float:
         """The part of it that is in use."""
         if self.heard_at is None:
             return self.own / self.kb + self.unheard()
         return max(0.0, self.base + (self.own - self.own_then) / self.kb)
 
-    def share(self):
+    def share(self) -> float:
         """Our part of what is in use."""
         return min(1.0, max(self.own, 1.0) / self.kb / max(self.use(), 1e-9))
 
-    def heard(self, now, lag, amount):
+    def heard(self, now: int, lag: int, amount: float) -> None:
         """A figure, which tells of the time `lag` ago."""
         self.base, self.heard_at = amount, now
         self.own_then = self.own - sum(self.changes.since(now - lag))
--- a/flaxscale/decisions/chance.py
+++ b/flaxscale/decisions/chance.py
@@ -9,9 +9,9 @@
 class Chance:
     """Numbers from 0 to under 1, by the seed of a manager and a counter."""
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.draws = 0
 
-    def draw(self, seed):
+    def draw(self, seed: int) -> float:
         self.draws += 1
         return crc32(b"%d:%d" % (seed, self.draws)) * SPREAD % WHOLE / WHOLE
--- a/flaxscale/decisions/renditions.py
+++ b/flaxscale/decisions/renditions.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from ..interface import Ladder, Package, SiteTerms
+
 MARK = 0.97  # of a link, for the step that earns most for its load
 MARK_SPREAD = 0.5  # so much lower for the one that earns least
 
@@ -18,7 +20,7 @@
     earns: float  # value for each kB a second that the step adds
 
 
-def rendition_steps(terms, weights):
+def rendition_steps(terms: SiteTerms, weights: dict[int, float]) -> dict[tuple[int, int], RenditionStep]:
     """{(class, rendition): RenditionStep}; weights: how much more a class counts than its value, where told."""
     earns = {}
     for number, traffic_class in enumerate(terms.packages):
@@ -32,7 +34,7 @@
     }
 
 
-def step_earns(ladder, traffic_class, rung, weight):
+def step_earns(ladder: Ladder, traffic_class: Package, rung: int, weight: float) -> float:
     """Value for each kB a second that a step adds; the lowest allowed one is a step from nothing."""
     less_kb, less = (ladder.kb[rung - 1], ladder.worth[rung - 1]) if rung > traffic_class.floor else (0, 0)
     gain = traffic_class.value * weight * (ladder.worth[rung] - less)
--- a/flaxscale/decisions/retries.py
+++ b/flaxscale/decisions/retries.py
@@ -1,5 +1,6 @@
 """The budget of retries: in any window of the stated length a few, plus a share of the sessions taken (rule 6)."""
 
+from ..interface import RuleTerms
 from ..units import SECOND
 from .windows import BucketWindow
 
@@ -11,18 +12,18 @@
 class RetryBudget:
     """Counts sessions and retries; the rules that bound them may change in service, what was counted stays."""
 
-    def __init__(self, rules):
+    def __init__(self, rules: RuleTerms) -> None:
         width = max(BUCKET_LEAST, -(-(rules.further_span or 0) // BUCKETS_A_SPAN))
         self.sessions, self.retries = BucketWindow(width, BUCKETS), BucketWindow(width, BUCKETS)
         self.longest_span = BUCKETS_A_SPAN * width  # of new rules: what is older was not counted
 
-    def session(self, now):
+    def session(self, now: int) -> None:
         self.sessions.add(now, 1)
 
-    def retry(self, now):
+    def retry(self, now: int) -> None:
         self.retries.add(now, 1)
 
-    def allows(self, now, rules):
+    def allows(self, now: int, rules: RuleTerms) -> bool:
         """Whether one more retry stays within the budget.
 
         The oldest bucket counts whole against us and not at all for us, so that the budget holds in any window.
--- a/flaxscale/decisions/slow_start.py
+++ b/flaxscale/decisions/slow_start.py
@@ -4,16 +4,18 @@
 every `peers`-th turn. Clocks that disagree shift turns and add none.
 """
 
+from ..interface import RuleTerms
+
 PACE_SHARE = 0.7  # of the pace that overloads a cold server: what is not ours to count has room in the rest
 
 
-def turn_at(now, rules, places):
+def turn_at(now: int, rules: RuleTerms, places: int) -> int:
     """Number of the turn that this time is in, for a server with so many places."""
     rate = PACE_SHARE * rules.tip_multiple * rules.start_capacity * places / rules.warm_within
     return int(now * rate)
 
 
-def may_send(turn, last_turn, known_cold, me, peers):
+def may_send(turn: int, last_turn: int | None, known_cold: bool, me: int, peers: int) -> bool:
     """Whether a manager may send a set-up in this turn.
 
     last_turn: the last one it used, or None. To a server known to be cold it sends in its own turns. To one that
--- a/flaxscale/decisions/windows.py
+++ b/flaxscale/decisions/windows.py
@@ -1,14 +1,17 @@
 """Amounts over time, kept in fixed buckets that are used again: memory stays the same however long a manager lives."""
 
+from typing import Any
+
 
 class BucketWindow:
     """Sums of what was added, by buckets of `width`; the last `count` buckets are kept."""
 
-    def __init__(self, width, count):
-        self.width, self.buckets = width, [None] * count
+    def __init__(self, width: int, count: int) -> None:
+        self.width = width
+        self.buckets: list[list[Any] | None] = [None] * count
         self.newest = -1  # number of the newest bucket
 
-    def bucket(self, now):
+    def bucket(self, now: int) -> list[Any]:
         """[number, sum] of the bucket that this time is in."""
         number = now // self.width
         found = self.buckets[number % len(self.buckets)]
@@ -17,10 +20,10 @@
             self.newest = max(self.newest, number)
         return found
 
-    def add(self, now, amount):
+    def add(self, now: int, amount: float) -> None:
         self.bucket(now)[1] += amount
 
-    def since(self, then):
+    def since(self, then: int) -> list[float]:
         """The sums of all buckets that begin at this time or later."""
         first = max(0, -(-then // self.width), self.newest - len(self.buckets) + 1)
         count = len(self.buckets)
--- a/flaxscale/jsonl/lines.py
+++ b/flaxscale/jsonl/lines.py
@@ -8,10 +8,11 @@
 
     __slots__ = "rest", "most", "fault"
 
-    def __init__(self, most=MOST):
-        self.rest, self.most, self.fault = b"", most, None
+    def __init__(self, most: int = MOST) -> None:
+        self.rest, self.most = b"", most
+        self.fault: str | None = None
 
-    def take(self, data):
+    def take(self, data: bytes) -> list[bytes]:
         if self.fault:
             return []
         *whole, rest = (self.rest + data if self.rest else data).split(b"\n")
--- a/flaxscale/jsonl/messages.py
+++ b/flaxscale/jsonl/messages.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from collections.abc import Container, Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -42,14 +43,14 @@
 ENCODE = msgspec.json.Encoder().encode
 
 
-def read(line):
+def read(line: bytes) -> Message:
     try:
         return DECODER.decode(line)
     except (msgspec.MsgspecError, ValueError, RecursionError) as bad:
         raise Fault(f"unreadable: {bad}") from None
 
 
-def figure(value, what):
+def figure(value: str | int | float, what: str) -> float:
     """A finite number, given as one or as text."""
     if isinstance(value, str):
         if not FIGURE.match(value):
@@ -60,14 +61,14 @@
     return value
 
 
-def count(value, what, least, most):
+def count(value: str | int | float, what: str, least: int, most: int) -> int:
     number = figure(value, what)
     if number != int(number) or not least <= number <= most:
         raise Fault(f"{what}: a whole number from {least} to {most} expected")
     return int(number)
 
 
-def pairs(text, what):
+def pairs(text: object, what: str) -> dict[str, str]:
     """The parts of 'a:1;b:2'."""
     if not isinstance(text, str):
         raise Fault(f"{what}: text expected")
@@ -80,7 +81,7 @@
     return found
 
 
-def load(message, names):
+def load(message: Message, names: Iterable[str]) -> tuple[float, ...]:
     """The load report that came along, as figures in the order of these names; empty: none, or none that fits."""
     try:
         found = pairs(message.fields.get("load", ""), "load")
@@ -89,7 +90,7 @@
         return ()
 
 
-def server_number(name):
+def server_number(name: str) -> int:
     """A server's name as a number: stateless, so that no table of names grows."""
     match = SERVER.match(name)
     return int(match[1], 16) if match else -1
@@ -113,7 +114,7 @@
     desc: str
 
 
-def set_up(message, packages):
+def set_up(message: Message, packages: Container[str]) -> SetUp:
     """What an offer asks for; Fault names what is wrong with it."""
     fields, desc = message.fields, message.desc
     if not CALL.match(message.call):
@@ -154,9 +155,15 @@
     )
 
 
-def line(op, call, fields=None, why=None, desc=None):
+def line(
+    op: str,
+    call: str,
+    fields: Mapping[str, str | int | float] | None = None,
+    why: int | None = None,
+    desc: str | None = None,
+) -> bytes:
     """A message to send."""
-    out = {"op": op, "call": call, "with": fields or {}}
+    out: dict[str, object] = {"op": op, "call": call, "with": fields or {}}
     if why is not None:
         out["why"] = why
     if desc is not None:
--- a/flaxscale/platform/sessions.py
+++ b/flaxscale/platform/sessions.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..jsonl.messages import SetUp
+
 if TYPE_CHECKING:
     from .clients import ClientConnection
     from .endpoints import Endpoint, ServerConnection
@@ -27,6 +29,6 @@
     expire_at: int = 0
 
 
-def session_of(setup, client):
+def session_of(setup: SetUp, client: "ClientConnection") -> Session:
     """The Session of a set-up that was read on this connection."""
     return Session(setup.id, setup.call, setup.package, setup.key, setup.desc, client)
--- a/flaxscale/platform/starttimes.py
+++ b/flaxscale/platform/starttimes.py
@@ -25,10 +25,10 @@
 class StartTimes:
     """The start of each server on the list. The same word again keeps its meaning."""
 
-    def __init__(self):
-        self.known = {}
+    def __init__(self) -> None:
+        self.known: dict[int, StartTime] = {}
 
-    def of(self, server, told_ms, now, followed):
+    def of(self, server: int, told_ms: float, now: int, followed: bool) -> int:
         """followed: the list is heard as it changes; else it is the one that a manager starts with."""
         before = self.known.get(server)
         if before is not None and before.told_ms == told_ms:
@@ -38,11 +38,11 @@
         return at
 
     @staticmethod
-    def checked(told_ms, now, followed):
+    def checked(told_ms: float, now: int, followed: bool) -> int:
         at = round(told_ms * MILLISECOND)
         if at > now or (followed and now - at > PLAUSIBLE):
             return now
         return at
 
-    def forget(self, server):
+    def forget(self, server: int) -> None:
         self.known.pop(server, None)
--- a/flaxscale/platform/stopping.py
+++ b/flaxscale/platform/stopping.py
@@ -23,7 +23,7 @@
     answer_by: int
 
 
-def stop_times(longest_deadline):
+def stop_times(longest_deadline: int) -> StopTimes:
     """longest_deadline: of all classes, in tenths of a millisecond."""
     kill = min(longest_deadline, DEADLINE_COUNTED) + KILL_AFTER
     stay = max(REQUESTS_COME, min(STAY, kill - STAY_LEAST))
