--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -15,7 +15,7 @@
 from flaxscale.platform import clients, discovery, loopwatch
 from flaxscale.platform.starttimes import PLAUSIBLE, StartTimes
 from flaxscale.platform.stopping import stop_times
-from tests.platform_rig import ANSWER, DESC, SETTINGS, Platform, line
+from tests.platform_rig import ANSWER, DESC, SETTINGS, Platform, line, plays
 
 HOUR = 36_000_000  # tenths of a millisecond
 
@@ -433,6 +433,47 @@
         await self.turn()
         self.assertEqual(1, len(self.all("offer", who=1)))
 
+    async def test_a_server_whose_accept_queue_is_full_is_left_for_another(self):
+        full = socket.socket()
+        self.addCleanup(full.close)
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for one in waiting:  # Linux drops what comes after these: the connection neither comes up nor fails
+            self.addCleanup(one.close)
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        await self.server(1)
+        await self.start(1)
+        row = {**self.row(2, port=full.getsockname()[1]), "weight": 50}  # the roomiest: tried first
+        self.host.hear(self.host.bulletin.take(json.dumps(self.event(row)).encode()))
+        conn = await self.viewer()
+        call = self.ask(conn, left=4000)
+        await self.seen("accept", who="viewer", call=call)
+        self.assertEqual(1, self.host.counts["dials that came to nothing"])
+        self.assertEqual(1, len(self.all("offer", who=1)))
+
+    async def test_a_server_that_forgot_an_idle_connection_without_a_word(self):
+        forgotten = []
+
+        def plays_until_forgotten(conn, row):
+            if conn not in forgotten:
+                plays(conn, row)
+
+        await self.server(1, plays_until_forgotten)
+        await self.start(1)
+        conn = await self.viewer()
+        await self.seen("accept", who="viewer", call=self.ask(conn, left=4000))
+        forgotten.append(self.all("offer", who=1)[0]["conn"])
+        call = self.ask(conn, left=4000)
+        await self.seen("accept", who="viewer", call=call)
+        first, second = self.all("offer", who=1, call=call)
+        self.assertIs(forgotten[0], first["conn"])
+        self.assertIsNot(forgotten[0], second["conn"])
+        # Nothing is sent there again, and it is closed once an answer that is late can't be meant any more.
+        self.host.servers.tend(self.host.now() + 30_000)
+        await self.seen("closed", conn=forgotten[0])
+
     async def test_a_release_whose_connection_did_not_come_up_goes_again(self):
         await self.server(1)
         await self.start(1)
