The stores of catalogue, leases and peaks go on after a fault of the disk without a start

Cause: after one error of a write or sync the service took nothing more until it was started anew; a disk that is full for a minute stopped changes, grants and announcements for good. Tests: a full disk and a failed sync, then more changes; all disks that may be left by a power cut have what was acknowledged before and after; no token goes back. Before, resume was not there to call.

--- a/flaxscale/catalogue/keep.py
+++ b/flaxscale/catalogue/keep.py
@@ -80,11 +80,20 @@
     def compact(self):
         """The state whole; the records before it go. OSError: nothing more is taken. Not while something is staged."""
         if not self.staged:
-            self.log.snapshot(
-                encode_whole(
-                    self.now.version, self.now.titles, self.now.floor, [(id, *what) for id, what in self.done.items()]
-                )
-            )
+            self.log.snapshot(self.whole())
+
+    def whole(self):
+        done = [(id, *what) for id, what in self.done.items()]
+        return encode_whole(self.now.version, self.now.titles, self.now.floor, done)
+
+    def resume(self):
+        """After a fault: all that was taken is durable when it returns, also what nobody was told of. OSError: not yet.
+
+        Whoever asked for that was told that it is not known; asked again under the same id it is made once.
+        """
+        self.log.resume(self.whole())
+        self.settled, self.staged, self.floor = self.now.version, 0, self.now.floor
+        return self.settled
 
     def since(self, version):
         """Deltas after a version up to the settled one, or None where they are no longer all known."""
--- a/flaxscale/catalogued/leases.py
+++ b/flaxscale/catalogued/leases.py
@@ -18,6 +18,7 @@
 from ..serve.clock import now
 from ..store.log import Log
 from ..store.shapes import decoded
+from .resuming import Resuming
 
 GATHER_S = 0.002
 SNAPSHOT_EVERY = 2_000
@@ -50,6 +51,7 @@
         self.granter.era(time.time())
         self.opens = self.granter.opened
         self.settling, self.waiting, self.broken = None, [], None
+        self.resuming = Resuming(self.resume, self.resumed)
         if record:
             record.put("leases", opens=self.opens - now())
             for task in tasks.values():
@@ -86,9 +88,10 @@
             self.store.commit()
             if self.store.since_snapshot >= SNAPSHOT_EVERY:
                 self.compact()
-        except OSError as bad:  # what reached the disk is not known: nothing is granted until a start
+        except OSError as bad:  # what reached the disk is not known: nothing is granted until the state is written anew
             self.broken = bad
             self.log.error("leases' store failed", detail=str(bad))
+            self.resuming.begin()
             for done in waiting:
                 if not done.done():
                     done.set_exception(bad)
@@ -97,10 +100,22 @@
             if not done.done():
                 done.set_result(None)
 
+    def resume(self):
+        """Writes the state anew. What was granted and not told is kept too: its span is waited out."""
+        self.store.resume(self.whole())
+
+    def resumed(self):
+        self.broken = None
+        self.log.info("leases' store taken up again")
+
+    def stop(self):
+        self.resuming.stop()
+
     def compact(self):
-        self.store.snapshot(
-            msgspec.msgpack.encode(Kept(SHAPE, "whole", "", self.granter.dump(), self.fence.dump(), self.done))
-        )
+        self.store.snapshot(self.whole())
+
+    def whole(self):
+        return msgspec.msgpack.encode(Kept(SHAPE, "whole", "", self.granter.dump(), self.fence.dump(), self.done))
 
     # From a watcher's stream
 
--- a/flaxscale/catalogued/peaks.py
+++ b/flaxscale/catalogued/peaks.py
@@ -14,6 +14,7 @@
 from ..serve.clock import now
 from ..serve.limit import within
 from ..store.latest import Latest
+from .resuming import Resuming
 from .streams import first_of, hear_all
 
 BEAT_S = 2.0  # the service's clock is told this often where nothing else is
@@ -36,9 +37,11 @@
         self.rungs, self.packages, self.titles = frame.rungs, tuple(frame.floors), titles
         self.book = PeakBook() if self.store.kept is None else decode(self.store.kept)[1]
         self.managers, self.broken, self.stopped = {}, None, False
+        self.resuming = Resuming(self.resume, self.resumed)
 
     def stop(self):
         self.stopped = True
+        self.resuming.stop()
         for m in self.managers.values():
             m.wake.set()
 
@@ -80,6 +83,7 @@
         except OSError as bad:
             self.broken = bad
             self.log.error("store of peaks failed", detail=str(bad))
+            self.resuming.begin()
             await context.abort(grpc.StatusCode.UNAVAILABLE, "the store failed; whether it was made is not known")
         self.book = book
         self.log.info("peaks settled", version=book.version, did=book.history[-1].what, name=book.history[-1].name)
@@ -87,6 +91,14 @@
             m.wake.set()
         return pb.ChangeReply(version=book.version)
 
+    def resume(self):
+        """Writes the book as it stands: the change that failed is not in it."""
+        self.store.resume(encode(self.epoch, self.book))
+
+    def resumed(self):
+        self.broken = None
+        self.log.info("store of peaks taken up again", version=self.book.version)
+
     # Watching
 
     async def Watch(self, requests, context):
--- a/flaxscale/catalogued/service.py
+++ b/flaxscale/catalogued/service.py
@@ -20,6 +20,7 @@
 from ..versions import floor as floors
 from .leases import LeaseService
 from .peaks import ID_LIMIT, PeakService
+from .resuming import Resuming
 from .streams import first_of, hear_all
 
 GATHER_S = 0.002  # changes that come within this become durable with one sync
@@ -42,7 +43,7 @@
         self.settled_at, self.ruler = deque([(self.keeper.settled, now())], 1000), None
         self.watchers, self.wakes = {}, {}
         self.waiting, self.settling, self.staged = [], None, []
-        self.broken = None
+        self.broken, self.resuming = None, Resuming(self.keeper.resume, self.resumed)
         self.server, self.stopped = None, asyncio.Event()
         self.peaks = peak_files and PeakService(peak_files, self.epoch, frame, lambda: self.keeper.now.titles, log)
         self.leases = LeaseService(lease_files, tasks, self.act, log, record) if lease_files and tasks else None
@@ -101,6 +102,9 @@
         self.stopped.set()
         if self.ruler is not None:
             self.ruler.cancel()
+        self.resuming.stop()
+        if self.leases is not None:
+            self.leases.stop()
         if self.peaks is not None:
             self.peaks.stop()
         for wake in self.wakes.values():
@@ -263,21 +267,32 @@
         try:
             version = self.keeper.settle()
         except OSError as bad:
-            # What reached the disk is not known: nothing more is taken until the service is started anew.
+            # What reached the disk is not known: nothing more is taken until the state was written anew.
             self.broken = bad
             self.log.error("store failed", detail=str(bad))
+            self.resuming.begin()
             for done in waiting:
                 if not done.done():
                     done.set_exception(grpc.aio.AbortError("the store failed; whether it was made is not known"))
             return
         self.log.info("settled", version=version, changes=len(waiting))
+        self.tell_settled(version)
+        for done in waiting:
+            if not done.done():
+                done.set_result(version)
+
+    def resumed(self):
+        """A store that had failed takes records again; what was staged then is settled."""
+        self.broken = None
+        self.log.info("store taken up again", version=self.keeper.settled)
+        self.tell_settled(self.keeper.settled)
+
+    def tell_settled(self, version):
+        """To the record and to all who watch."""
         self.settled_at.append((version, now()))
         staged, self.staged = self.staged, []
         for delta in staged:
             self.tell_record(delta.version, delta.titles, delta.floor)
-        for done in waiting:
-            if not done.done():
-                done.set_result(version)
         for wake in self.wakes.values():
             wake.set()
 
--- a/flaxscale/store/latest.py
+++ b/flaxscale/store/latest.py
@@ -10,6 +10,10 @@
         found = self.log.found
         self.kept = found.records[-1][1] if found.records else found.snapshot
 
+    def resume(self, content):
+        """After a fault: this is the state now. OSError: not yet."""
+        self.log.resume(content)
+
     def put(self, content):
         """Durable when it returns. OSError: whether it was is not known, and nothing more is taken."""
         self.log.append(content)
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -184,6 +184,28 @@
                 self.assertGreaterEqual(found.version, acked[-1][0] if acked else 0)
                 self.assertEqual(wanted[found.version], found.titles)  # whole versions, or none of one
 
+    def test_after_a_fault_of_the_disk_it_goes_on_with_all_that_was_acknowledged(self):
+        for fault in ("room", "failing_sync"):
+            files = FaultyFiles()
+            keeper = Keeper(files, FRAME)
+            keeper.stage(ops_of(0), id="first")
+            keeper.settle()
+            setattr(files, fault, 5 if fault == "room" else True)
+            keeper.stage(ops_of(1), id="unknown")
+            with self.assertRaises(OSError):
+                keeper.settle()
+            with self.assertRaises(OSError):
+                keeper.resume()  # it still fails
+            files.room, files.failing_sync = None, False
+            self.assertEqual(2, keeper.resume())
+            keeper.stage(ops_of(2), id="after")
+            self.assertEqual(3, keeper.settle())
+            for disk in files.survivors():
+                again = Keeper(FaultyFiles(disk), FRAME)
+                self.assertEqual((3, keeper.now.titles), (again.now.version, again.now.titles))
+                # Whoever was told that it is not known asks again under the same id: it is made once.
+                self.assertEqual({"first", "unknown", "after"}, set(again.done))
+
     def test_history_rollback_and_what_is_too_long_ago(self):
         keeper = Keeper(FaultyFiles(), FRAME)
         for n in range(5):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -196,6 +196,28 @@
         await self.hear(service, told, owner="m9.1", leases=[pb.LeaseAsk(piece="duty", number=9)])
         self.assertEqual([(9, True)], [(t.lease.number, t.lease.refused) for t in told])
 
+    async def test_once_the_disk_takes_writes_again_it_grants_again_and_no_token_goes_back(self):
+        disk = FaultyFiles()
+        service, told = self.service(disk), []
+        await self.hear(service, told, owner="a.1", leases=[pb.LeaseAsk(piece="duty", number=1)])
+        await self.hear(service, told, owner="a.1", acts=[pb.LeaseAct(piece="duty", token=1, number=9)])
+        await self.hear(service, told, owner="a.1", leases=[pb.LeaseAsk(piece="duty", token=1)])  # given back
+        disk.failing_sync = True
+        await self.hear(service, told, owner="b.1", leases=[pb.LeaseAsk(piece="duty", number=2)])
+        self.assertIsNotNone(service.broken)
+        disk.failing_sync = False
+        await service.log.seen("leases' store taken up again")
+        told.clear()
+        service.granter.rows.clear()
+        await self.hear(service, told, owner="c.1", leases=[pb.LeaseAsk(piece="duty", number=3)])
+        token = told[0].lease.token
+        self.assertGreater(token, 1)
+        for left in disk.survivors():  # what was acknowledged before and after the fault outlives the power
+            again = self.service(FaultyFiles(left))
+            self.assertFalse(again.fence.takes("duty", token - 1, "z.1") and again.granter.count < token)
+            self.assertIn("duty", again.done)
+            self.assertGreaterEqual(again.granter.count, token)
+
 
 class Holding(unittest.TestCase):
     def holder(self):
