--- a/flaxscale/cli/platform.py
+++ b/flaxscale/cli/platform.py
@@ -16,6 +16,8 @@
 @click.option("--log-level", default="info", type=click.Choice(list(LEVELS)), show_default=True)
 def platform(log_level):
     """Serve as one session manager of the platform: BALANCER_CONFIG names its configuration."""
+    early = []  # SIGHUP ends a process that does not expect it
+    signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
     file, config = site_errors(configuration.from_environment)
     raise_limit(config)
     log = logger(log_level, None, manager=config.name)
@@ -26,6 +28,8 @@
         loop.add_signal_handler(signal.SIGHUP, host.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, host.leave)
+        if early:
+            host.reload()
         await host.start()
         service.settle_memory()
         log.info(
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -46,6 +46,7 @@
         self.watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
         self.over, self.leaving_since, self.rounds = False, None, 0
+        self.started = self.reload_wanted = False
         self.alarm, self.refused_file = None, None
         self.runner = Runner(config.terms, self)
         self.bulletin, self.belief = Bulletin(config, self.now), Belief(self)
@@ -70,6 +71,9 @@
         except OSError as error:
             raise SiteError(self.file, "listen", f"can't be listened on: {error.strerror}") from None
         self.plan_round()
+        self.started = True
+        if self.reload_wanted:
+            self.reload()
 
     def not_accepted(self, error):
         self.said("local error", call="accept", error=str(error))
@@ -118,7 +122,10 @@
 
     def reload(self):
         """SIGHUP: all or nothing. A file that can't be taken on is named once, and the old settings go on."""
-        if self.loop is None or self.over:
+        if not self.started:
+            self.reload_wanted = True  # start() does it, once all is there that it changes
+            return
+        if self.over:
             return
         try:
             found = configuration.reread(self.file, self.config)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -235,8 +235,13 @@
         self.seam.fail("bind", errno.EADDRINUSE, 8)
         await self.begin(1, serves=False)
         await self.logged("local error")
+        feed = await self.bulletin("new")
+        self.addCleanup(feed.close)
+        row = json.loads(self.file.read_text())
+        self.replace_file({**row, "bulletin": f"127.0.0.1:{self.port(feed)}"})
         self.child.send_signal(signal.SIGHUP)
-        await self.logged("serves")
+        await self.logged("settings taken on")  # once it has started
+        await self.seen("after", who="new")
         await self.plays("viewer")
         await self.terminate()
 
