Decisions: seats, deadlines of attempts and others' load in modules of their own

Change: Seats, Standstills with attempt_until, OthersLoad, moved as they were with their constants; the front reads Seats.taken.

--- a/flaxscale/decide.py
+++ b/flaxscale/decide.py
@@ -11,11 +11,13 @@
 from . import interface as face
 from .decisions.capacity import CapacityAccount
 from .decisions.chance import Chance
+from .decisions.deadlines import ATTEMPT_LEAST, BEAT, Standstills, attempt_until
+from .decisions.others import OthersLoad
 from .decisions.renditions import MARK, rendition_steps
 from .decisions.retries import RetryBudget
+from .decisions.seats import Seats
 from .decisions.slow_start import may_send, turn_at
 from .decisions.state import SERVES, ServerState, SessionState
-from .decisions.windows import BucketWindow
 from .interface import How, ListKind, NoteKind, State
 from .units import SECOND
 
@@ -27,7 +29,6 @@
 LIFE = 30 * SECOND  # life left that is expected where no hint came
 REST = 2 * SECOND  # a server that said full or delivers short gets nothing new this long
 SHUT, SHUT_DOUBLINGS = SECOND // 2, 5  # first pause after a failed tune-in, doubled for each one more
-TRY_LEAST = SECOND // 4  # no tune-in gets less than this
 DRAWN = 8  # so many are looked at of the holders heard of, and of the rest; near ones first
 DARK = 0.25  # kept free of a link that nothing was heard of, where others use it unseen
 DEEP, STILL = 0.94, 0.25  # shares delivered that shed by themselves; under the lower nothing flows at all
@@ -39,28 +40,24 @@
 WORDS_COST = 0.005  # of the service figure, at most, for telling peers what we ask
 STANDS = 2 * SECOND  # a note of short delivery holds so long
 BLAMED, BEYOND = 12 * SECOND, 0.2  # an uplink is to blame so long for so much more than links explain
-FEW, GUESS, UNSEEN = 4, 0.5, 0.8  # so few viewings or figures are half believed; most that a guess says
 LOOKS, LOOK_COST = 3, 0.03  # probes for a viewing: so many, and so much of the service figure, at most
 LOOK_AGAIN, LOOK_LAG = 2 * SECOND, SECOND // 2  # a younger figure is not asked for again; a probe's is so old
 SLOT_ALARM, BEAT_ALARM = 0, 1
-BEAT = SECOND // 4  # we look this often whether we stood still
 
 
 class Manager:
     def __init__(self, terms):
         self.servers, self.racks, self.cells = {}, {}, {}
-        self.viewings, self.waiting, self.seats = {}, [], Counter()
+        self.viewings, self.waiting, self.seats = {}, [], Seats()
         self.titles = {}  # what a catalogue told of titles
-        self.reserved = {}, ()  # seats that claims may take; servers that may play an earlier life's
         self.lacking = {}  # (server, title): until when it is not asked for it
         self.kept_for = {}, {}  # titles, packages of an announced peak: the rung that room is kept for
-        self.slot_at = self.started_at = self.beat_at = self.usual_at = None
+        self.slot_at = self.started_at = self.usual_at = None
         self.calls = self.weighed_at = self.usual_use = 0
         self.retries, self.chances = RetryBudget(terms.rules), Chance()
         self.now, self.out, self.eased, self.asked_kb = 0, [], False, 0.0  # asked_kb: by all our viewings
         self.links_kb = None  # of all links together, until the list changes
-        self.stood = BucketWindow(8 * SECOND, 9)  # the longest between two beats
-        self.told, self.tellings = BucketWindow(SECOND, 8), BucketWindow(SECOND, 8)  # others' use of links, as heard
+        self.standstills, self.others_load = Standstills(), OthersLoad()
         self.rule(terms)
 
     def rule(self, terms):
@@ -124,7 +121,8 @@
     def handle(self, now, event):
         self.now, self.out, self.calls = now, [], self.calls + 1
         if self.started_at is None:
-            self.started_at = self.beat_at = now
+            self.started_at = now
+            self.standstills.begin(now)
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
         if now >= self.weighed_at + SECOND:
             self.weigh()
@@ -202,8 +200,7 @@
         others = max(0.0, amount - srv.link.own / srv.link.kb)
         if srv.rack.reckoned[0] <= self.now:  # else it is to blame
             srv.rack.reckoned = -SECOND, 0
-        self.told.add(self.now, others)
-        self.tellings.add(self.now, 1)
+        self.others_load.heard(self.now, others)
         srv.seen_warm |= others > WARM_SIGN
 
     def viewing(self, ask):
@@ -305,7 +302,7 @@
             srv.rack.kept += srv.kept
 
     def reserve(self, event):
-        self.reserved = event.seats, event.servers
+        self.seats.reserve(event.seats, event.servers)
 
     def kept_rung(self, vw):
         return max(self.kept_for[0].get(vw.ask.title, -1), self.kept_for[1].get(vw.ask.package, -1))
@@ -317,8 +314,7 @@
         if event.token == SLOT_ALARM and self.slot_at is not None:
             self.slot()
         elif event.token == BEAT_ALARM:
-            longest = self.stood.bucket(self.now)
-            longest[1], self.beat_at = max(longest[1], self.now - self.beat_at), self.now
+            self.standstills.beat(self.now)
             self.look_up()
             self.out.append(face.Remind(BEAT_ALARM, BEAT))
 
@@ -352,10 +348,10 @@
     def seat(self, vw):
         """Waits for the slot, unless waiting would cost the join target or the viewer."""
         vw.held, slot_end = 0, self.slot_at or self.now + SLOT
-        due = min(self.out_until(vw), vw.asked_at + vw.pack.join_target) - TRY_LEAST
+        due = min(self.out_until(vw), vw.asked_at + vw.pack.join_target) - ATTEMPT_LEAST
         if vw.nth >= 0 or slot_end > due:
             # At once only where it should work: a sole holder that just failed gets till the slot's end.
-            last = self.now + 2 * SLOT > self.out_until(vw) - TRY_LEAST
+            last = self.now + 2 * SLOT > self.out_until(vw) - ATTEMPT_LEAST
             if (spot := self.spot(vw, bad_too=last)) or last:
                 self.resume(vw, spot)
                 return
@@ -363,8 +359,7 @@
 
     def out_until(self, vw):
         """How long a tune-in may be out: half the patience, or the longest standstill, is for the answer."""
-        stood = max(vw.ask.left // 2, *self.stood.since(self.now - 64 * SECOND), 0)
-        return max(vw.deadline - stood, vw.asked_at + min(TRY_LEAST, vw.ask.left // 2))
+        return attempt_until(vw.asked_at, vw.ask.left, vw.deadline, self.standstills.lately(self.now))
 
     def wait(self, vw):
         vw.waiting = True
@@ -390,7 +385,7 @@
         return self.chances.draw(self.terms.seed)
 
     def may_repeat(self, vw):
-        late = self.now + TRY_LEAST > self.out_until(vw)
+        late = self.now + ATTEMPT_LEAST > self.out_until(vw)
         if (
             late
             or len(vw.erred) > 1
@@ -420,7 +415,7 @@
         vw.nth, vw.sent_at, expire = vw.nth + 1, self.now, self.out_until(vw)
         # Against servers that answer nothing: leave time for another, except where it could not be used.
         if vw.pack.effect == "safe" and vw.nth + 1 < self.allowed.tune_ins:
-            expire = min(expire, self.now + max(TRY_LEAST, vw.pack.join_target // 2))
+            expire = min(expire, self.now + max(ATTEMPT_LEAST, vw.pack.join_target // 2))
         if self.is_cold(srv):
             srv.turn = self.pace_turn(srv)
         if rung != vw.floor or vw.rung != vw.floor:
@@ -431,16 +426,14 @@
 
     def occupy(self, vw, srv):
         vw.server = srv
-        self.seats[vw.seat] += 1
+        self.seats.take(vw.seat)
         if srv:
             srv.viewings[vw.id], srv.judged = vw, -1
             self.recount(srv, new=not vw.playing)
 
     def vacate(self, vw):
         srv, vw.server = vw.server, None
-        self.seats[vw.seat] -= 1
-        if not self.seats[vw.seat]:
-            del self.seats[vw.seat]
+        self.seats.free(vw.seat)
         if srv:
             srv.viewings.pop(vw.id, None)
             self.recount(srv)
@@ -510,11 +503,11 @@
 
     def has_seat(self, seat, holders=()):
         """Whether one more may play there. Not while an earlier life of ours may fill seats unknown to us."""
-        (taken, unheard), known, pack = self.reserved, self.titles.get(seat[0]), self.terms.packages[seat[1]]
-        seats = dict(known.seats).get(seat[1], pack.seats) if known else pack.seats
+        known, pack, unheard = self.titles.get(seat[0]), self.terms.packages[seat[1]], self.seats.unheard
+        most = dict(known.seats).get(seat[1], pack.seats) if known else pack.seats
         # A catalogue's holders are those of today; what plays may have begun when others held the title.
         hidden = unheard and holders and (known or any(srv.row.server in unheard for srv in holders))
-        return not seats or not hidden and self.seats[seat] + taken.get(seat, 0) < seats
+        return self.seats.has_room(seat, most, bool(hidden))
 
     def open_holders(self, vw, bad_too=True):
         """The holders of the title to which the rules and their health let a tune-in go now."""
@@ -602,10 +595,8 @@
     def usual(self):
         """What others ask of an unheard link. By its own asking alone a busy newcomer took all for full."""
         if self.usual_at != self.now:
-            self.usual_at, peers, few = self.now, self.terms.peers, FEW / (len(self.viewings) + FEW)
-            n, told = (sum(ring.since(self.now - 8 * SECOND)) for ring in (self.tellings, self.told))
-            guess = (peers - 1) * ((1 - few) * self.asked_kb / self.all_links() + few * GUESS / peers)
-            self.usual_use = (told + FEW * min(UNSEEN, guess)) / (n + FEW)
+            self.usual_at, own_part = self.now, self.asked_kb / self.all_links()
+            self.usual_use = self.others_load.usual(self.now, self.terms.peers, len(self.viewings), own_part)
         return self.usual_use
 
     def all_links(self):
--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -947,7 +947,7 @@
         rows = list(self.sense.rows.items())
         return {
             (names[title], rows[p][0]): n
-            for (title, p), n in self.runner.manager.seats.items()
+            for (title, p), n in self.runner.manager.seats.taken.items()
             if rows[p][1].seats and title in names
         }
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -143,7 +143,7 @@
         front, log = await self.come_back(lambda played_at: ())
         await self.until(lambda: len(front.viewings) == 3, "all three are taken up")
         self.assertTrue(lost[0])
-        self.assertEqual((3, 3), (self.count(), sum(front.runner.manager.seats.values())))
+        self.assertEqual((3, 3), (self.count(), sum(front.runner.manager.seats.taken.values())))
         self.assertEqual({}, front.members.book.claims)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -161,7 +161,7 @@
         await self.until(lambda: self.playing() == 6, "six play on")
         self.assertEqual(6, self.playing())
         self.assertEqual([], self.rows("adopted"))
-        self.assertEqual([3, 3], [sum(f.runner.manager.seats.values()) for f in self.fronts])
+        self.assertEqual([3, 3], [sum(f.runner.manager.seats.taken.values()) for f in self.fronts])
         self.assertTrue(gone)
 
     async def test_words_of_what_is_asked_reach_the_others(self):
