--- a/flaxscale/decisions/deadlines.py
+++ b/flaxscale/decisions/deadlines.py
@@ -19,6 +19,8 @@
     def __init__(self) -> None:
         self.longest = BucketWindow(BUCKET, BUCKETS)
         self.beat_at = 0
+        self.first_bucket: int | None = None  # from which bucket on the longest one was looked for
+        self.found = 0.0
 
     def begin(self, now: int) -> None:
         self.beat_at = now
@@ -26,11 +28,15 @@
     def beat(self, now: int) -> None:
         bucket = self.longest.bucket(now)
         bucket[1] = max(bucket[1], now - self.beat_at)
-        self.beat_at = now
+        self.beat_at, self.first_bucket = now, None
 
     def lately(self, now: int) -> float:
-        """The longest one of the last minute."""
-        return max((0, *self.longest.since(now - REMEMBERED)))
+        """The longest one of the last minute. Asked for at each attempt, and looked for once a beat."""
+        first_bucket = -(-(now - REMEMBERED) // BUCKET)
+        if first_bucket != self.first_bucket:
+            self.first_bucket = first_bucket
+            self.found = max((0, *self.longest.since(now - REMEMBERED)))
+        return self.found
 
 
 def attempt_until(asked_at: int, left: int, deadline: int, standstill: float) -> float:
