--- a/flaxscale/platform/localerrors.py
+++ b/flaxscale/platform/localerrors.py
@@ -18,13 +18,8 @@
         errno.EACCES,
     }
 )
-DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
 
 
 def is_local(error: BaseException | None) -> bool:
     """Whether an OSError is this machine's own."""
     return getattr(error, "errno", None) in LOCAL
-
-
-def lacks_descriptors(error: BaseException | None) -> bool:
-    return getattr(error, "errno", None) in DESCRIPTORS
