--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -372,7 +372,18 @@
         await self.start(1)
         heard = []
         self.host.runner.tap = lambda now, event, acts: heard.append(event)
-        for number in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN):
+        for number in (
+            errno.EMFILE,
+            errno.ENFILE,
+            errno.ENOBUFS,
+            errno.ENOMEM,
+            errno.EADDRNOTAVAIL,
+            errno.EADDRINUSE,
+            errno.EAGAIN,
+            errno.EINTR,
+            errno.EPERM,
+            errno.EACCES,
+        ):
             with self.subTest(errno=errno.errorcode[number]):
                 heard.clear()
                 self.fail_dials(number)
