--- a/bench/fleetlogs.py
+++ b/bench/fleetlogs.py
@@ -5,13 +5,14 @@
 FOLDER has one log a manager, as `lbreal --logs FOLDER` keeps them: JSON lines, each behind the bench's time. A manager
 counts in each of its lives; the last line of state of a life has its sums. Figures of belief are means of those lines.
 """
+
 import json
 import pathlib
 from collections import Counter
 
 import click
 
-SAYS = "state", "over"          # lines with all counts of a life
+SAYS = "state", "over"  # lines with all counts of a life
 
 
 def rows_of(file):
@@ -27,7 +28,13 @@
 class Fleet:
     def __init__(self, folder):
         self.counts, self.lives, self.levels, self.belief, self.lines, self.peak = (
-            Counter(), 0, Counter(), [], Counter(), Counter())
+            Counter(),
+            0,
+            Counter(),
+            [],
+            Counter(),
+            Counter(),
+        )
         files = sorted(pathlib.Path(folder).rglob("*.log"))
         if not files:
             raise click.UsageError(f"{folder}: no *.log")
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -3,6 +3,7 @@
 With a third argument it gathers what comes for so many seconds before it sends it on, as the front's slot does:
 gathering alone saves passes of the event loop, which is no merit of a decision.
 """
+
 import asyncio
 import itertools
 import json
@@ -29,8 +30,9 @@
             have.set_result(None)
 
     host, _, port = list_address.rpartition(":")
-    stream = EventStream(host, int(port), "/boxes", [("Flaxscale-Manager", "relay")], lambda: None, heard,
-                         lambda refused, detail: None)
+    stream = EventStream(
+        host, int(port), "/boxes", [("Flaxscale-Manager", "relay")], lambda: None, heard, lambda refused, detail: None
+    )
     stream.start(2.0)
     await have
     turn, ends, gathered = itertools.count(), {}, []
@@ -38,8 +40,14 @@
     def end_all():
         """What was deleted within a slot's length is ended in one request a box, so that ends cost next to nothing."""
         for n, keys in ends.items():
-            pool.send(*places[n], "POST", "/manager/orders", [("Flaxscale-Manager", "relay")],
-                      json.dumps({"end": keys}).encode(), lambda result: None)
+            pool.send(
+                *places[n],
+                "POST",
+                "/manager/orders",
+                [("Flaxscale-Manager", "relay")],
+                json.dumps({"end": keys}).encode(),
+                lambda result: None,
+            )
         ends.clear()
 
     def handle(exchange):
@@ -74,8 +82,16 @@
                 return
             rows = [(k, v) for k, v in result.headers.items() if k in ("content-type", "etag")]
             exchange.respond(result.status, [*rows, ("Location", f"/session/{n}/{key}")], result.body)
-        pool.send(*places[n], "POST", target,
-                  [("Content-Type", "application/sdp"), ("Idempotency-Key", f'"{key}"')], exchange.request.body, came)
+
+        pool.send(
+            *places[n],
+            "POST",
+            target,
+            [("Content-Type", "application/sdp"), ("Idempotency-Key", f'"{key}"')],
+            exchange.request.body,
+            came,
+        )
+
     server = Server(handle, Limits())
     ready(*await server.listen("127.0.0.1", 0))
     await asyncio.Event().wait()
--- a/flaxscale/admission/gate.py
+++ b/flaxscale/admission/gate.py
@@ -16,31 +16,32 @@
 Hold-offs are spread by chance over half their length and more, so that a crowd does not come back as one.
 Times are tenths of a millisecond; chance by crc32 over seed and counter.
 """
+
 from typing import NamedTuple
 from zlib import crc32
 
 from ..chance import drawn
 
-SPAN = 1_000                    # lag is judged over a tenth of a second
-LAG = 800                       # least lag in a span that means overload
-LESS, MORE = 0.7, 0.05          # of the rate: kept in an overloaded span, gained in a good one
-LEAST = 20.0                    # requests a second are taken whatever the lag
-OPEN = 3.0                      # the gate opens wholly when the rate is so many times what comes
-USUAL = 0.1                     # weight of the last answer in the usual one
-CLIENTS = 1 << 16               # counters of clients; two that share one share its allowance
-MEAN_EVERY = 10                 # spans between two reckonings of what clients ask in the mean
-FORGET = 20_000                 # a client's count is halved in each two seconds
-MEMORY = 300_000                # a refusal is known for half a minute: the next one within it doubles the hold-off
-SPARE, MANY = 0.25, 0.6         # of the tokens: left for a further try, for a client over its share
-SHARE = 2.0                     # times the mean of clients lately: more than its share
-TITLE_PART, CHEAP = 0.5, 0.5    # of all taken lately, by worth: a title's crowd; of the usual worth: little
-ALL = "all"                     # the count of what was taken of any title
-WORTH = 0.02                    # weight of the last request in the usual worth
-HOLD, DOUBLINGS = 2_000, 5      # the first hold-off, and how often it doubles
+SPAN = 1_000  # lag is judged over a tenth of a second
+LAG = 800  # least lag in a span that means overload
+LESS, MORE = 0.7, 0.05  # of the rate: kept in an overloaded span, gained in a good one
+LEAST = 20.0  # requests a second are taken whatever the lag
+OPEN = 3.0  # the gate opens wholly when the rate is so many times what comes
+USUAL = 0.1  # weight of the last answer in the usual one
+CLIENTS = 1 << 16  # counters of clients; two that share one share its allowance
+MEAN_EVERY = 10  # spans between two reckonings of what clients ask in the mean
+FORGET = 20_000  # a client's count is halved in each two seconds
+MEMORY = 300_000  # a refusal is known for half a minute: the next one within it doubles the hold-off
+SPARE, MANY = 0.25, 0.6  # of the tokens: left for a further try, for a client over its share
+SHARE = 2.0  # times the mean of clients lately: more than its share
+TITLE_PART, CHEAP = 0.5, 0.5  # of all taken lately, by worth: a title's crowd; of the usual worth: little
+ALL = "all"  # the count of what was taken of any title
+WORTH = 0.02  # weight of the last request in the usual worth
+HOLD, DOUBLINGS = 2_000, 5  # the first hold-off, and how often it doubles
 
 
 class Refused(NamedTuple):
-    why: str                    # behind, late, again
+    why: str  # behind, late, again
     hold_off: int
 
 
@@ -63,8 +64,7 @@
         count = self.at(key, now) + 1
         self.rows[key] = count, now
         if len(self.rows) > CLIENTS:
-            self.rows = {k: row for k, row in self.rows.items()
-                         if row[0] * 0.5 ** ((now - row[1]) / self.half) > 0.25}
+            self.rows = {k: row for k, row in self.rows.items() if row[0] * 0.5 ** ((now - row[1]) / self.half) > 0.25}
             while len(self.rows) > CLIENTS:
                 del self.rows[next(iter(self.rows))]
         return count
@@ -74,15 +74,15 @@
     def __init__(self, seed, on=True):
         """on: False takes everything, for comparison."""
         self.seed, self.draws, self.on = seed, 0, on
-        self.rate = self.tokens = None      # requests a second that are taken; None: all
+        self.rate = self.tokens = None  # requests a second that are taken; None: all
         self.span_at, self.least, self.came, self.taken, self.token_at = None, None, 0, 0, 0
-        self.usual = 0.0                    # what an answer usually takes
+        self.usual = 0.0  # what an answer usually takes
         self.asked, self.titles = Counts(FORGET), Counts(FORGET)
-        self.worth = None                   # what is asked for is usually worth
-        self.told = {}                      # client: (until when it was told to stay away, how often in a row)
-        self.spans, self.mean = 0, 1.0      # of what clients asked lately
+        self.worth = None  # what is asked for is usually worth
+        self.told = {}  # client: (until when it was told to stay away, how often in a row)
+        self.spans, self.mean = 0, 1.0  # of what clients asked lately
         self.refused = dict.fromkeys(("behind", "late", "again"), 0)
-        self.lag = 0                        # the least of the last span, as last judged
+        self.lag = 0  # the least of the last span, as last judged
 
     def chance(self):
         self.draws += 1
@@ -106,7 +106,7 @@
         """Once a span: the rate for the next."""
         span, before, self.lag = max(1, now - self.span_at) / 10_000, self.lag, self.least
         if self.least > LAG:
-            if self.rate is None or self.least >= before:       # else it is on its way down
+            if self.rate is None or self.least >= before:  # else it is on its way down
                 served = self.taken / span
                 self.rate = max(LEAST, LESS * (served if self.rate is None else min(self.rate, served)))
             self.tokens = min(self.tokens or 0.0, 1.0)
@@ -137,15 +137,17 @@
         self.worth = worth if self.worth is None else self.worth + WORTH * (worth - self.worth)
         mark = crc32(title.encode()) % CLIENTS if title else None
         crowd = title and self.titles.at(mark, now) * self.worth / worth > TITLE_PART * max(
-            1.0, self.titles.at(ALL, now))
+            1.0, self.titles.at(ALL, now)
+        )
         key = crc32(client.encode()) % CLIENTS
         count = self.asked.add(key, now)
         if now < self.told.get(key, (0, 0))[0]:
             return self.refuse("again", now, key)
         if left < self.lag + self.usual:
             return self.refuse("late", now, key)
-        if self.rate is not None and not self.token(now, again or worth < CHEAP * self.worth,
-                                                    crowd or count > SHARE * self.mean):
+        if self.rate is not None and not self.token(
+            now, again or worth < CHEAP * self.worth, crowd or count > SHARE * self.mean
+        ):
             return self.refuse("behind", now, key)
         self.taken += 1
         for one in (mark, ALL) if title else (ALL,):
@@ -173,5 +175,10 @@
         return Refused(why, hold)
 
     def state(self):
-        return {"on": self.on, "rate": None if self.rate is None else round(self.rate, 1), "lag_ms": self.lag / 10,
-                "usual_answer_ms": round(self.usual / 10, 1), "refused": self.refused}
+        return {
+            "on": self.on,
+            "rate": None if self.rate is None else round(self.rate, 1),
+            "lag_ms": self.lag / 10,
+            "usual_answer_ms": round(self.usual / 10, 1),
+            "refused": self.refused,
+        }
--- a/flaxscale/audit/account.py
+++ b/flaxscale/audit/account.py
@@ -5,6 +5,7 @@
 dropped and their count is put down in their place. Of what is written the last KEEP rows are kept, in two halves. An
 account that can't be read is not used and left as it is; a failing disk ends it for this life. Both are said.
 """
+
 import msgspec
 
 from ..store.log import Log
@@ -17,9 +18,10 @@
 
 class Began(msgspec.Struct, array_like=True, tag="l"):
     """A life of the manager."""
+
     manager: str
     life: str
-    at: int                     # tenths of a millisecond of its steady clock, as all times here
+    at: int  # tenths of a millisecond of its steady clock, as all times here
 
 
 class Stamped(msgspec.Struct, array_like=True, tag="s"):
@@ -30,10 +32,11 @@
 
 class Did(msgspec.Struct, array_like=True, tag="d"):
     """kind: setup, claim, end, rung (key: the set-up's name), answer (key: the viewing's), refusal (key: a trace)."""
+
     kind: str
     key: str
-    box: int                    # 0: none
-    number: int                 # of the stamp
+    box: int  # 0: none
+    number: int  # of the stamp
     at: int
 
 
@@ -80,7 +83,7 @@
             self.log.commit()
             self.rows += rows
             if len(self.rows) >= KEEP:
-                self.rows = [*heads(self.rows[:-KEEP // 2]), *self.rows[-KEEP // 2:]]
+                self.rows = [*heads(self.rows[: -KEEP // 2]), *self.rows[-KEEP // 2 :]]
                 self.log.snapshot(msgspec.msgpack.encode(Kept(SHAPE, self.rows)))
         except OSError as bad:
             self.failed = bad
--- a/flaxscale/audit/stamp.py
+++ b/flaxscale/audit/stamp.py
@@ -4,6 +4,7 @@
 later start of the box; after that its number does. Who hears a number alone and never the whole knows who acted, under
 the same versions as with that number before and after, and not which these were.
 """
+
 import base64
 import re
 
@@ -14,18 +15,19 @@
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True):
     """Versions in force at a manager. None: it has none of that sort, or was told none yet."""
+
     build: str
-    settings: str               # mark of their content
+    settings: str  # mark of their content
     list_version: int | None
-    catalogue: tuple[str, int] | None       # epoch, version
+    catalogue: tuple[str, int] | None  # epoch, version
     peaks: int | None
-    members: str                # mark of who lives, as this manager sees it
-    floor: int = 0              # the lowest version that may be acted on, of the catalogue's epoch; 0: none stands
+    members: str  # mark of who lives, as this manager sees it
+    floor: int = 0  # the lowest version that may be acted on, of the catalogue's epoch; 0: none stands
 
 
 class Stamps:
     def __init__(self):
-        self.number, self.current, self.known = 0, None, {}     # known: {box: (its start, number)} it answered under
+        self.number, self.current, self.known = 0, None, {}  # known: {box: (its start, number)} it answered under
 
     def take(self, stamp):
         """The number in force from now on; (number, whether it is a new one)."""
--- a/flaxscale/catalogue/digest.py
+++ b/flaxscale/catalogue/digest.py
@@ -4,6 +4,7 @@
 Paradigm for Collision-Free Hashing: Incrementality at Reduced Cost", EUROCRYPT 1997, with a hash that is not against
 forgers: who may talk to managers at all has a key). It guards against what is damaged, mixed up or of another life.
 """
+
 import msgspec
 import xxhash
 
--- a/flaxscale/catalogue/files.py
+++ b/flaxscale/catalogue/files.py
@@ -1,4 +1,5 @@
 """Catalogues as files: Jsonnet for people, Parquet for large ones; and the operations that make one so."""
+
 import pathlib
 
 import msgspec
@@ -9,6 +10,7 @@
 
 class TitleRow(msgspec.Struct, forbid_unknown_fields=True):
     """One title of a Jsonnet file. holders: a list of boxes that hold it, or box to state."""
+
     view: str | None = None
     push: str | None = None
     low: int = 0
@@ -27,9 +29,19 @@
     if pathlib.Path(file).suffix == ".parquet":
         return read_parquet(file)
     rows = shape(file, evaluate(file), CatalogueFile).titles
-    return [Put(name, r.view, r.push, r.low, r.top, tuple(r.codecs), r.seats,
-                {str(b): HOLDING for b in r.holders} if isinstance(r.holders, list) else r.holders)
-            for name, r in rows.items()]
+    return [
+        Put(
+            name,
+            r.view,
+            r.push,
+            r.low,
+            r.top,
+            tuple(r.codecs),
+            r.seats,
+            {str(b): HOLDING for b in r.holders} if isinstance(r.holders, list) else r.holders,
+        )
+        for name, r in rows.items()
+    ]
 
 
 COLUMNS = {"name": str, "view": str, "push": str, "low": int, "top": int, "codecs": list, "holders": list}
@@ -39,6 +51,7 @@
     """One row a title: name, view, push (strings), low, top (whole numbers), codecs, holders (lists)."""
     import pyarrow
     import pyarrow.parquet
+
     try:
         table = pyarrow.parquet.read_table(file)
     except (OSError, pyarrow.ArrowException) as bad:
@@ -60,22 +73,41 @@
         seen[name] = n
         if not all(isinstance(b, int) for b in row["holders"]):
             raise SiteError(file, f"row {n}, column holders", "box ids expected")
-        out.append(Put(name, row.get("view"), row.get("push"), row.get("low") or 0,
-                       99 if row.get("top") is None else row["top"], tuple(row.get("codecs") or ()), {},
-                       {str(b): HOLDING for b in row["holders"]}))
+        out.append(
+            Put(
+                name,
+                row.get("view"),
+                row.get("push"),
+                row.get("low") or 0,
+                99 if row.get("top") is None else row["top"],
+                tuple(row.get("codecs") or ()),
+                {},
+                {str(b): HOLDING for b in row["holders"]},
+            )
+        )
     return out
 
 
 def write_parquet(file, titles):
     import pyarrow
     import pyarrow.parquet
+
     rows = list(titles)
-    pyarrow.parquet.write_table(pyarrow.table({
-        "name": [t.name for t in rows], "view": pyarrow.array([t.view for t in rows], pyarrow.string()),
-        "push": pyarrow.array([t.push for t in rows], pyarrow.string()), "low": [t.low for t in rows],
-        "top": [t.top for t in rows],
-        "codecs": pyarrow.array([list(t.codecs) for t in rows], pyarrow.list_(pyarrow.string())),
-        "holders": [[b for b, s in t.holders if s == HOLDING] for t in rows]}), file, compression="zstd")
+    pyarrow.parquet.write_table(
+        pyarrow.table(
+            {
+                "name": [t.name for t in rows],
+                "view": pyarrow.array([t.view for t in rows], pyarrow.string()),
+                "push": pyarrow.array([t.push for t in rows], pyarrow.string()),
+                "low": [t.low for t in rows],
+                "top": [t.top for t in rows],
+                "codecs": pyarrow.array([list(t.codecs) for t in rows], pyarrow.list_(pyarrow.string())),
+                "holders": [[b for b, s in t.holders if s == HOLDING] for t in rows],
+            }
+        ),
+        file,
+        compression="zstd",
+    )
 
 
 def read_ops(file):
--- a/flaxscale/catalogue/keep.py
+++ b/flaxscale/catalogue/keep.py
@@ -1,10 +1,11 @@
 """The service's catalogue on its durable log: a change is acknowledged when it is durable, and not before."""
+
 from ..store.log import Log
 from .state import Catalogue, Delta, decode_delta, decode_whole, encode_delta, encode_whole, undo
 
-SNAPSHOT_EVERY = 2_000          # changes; a start reads at most so many after its snapshot
-DONE = 20_000               # changes that are known by their clients' ids
-HISTORY = 20_000                # versions that a watcher may have been away for and still get as deltas
+SNAPSHOT_EVERY = 2_000  # changes; a start reads at most so many after its snapshot
+DONE = 20_000  # changes that are known by their clients' ids
+HISTORY = 20_000  # versions that a watcher may have been away for and still get as deltas
 
 
 class Keeper:
@@ -15,8 +16,8 @@
         found = self.log.found
         version, titles, floor, done = decode_whole(found.snapshot) if found.snapshot is not None else (0, {}, 0, [])
         self.now = Catalogue(frame, version, titles, floor)
-        self.history = {}           # version: (Delta, who, why, titles before)
-        self.done = {id: (version, changed) for id, version, changed in done}      # by the client's own id
+        self.history = {}  # version: (Delta, who, why, titles before)
+        self.done = {id: (version, changed) for id, version, changed in done}  # by the client's own id
         for _, content in found.records:
             delta, who, why, id = decode_delta(content)
             if delta.version != self.now.version + 1:
@@ -79,8 +80,11 @@
     def compact(self):
         """The state whole; the records before it go. OSError: nothing more is taken. Not while something is staged."""
         if not self.staged:
-            self.log.snapshot(encode_whole(self.now.version, self.now.titles, self.now.floor,
-                                           [(id, *what) for id, what in self.done.items()]))
+            self.log.snapshot(
+                encode_whole(
+                    self.now.version, self.now.titles, self.now.floor, [(id, *what) for id, what in self.done.items()]
+                )
+            )
 
     def since(self, version):
         """Deltas after a version up to the settled one, or None where they are no longer all known."""
--- a/flaxscale/catalogue/plan.py
+++ b/flaxscale/catalogue/plan.py
@@ -6,6 +6,7 @@
 Shares of demand are the solver's; where a viewing really goes is the managers' greedy choice, so that the expected
 gain is a bound on what copies can do, not a forecast.
 """
+
 import math
 from typing import NamedTuple
 
@@ -14,37 +15,38 @@
 
 from .state import HOLDING, LEAVING, Hold
 
-SURGE_WEIGHT = 0.25             # of value served only in a surge
-CHOICE = 0.1                    # of a title's value: what copies up to its part of all room are worth as choice
-MOVE_COST = 1e-4                # of the whole demand's value, for each copy added; a tenth of it for one dropped
+SURGE_WEIGHT = 0.25  # of value served only in a surge
+CHOICE = 0.1  # of a title's value: what copies up to its part of all room are worth as choice
+MOVE_COST = 1e-4  # of the whole demand's value, for each copy added; a tenth of it for one dropped
 
 
 class Shelf(NamedTuple):
     """One box as the planner sees it."""
+
     id: int
     link_kb: float
     rack: int
-    room: int                   # titles that it can hold
+    room: int  # titles that it can hold
 
 
 class Question(NamedTuple):
-    boxes: tuple                # Shelf
-    uplinks: dict               # rack: kB a second
-    demand: dict                # title: kB a second
-    value: dict                 # title: value of a kB served; 1 if left out
-    moves: int                  # copies added at most
+    boxes: tuple  # Shelf
+    uplinks: dict  # rack: kB a second
+    demand: dict  # title: kB a second
+    value: dict  # title: value of a kB served; 1 if left out
+    moves: int  # copies added at most
     copies: int = 3
     stress: float = 1.5
 
 
 class Plan(NamedTuple):
-    add: list                   # (title, box)
+    add: list  # (title, box)
     drop: list
-    before: float               # share of the demand's value that the present holders can carry
+    before: float  # share of the demand's value that the present holders can carry
     after: float
-    before_surge: float         # the same of the surge's
+    before_surge: float  # the same of the surge's
     after_surge: float
-    gap: float                  # how far the solver may be from its best, as a share
+    gap: float  # how far the solver may be from its best, as a share
     seconds: float
 
     def ops(self):
@@ -110,8 +112,9 @@
         members = [j for j, b in enumerate(boxes) if b.rack == rack]
         rows.add([(shares + i * nb + j, 1.0) for i in range(nt) for j in members], -inf, float(kb))
     if not fixed:
-        new = [(copies + i * nb + j, 1.0) for i, t in enumerate(titles) for j, b in enumerate(boxes)
-               if b.id not in held[t]]
+        new = [
+            (copies + i * nb + j, 1.0) for i, t in enumerate(titles) for j, b in enumerate(boxes) if b.id not in held[t]
+        ]
         rows.add(new, -inf, float(question.moves))
     lp = highspy.HighsLp()
     lp.num_col_, lp.num_row_, lp.sense_ = columns, len(rows.low), highspy.ObjSense.kMaximize
@@ -121,31 +124,41 @@
     lp.a_matrix_.start_, lp.a_matrix_.index_ = numpy.array(rows.start), numpy.array(rows.index)
     lp.a_matrix_.value_ = numpy.array(rows.value)
     if not fixed:
-        lp.integrality_ = [highspy.HighsVarType.kInteger] * (nt * nb) + [
-            highspy.HighsVarType.kContinuous] * (columns - nt * nb)
+        lp.integrality_ = [highspy.HighsVarType.kInteger] * (nt * nb) + [highspy.HighsVarType.kContinuous] * (
+            columns - nt * nb
+        )
     h = highspy.Highs()
     h.setOptionValue("output_flag", False)
     h.setOptionValue("time_limit", float(seconds))
     h.setOptionValue("mip_rel_gap", gap)
     h.setOptionValue("random_seed", 1)
     h.passModel(lp)
-    if not fixed:           # the present copies are a start: the plan is never worse than they are
+    if not fixed:  # the present copies are a start: the plan is never worse than they are
         start = highspy.HighsSolution()
-        start.col_value = [float(boxes[n % nb].id in held[titles[n // nb]]) if n < nt * nb else 0.0
-                           for n in range(columns)]
+        start.col_value = [
+            float(boxes[n % nb].id in held[titles[n // nb]]) if n < nt * nb else 0.0 for n in range(columns)
+        ]
         h.setSolution(start)
     h.run()
     status, info = h.getModelStatus(), h.getInfo()
     if status not in (highspy.HighsModelStatus.kOptimal, highspy.HighsModelStatus.kTimeLimit) or not math.isfinite(
-            info.objective_function_value):
-        raise ValueError(f"no plan fits: {h.modelStatusToString(status)}; "
-                         f"{question.copies} copies in two racks need room on the boxes and moves enough")
+        info.objective_function_value
+    ):
+        raise ValueError(
+            f"no plan fits: {h.modelStatusToString(status)}; "
+            f"{question.copies} copies in two racks need room on the boxes and moves enough"
+        )
     x = numpy.array(h.getSolution().col_value)
     served = sum(question.value.get(t, 1.0) * x[base + i] for i, t in enumerate(titles)) / whole
     more = sum(question.value.get(t, 1.0) * x[surge + i] for i, t in enumerate(titles)) / whole
     found = {t: {boxes[j].id for j in range(nb) if x[copies + i * nb + j] > 0.5} for i, t in enumerate(titles)}
-    return (float(served), float(more / max(1e-9, question.stress - 1)), found,
-            0.0 if fixed else float(info.mip_gap), float(h.getRunTime()))
+    return (
+        float(served),
+        float(more / max(1e-9, question.stress - 1)),
+        found,
+        0.0 if fixed else float(info.mip_gap),
+        float(h.getRunTime()),
+    )
 
 
 def plan(question, held, seconds=20.0, gap=0.005):
--- a/flaxscale/catalogue/spread.py
+++ b/flaxscale/catalogue/spread.py
@@ -5,12 +5,13 @@
 last good one; after a refusal it gets nothing more until a later version, as a whole, may mend it. Epochs tell two
 services' (or two lives' of a restored one) versions apart.
 """
+
 from typing import NamedTuple
 
 from . import digest
 
-PART = 2_000                    # titles in one part of a whole
-AHEAD = 64                      # messages that a watcher may be behind with its acknowledgements
+PART = 2_000  # titles in one part of a whole
+AHEAD = 64  # messages that a watcher may be behind with its acknowledgements
 
 
 class Whole(NamedTuple):
@@ -26,7 +27,7 @@
 
     def __init__(self, name, role, epoch, version, ours):
         self.name, self.role = name, role
-        self.sent = version if epoch == ours else None      # the version that all we sent amounts to
+        self.sent = version if epoch == ours else None  # the version that all we sent amounts to
         self.acked, self.refused, self.why = version if epoch == ours else None, None, ""
         self.parts, self.unacked, self.in_use, self.heard_at = None, 0, {}, None
 
@@ -39,9 +40,12 @@
         deltas = keeper.since(self.sent) if self.sent is not None and self.refused is None else None
         if deltas is None:
             self.refused, self.why = None, ""
-            titles = list(keeper.now.titles.values()) if keeper.staged == 0 else list(
-                keeper.titles_at(keeper.settled).values())
-            parts = [titles[n:n + PART] for n in range(0, len(titles), PART)] or [[]]
+            titles = (
+                list(keeper.now.titles.values())
+                if keeper.staged == 0
+                else list(keeper.titles_at(keeper.settled).values())
+            )
+            parts = [titles[n : n + PART] for n in range(0, len(titles), PART)] or [[]]
             self.parts = keeper.settled, parts, 0, keeper.floor
             return self.part()
         if not deltas:
@@ -78,7 +82,7 @@
 
     def __init__(self, check=lambda titles: None):
         self.check, self.epoch, self.version, self.titles, self.parts = check, None, None, {}, None
-        self.floor, self.sum = 0, 0     # the lowest version that may be acted on; of all titles, to compare by
+        self.floor, self.sum = 0, 0  # the lowest version that may be acted on; of all titles, to compare by
 
     def load(self, epoch, version, titles, floor=0):
         self.epoch, self.version, self.titles, self.floor = epoch, version, titles, floor
@@ -88,7 +92,7 @@
         if epoch != self.epoch or self.version is None or delta.version > self.version + 1:
             raise Gap(f"version {delta.version} of {epoch} on {self.version} of {self.epoch}")
         if delta.version <= self.version:
-            return None                     # told again
+            return None  # told again
         self.check(delta.titles)
         self.sum, self.floor = digest.moved(self.sum, self.titles, delta.titles), max(self.floor, delta.floor)
         for name, title in delta.titles.items():
@@ -107,12 +111,12 @@
             self.parts = None
             raise Gap(f"a part of version {message.version} without its beginning")
         self.parts[2].update((t.name, t) for t in message.titles)
-        self.parts[3][0] += digest.of(message.titles)       # by part, so that a large one holds up nothing
+        self.parts[3][0] += digest.of(message.titles)  # by part, so that a large one holds up nothing
         if not message.last:
             return None
         (_, version, titles, (total,)), self.parts = self.parts, None
         if epoch == self.epoch and self.version is not None and version < self.version:
-            return None                     # an old stream's; we are ahead of it
+            return None  # an old stream's; we are ahead of it
         self.check(titles)
         old, self.titles = self.titles, titles
         self.floor = max(self.floor, message.floor) if epoch == self.epoch else message.floor
--- a/flaxscale/catalogue/state.py
+++ b/flaxscale/catalogue/state.py
@@ -4,6 +4,7 @@
 gone is no holder. The state is a mapping of immutable titles, so that a version costs only what changed in it and
 any number of readers may keep an old one.
 """
+
 from typing import NamedTuple
 
 import msgspec
@@ -17,14 +18,15 @@
 
 class Title(msgspec.Struct, frozen=True, gc=False):
     """One title. Packages are names; rungs are those that exist for it, low to top without a gap."""
+
     name: str
     view: str | None
     push: str | None
     low: int
     top: int
     codecs: tuple[str, ...]
-    seats: tuple[tuple[str, int], ...]      # by package, where they differ from the package's own
-    holders: tuple[tuple[int, str], ...]    # (box, state), by box
+    seats: tuple[tuple[str, int], ...]  # by package, where they differ from the package's own
+    holders: tuple[tuple[int, str], ...]  # (box, state), by box
 
     def may_take(self):
         """Boxes to which new set-ups may go."""
@@ -33,6 +35,7 @@
 
 class Put(msgspec.Struct, frozen=True, tag="put", forbid_unknown_fields=True):
     """A title as a whole: new, or in place of what it was (its holders too, where some are given)."""
+
     name: str
     view: str | None = None
     push: str | None = None
@@ -40,7 +43,7 @@
     top: int = 99
     codecs: tuple[str, ...] = ()
     seats: dict[str, int] = {}
-    holders: dict[str, str] | None = None   # box to state; None: as they were
+    holders: dict[str, str] | None = None  # box to state; None: as they were
 
 
 class Drop(msgspec.Struct, frozen=True, tag="drop", forbid_unknown_fields=True):
@@ -49,6 +52,7 @@
 
 class Hold(msgspec.Struct, frozen=True, tag="hold", forbid_unknown_fields=True):
     """One holder's state; gone takes it out."""
+
     name: str
     box: int
     state: str
@@ -56,6 +60,7 @@
 
 class Seats(msgspec.Struct, frozen=True, tag="seats", forbid_unknown_fields=True):
     """Seats of one title in one package; None: the package's own again."""
+
     name: str
     package: str
     seats: int | None
@@ -63,6 +68,7 @@
 
 class Rungs(msgspec.Struct, frozen=True, tag="rungs", forbid_unknown_fields=True):
     """The rungs that exist for a title: a rendition comes or is withdrawn."""
+
     name: str
     low: int
     top: int
@@ -73,13 +79,14 @@
 
 class Frame(NamedTuple):
     """What of the site a catalogue must fit: floors and seats by package, and the number of rungs."""
+
     floors: dict
-    seated: frozenset           # packages that have seats
+    seated: frozenset  # packages that have seats
     rungs: int
 
 
 class Fault(NamedTuple):
-    op: int                     # number of the operation in the change set; -1: of the whole
+    op: int  # number of the operation in the change set; -1: of the whole
     title: str
     detail: str
 
@@ -91,8 +98,9 @@
     """The change set does not fit. Names every fault."""
 
     def __init__(self, faults):
-        super().__init__("; ".join(str(f) for f in faults[:5])
-                         + (f" (and {len(faults) - 5} more)" if len(faults) > 5 else ""))
+        super().__init__(
+            "; ".join(str(f) for f in faults[:5]) + (f" (and {len(faults) - 5} more)" if len(faults) > 5 else "")
+        )
         self.faults = faults
 
 
@@ -106,9 +114,10 @@
 
 class Delta(NamedTuple):
     """What one version changed: titles as they are now; None: dropped."""
+
     version: int
     titles: dict
-    floor: int = 0              # the lowest version that may be acted on, where this version raises it
+    floor: int = 0  # the lowest version that may be acted on, where this version raises it
 
 
 class Catalogue:
@@ -145,7 +154,7 @@
             raise Refused(sorted(faults))
         changed = {name: t for name, t in changed.items() if t != self.titles.get(name)}
         if not changed:
-            return Delta(self.version, {})      # nothing differs: no version for it
+            return Delta(self.version, {})  # nothing differs: no version for it
         delta = Delta(self.version + 1, changed)
         self.take(delta)
         return delta
@@ -194,8 +203,16 @@
             if bad := [box for box in op.holders if not (box.isascii() and box.isdigit())]:
                 raise ValueError(f"{bad[0][:20]!r} is no box id")
             holders = tuple(sorted((int(box), state) for box, state in op.holders.items() if state != "gone"))
-        return Title(op.name, op.view, op.push, op.low, min(op.top, self.frame.rungs - 1), op.codecs,
-                     tuple(sorted(op.seats.items())), holders)
+        return Title(
+            op.name,
+            op.view,
+            op.push,
+            op.low,
+            min(op.top, self.frame.rungs - 1),
+            op.codecs,
+            tuple(sorted(op.seats.items())),
+            holders,
+        )
 
     def check(self, t, in_use, force):
         """What is wrong with a title as it would be; each sentence for people."""
@@ -235,8 +252,11 @@
 
 def diff(old, new):
     """{title: (before, after)} of two mappings of titles."""
-    return {name: (old.get(name), new.get(name)) for name in sorted(old.keys() | new.keys())
-            if old.get(name) != new.get(name)}
+    return {
+        name: (old.get(name), new.get(name))
+        for name in sorted(old.keys() | new.keys())
+        if old.get(name) != new.get(name)
+    }
 
 
 def undo(old, new):
@@ -265,7 +285,7 @@
     titles: list[Title]
     dropped: list[str]
     floor: int = 0
-    id: str = ""                # by which its client asked for it
+    id: str = ""  # by which its client asked for it
 
 
 class KeptWhole(msgspec.Struct, array_like=True):
@@ -273,13 +293,22 @@
     version: int
     titles: list[Title]
     floor: int = 0
-    done: list[tuple[str, int, int]] = []       # of clients' changes: id, the version that each made, titles changed
+    done: list[tuple[str, int, int]] = []  # of clients' changes: id, the version that each made, titles changed
 
 
 def encode_delta(delta, who="", why="", id=""):
-    return msgspec.msgpack.encode(KeptDelta(SHAPE, delta.version, who, why,
-                                            [t for t in delta.titles.values() if t is not None],
-                                            [n for n, t in delta.titles.items() if t is None], delta.floor, id))
+    return msgspec.msgpack.encode(
+        KeptDelta(
+            SHAPE,
+            delta.version,
+            who,
+            why,
+            [t for t in delta.titles.values() if t is not None],
+            [n for n, t in delta.titles.items() if t is None],
+            delta.floor,
+            id,
+        )
+    )
 
 
 def decode_delta(data):
--- a/flaxscale/catalogue/view.py
+++ b/flaxscale/catalogue/view.py
@@ -3,17 +3,19 @@
 The module hears of a title when it is first asked for, and of each change while it knows it: a catalogue of 200,000
 titles costs it no more than those that are watched.
 """
+
 from typing import NamedTuple
 
 import xxhash
 
 from .. import interface as face
 
-FORGET = 6_000_000              # a title not asked for in ten minutes is forgotten by the module
+FORGET = 6_000_000  # a title not asked for in ten minutes is forgotten by the module
 
 
 class Entry(NamedTuple):
     """What the front needs of a title to take a request."""
+
     title: int
     view: str | None
     push: str | None
@@ -29,8 +31,10 @@
     """Titles from the site file alone: cells in a row hold them, and nothing changes."""
 
     def __init__(self, site):
-        self.entries = {name: Entry(title_id(name), row.view, row.push, row.first_cell, row.cells)
-                        for name, row in site.titles.items()}
+        self.entries = {
+            name: Entry(title_id(name), row.view, row.push, row.first_cell, row.cells)
+            for name, row in site.titles.items()
+        }
 
     def look(self, name, now):
         return self.entries.get(name)
@@ -58,8 +62,13 @@
     def event(self, name, title):
         if title is None:
             return face.Catalogued(title_id(name), frozenset(), 0, 0, ())
-        return face.Catalogued(title_id(name), title.may_take(), title.low, title.top,
-                               tuple((self.packages[p], n) for p, n in title.seats if p in self.packages))
+        return face.Catalogued(
+            title_id(name),
+            title.may_take(),
+            title.low,
+            title.top,
+            tuple((self.packages[p], n) for p, n in title.seats if p in self.packages),
+        )
 
     def news(self, name):
         """The event to tell now, or None where the module knows this title as it is."""
--- a/flaxscale/catalogued/client.py
+++ b/flaxscale/catalogued/client.py
@@ -1,4 +1,5 @@
 """The operators' side of the catalogue service: one call, one answer, errors in plain words."""
+
 import asyncio
 import secrets
 
@@ -53,9 +54,19 @@
 
     async def change(self, ops, expect=None, force=False, dry=False, who="", why="", id=None, again_s=0.0):
         """The ChangeReply. ops: operations of catalogue.state. id: the change's own; drawn where it is left out."""
-        return await self.call("Change", pb.ChangeRequest(
-            ops=msgspec.json.encode(ops), expect=expect, force=force, dry=dry, who=who, why=why,
-            id="" if dry else id or new_id()), again_s=again_s)
+        return await self.call(
+            "Change",
+            pb.ChangeRequest(
+                ops=msgspec.json.encode(ops),
+                expect=expect,
+                force=force,
+                dry=dry,
+                who=who,
+                why=why,
+                id="" if dry else id or new_id(),
+            ),
+            again_s=again_s,
+        )
 
     async def get(self, version=None, titles=()):
         """(version, {name: Title})."""
--- a/flaxscale/catalogued/leases.py
+++ b/flaxscale/catalogued/leases.py
@@ -3,6 +3,7 @@
 A grant, a fence that has moved and what an act did are one record each in a log of their own; one sync makes all that
 came within GATHER_S durable, and only then is any of it told. Who may hold what is leases.granter's.
 """
+
 import asyncio
 import json
 import time
@@ -20,13 +21,14 @@
 
 GATHER_S = 0.002
 SNAPSHOT_EVERY = 2_000
-BROKEN_MS = 5_000               # whoever asks a service whose store failed is told to ask again after this
+BROKEN_MS = 5_000  # whoever asks a service whose store failed is told to ask again after this
 SHAPE = 1
 OPERATOR = "operator"
 
 
 class Kept(msgspec.Struct, array_like=True):
     """A record or a snapshot: kind "grant", "fence", "done" or "whole"."""
+
     shape: int
     kind: str
     piece: str = ""
@@ -41,7 +43,7 @@
     def __init__(self, files, tasks, act, log, record=None):
         self.tasks, self.act, self.log, self.record = tasks, act, log, record
         self.store, self.granter, self.fence = Log(files), Granter(tasks, now()), Fence()
-        self.done, self.done_at, self.asked_in_vain = {}, {}, {}      # by piece: what was done last, when; who and why
+        self.done, self.done_at, self.asked_in_vain = {}, {}, {}  # by piece: what was done last, when; who and why
         found = self.store.found
         for data in ([found.snapshot] if found.snapshot is not None else []) + [data for _, data in found.records]:
             self.take(decoded(data, Kept, SHAPE, "state of leases"))
@@ -84,7 +86,7 @@
             self.store.commit()
             if self.store.since_snapshot >= SNAPSHOT_EVERY:
                 self.compact()
-        except OSError as bad:          # what reached the disk is not known: nothing is granted until a start
+        except OSError as bad:  # what reached the disk is not known: nothing is granted until a start
             self.broken = bad
             self.log.error("leases' store failed", detail=str(bad))
             for done in waiting:
@@ -96,17 +98,21 @@
                 done.set_result(None)
 
     def compact(self):
-        self.store.snapshot(msgspec.msgpack.encode(Kept(SHAPE, "whole", "", self.granter.dump(), self.fence.dump(),
-                                                        self.done)))
+        self.store.snapshot(
+            msgspec.msgpack.encode(Kept(SHAPE, "whole", "", self.granter.dump(), self.fence.dump(), self.done))
+        )
 
     # From a watcher's stream
 
     async def hear(self, said, tell):
         """All that one message asks for. tell(WatchReply) for each answer, once what it says is durable."""
-        if self.broken is not None:     # who holds goes on until its span ends; nothing is granted or done here
+        if self.broken is not None:  # who holds goes on until its span ends; nothing is granted or done here
             for ask in said.leases:
-                tell(pb.WatchReply(lease=pb.LeaseTold(piece=ask.piece, number=ask.number, refused=True,
-                                                      left_ms=BROKEN_MS)))
+                tell(
+                    pb.WatchReply(
+                        lease=pb.LeaseTold(piece=ask.piece, number=ask.number, refused=True, left_ms=BROKEN_MS)
+                    )
+                )
             return
         self.granter.seen(said.seen)
         told, new = [], False
@@ -127,13 +133,21 @@
             else:
                 why = f"{answer.owner} has it" if answer.owner else "nothing is granted yet after a start"
                 self.asked_in_vain.setdefault(ask.piece, {})[said.owner] = why
-                told.append(pb.LeaseTold(piece=ask.piece, number=ask.number, token=answer.token, refused=True,
-                                         owner=answer.owner, left_ms=min(answer.left // 10, 1 << 40)))
+                told.append(
+                    pb.LeaseTold(
+                        piece=ask.piece,
+                        number=ask.number,
+                        token=answer.token,
+                        refused=True,
+                        owner=answer.owner,
+                        left_ms=min(answer.left // 10, 1 << 40),
+                    )
+                )
         try:
             if new:
                 await self.durable()
         except OSError:
-            return                      # told nothing: it asks again, in vain until the service is started anew
+            return  # told nothing: it asks again, in vain until the service is started anew
         for row in told:
             tell(pb.WatchReply(lease=row))
         for act in said.acts:
@@ -156,8 +170,9 @@
             # Another may have come between: what the fence took first is not done after what it took later.
             if self.fence.last[act.piece] != (act.token, owner):
                 self.note("refused", act.piece, owner, act.token)
-                return pb.ActTold(piece=act.piece, number=act.number, token=self.fence.token(act.piece),
-                                  refused="an outdated lease")
+                return pb.ActTold(
+                    piece=act.piece, number=act.number, token=self.fence.token(act.piece), refused="an outdated lease"
+                )
             self.note("act", act.piece, owner, act.token)
             said = await self.act(task, msgspec.json.decode(act.what or b"{}"), owner)
             last = json.dumps({"by": owner, "token": act.token, "did": said}).encode()
@@ -199,14 +214,29 @@
                     await self.durable()
                 except OSError as bad:
                     refused = str(bad)
-        rows = [pb.LeaseRow(
-            piece=piece, owner=row.owner, token=row.token, left_ms=(row.until - time) // 10,
-            last=self.done.get(piece, b"").decode(), last_ms_ago=(time - self.done_at.get(piece, time)) // 10,
-            refused=[f"{o}: {why}" for o, why in sorted(self.asked_in_vain.get(piece, {}).items())])
-            for piece, row in sorted(self.granter.rows.items())]
-        past = self.granter.past[-(request.history or 0):] if request.history else []
+        rows = [
+            pb.LeaseRow(
+                piece=piece,
+                owner=row.owner,
+                token=row.token,
+                left_ms=(row.until - time) // 10,
+                last=self.done.get(piece, b"").decode(),
+                last_ms_ago=(time - self.done_at.get(piece, time)) // 10,
+                refused=[f"{o}: {why}" for o, why in sorted(self.asked_in_vain.get(piece, {}).items())],
+            )
+            for piece, row in sorted(self.granter.rows.items())
+        ]
+        past = self.granter.past[-(request.history or 0) :] if request.history else []
         return pb.LeasesReply(
-            on=True, count=self.granter.count, opens_ms=(self.opens - time) // 10, rows=rows, refused=refused,
+            on=True,
+            count=self.granter.count,
+            opens_ms=(self.opens - time) // 10,
+            rows=rows,
+            refused=refused,
             past=[pb.LeaseEvent(piece=e.piece, what=e.what, owner=e.owner, token=e.token) for e in past],
-            tasks=[f"{t.name}: period {t.period / 1e4:g} s, span {t.span / 1e4:g} s, step {t.step / 1e4:g} s, drift "
-                   f"{t.drift:g}{', box by box' if t.pieces else ''}" for t in self.tasks.values()])
+            tasks=[
+                f"{t.name}: period {t.period / 1e4:g} s, span {t.span / 1e4:g} s, step {t.step / 1e4:g} s, drift "
+                f"{t.drift:g}{', box by box' if t.pieces else ''}"
+                for t in self.tasks.values()
+            ],
+        )
--- a/flaxscale/catalogued/peaks.py
+++ b/flaxscale/catalogued/peaks.py
@@ -1,4 +1,5 @@
 """Announced peaks in service: gRPC beside the catalogue, on a durable log of their own."""
+
 import asyncio
 import time
 
@@ -15,7 +16,7 @@
 from ..store.latest import Latest
 from .streams import first_of, hear_all
 
-BEAT_S = 2.0                # the service's clock is told this often where nothing else is
+BEAT_S = 2.0  # the service's clock is told this often where nothing else is
 SNAPSHOT_EVERY = 200
 ID_LIMIT = 100
 
@@ -101,9 +102,15 @@
                 m.wake.clear()
                 whole = sent != self.book.version
                 sent = self.book.version
-                await context.write(pb.WatchReply(
-                    epoch=self.epoch, version=sent, now_s=self.wall(), beat=not whole,
-                    peaks=[wire.peak_out(p) for p in self.book.peaks.values()] if whole else []))
+                await context.write(
+                    pb.WatchReply(
+                        epoch=self.epoch,
+                        version=sent,
+                        now_s=self.wall(),
+                        beat=not whole,
+                        peaks=[wire.peak_out(p) for p in self.book.peaks.values()] if whole else [],
+                    )
+                )
                 try:
                     await within(BEAT_S, m.wake.wait())
                 except asyncio.TimeoutError:
@@ -127,10 +134,24 @@
     async def List(self, request, context):
         book = self.book
         return pb.ListReply(
-            epoch=self.epoch, version=book.version, now_s=self.wall(),
+            epoch=self.epoch,
+            version=book.version,
+            now_s=self.wall(),
             peaks=[wire.peak_out(p) for p in book.peaks.values()],
-            history=[pb.Change(version=c.version, at_s=c.at_s, who=c.who, why=c.why, what=c.what, name=c.name)
-                     for c in book.history],
-            managers=[pb.Manager(name=m.name, acked=m.acked, refused=m.refused, why=m.why, connected=m.up,
-                                 heard_ms_ago=(now() - m.heard_at) // 10, seen=m.seen)
-                      for _, m in sorted(self.managers.items())])
+            history=[
+                pb.Change(version=c.version, at_s=c.at_s, who=c.who, why=c.why, what=c.what, name=c.name)
+                for c in book.history
+            ],
+            managers=[
+                pb.Manager(
+                    name=m.name,
+                    acked=m.acked,
+                    refused=m.refused,
+                    why=m.why,
+                    connected=m.up,
+                    heard_ms_ago=(now() - m.heard_at) // 10,
+                    seen=m.seen,
+                )
+                for _, m in sorted(self.managers.items())
+            ],
+        )
--- a/flaxscale/catalogued/peakwatch.py
+++ b/flaxscale/catalogued/peakwatch.py
@@ -1,4 +1,5 @@
 """Follows announced peaks: a stream that comes back by itself, the last good version kept on disk."""
+
 import asyncio
 
 import grpc
@@ -80,10 +81,13 @@
         """What was seen come: [(name, came, due, kB a second kept)]. Lost where the stream is down."""
         if self.call is not None and seen:
             try:
-                await self.call.write(pb.WatchRequest(name=self.name, seen=[
-                    pb.Seen(name=n, came=c, due=d, kept_kb=kb) for n, c, d, kb in seen]))
+                await self.call.write(
+                    pb.WatchRequest(
+                        name=self.name, seen=[pb.Seen(name=n, came=c, due=d, kept_kb=kb) for n, c, d, kb in seen]
+                    )
+                )
             except (grpc.aio.AioRpcError, grpc.aio.UsageError, asyncio.InvalidStateError):
-                pass                        # the stream is just ending; the next one tells it anew
+                pass  # the stream is just ending; the next one tells it anew
 
     async def stop(self):
         await ended(self.task)
--- a/flaxscale/catalogued/service.py
+++ b/flaxscale/catalogued/service.py
@@ -1,4 +1,5 @@
 """The catalogue service: gRPC over a Keeper. Changes are gathered for a moment, made durable together, then told."""
+
 import asyncio
 import secrets
 from collections import deque
@@ -21,10 +22,10 @@
 from .peaks import ID_LIMIT, PeakService
 from .streams import first_of, hear_all
 
-GATHER_S = 0.002            # changes that come within this become durable with one sync
+GATHER_S = 0.002  # changes that come within this become durable with one sync
 EPOCH_FILE = "epoch"
-LOOK_S = 0.5                # the rule that raises floors looks so often
-LIVING = 10                 # times behind_s: a manager not heard for so long is no longer counted as living
+LOOK_S = 0.5  # the rule that raises floors looks so often
+LIVING = 10  # times behind_s: a manager not heard for so long is no longer counted as living
 
 
 class Service(pb_grpc.CatalogueServicer):
@@ -57,7 +58,7 @@
 
     @staticmethod
     def put_epoch(files, epoch):
-        part = EPOCH_FILE + ".part"         # a start removes it where it is not whole
+        part = EPOCH_FILE + ".part"  # a start removes it where it is not whole
         if part in files.names():
             files.remove(part)
         files.append(part, epoch.encode())
@@ -71,15 +72,20 @@
         self.put_epoch(self.files, self.epoch)
         if self.peaks is not None:
             self.peaks.epoch = self.epoch
-        self.log.error("store older than what was told: another epoch", watcher=watcher, holds=version,
-                       settled=self.keeper.settled, was=was, epoch=self.epoch)
-        self.watchers.clear()               # each comes again, and gets the whole
+        self.log.error(
+            "store older than what was told: another epoch",
+            watcher=watcher,
+            holds=version,
+            settled=self.keeper.settled,
+            was=was,
+            epoch=self.epoch,
+        )
+        self.watchers.clear()  # each comes again, and gets the whole
         for wake in self.wakes.values():
             wake.set()
 
     async def start(self, host, port):
-        self.server = grpc.aio.server(options=[("grpc.max_receive_message_length", 64 << 20),
-                                               ("grpc.so_reuseport", 0)])
+        self.server = grpc.aio.server(options=[("grpc.max_receive_message_length", 64 << 20), ("grpc.so_reuseport", 0)])
         pb_grpc.add_CatalogueServicer_to_server(self, self.server)
         if self.peaks is not None:
             peaks_pb2_grpc.add_PeaksServicer_to_server(self.peaks, self.server)
@@ -119,8 +125,16 @@
             ops = msgspec.json.decode(request.ops, type=list[Op])
         except msgspec.MsgspecError as bad:
             return pb.ChangeReply(version=self.keeper.settled, faults=[f"the change set can't be read: {bad}"])
-        return await self.change(ops, request.expect if request.HasField("expect") else None, request.force,
-                                 request.dry, request.who, request.why, context, request.id)
+        return await self.change(
+            ops,
+            request.expect if request.HasField("expect") else None,
+            request.force,
+            request.dry,
+            request.who,
+            request.why,
+            context,
+            request.id,
+        )
 
     async def Rollback(self, request, context):
         if (before := await self.made_before(request.id, context)) is not None:
@@ -130,8 +144,16 @@
             return pb.ChangeReply(version=self.keeper.settled, faults=[f"version {request.to} is not known here"])
         if not ops:
             return pb.ChangeReply(version=self.keeper.settled)
-        return await self.change(ops, request.expect if request.HasField("expect") else self.keeper.now.version, True,
-                                 False, request.who, f"rollback to version {request.to}", context, request.id)
+        return await self.change(
+            ops,
+            request.expect if request.HasField("expect") else self.keeper.now.version,
+            True,
+            False,
+            request.who,
+            f"rollback to version {request.to}",
+            context,
+            request.id,
+        )
 
     async def usable(self, context):
         if self.broken is not None:
@@ -146,7 +168,7 @@
         version, changed = self.keeper.done[id]
         if version > self.keeper.settled:
             if self.broken is not None:
-                return None             # whether it was made only a start can tell; it is refused below
+                return None  # whether it was made only a start can tell; it is refused below
             await self.durable(None)
         return pb.ChangeReply(version=version, changed=changed)
 
@@ -156,8 +178,9 @@
         try:
             if dry:
                 trial = type(keeper.now)(keeper.now.frame, keeper.now.version, keeper.now.titles)
-                return pb.ChangeReply(version=trial.version,
-                                      changed=len(trial.apply(ops, expect, self.in_use(), force).titles))
+                return pb.ChangeReply(
+                    version=trial.version, changed=len(trial.apply(ops, expect, self.in_use(), force).titles)
+                )
             delta = keeper.stage(ops, expect, self.in_use(), force, who[:100], why[:500], id)
         except Behind as late:
             return pb.ChangeReply(version=keeper.settled, behind=str(late))
@@ -183,8 +206,11 @@
     def managers(self):
         """Managers that live, as far as this service hears of them."""
         most = round(LIVING * self.fleet.behind_s * 10_000)
-        seen = [floors.Watching(name, w.acked, 0 if name in self.wakes else now() - w.heard_at)
-                for name, w in sorted(self.watchers.items()) if w.role == "manager"]
+        seen = [
+            floors.Watching(name, w.acked, 0 if name in self.wakes else now() - w.heard_at)
+            for name, w in sorted(self.watchers.items())
+            if w.role == "manager"
+        ]
         return [w for w in seen if w.heard_ago <= most]
 
     async def Floor(self, request, context):
@@ -192,8 +218,14 @@
         keeper, watching = self.keeper, self.managers()
 
         def reply(**more):
-            return pb.FloorReply(epoch=self.epoch, version=keeper.settled, floor=keeper.floor,
-                                 under=floors.shut_out(keeper.floor, watching) if keeper.floor else [], **more)
+            return pb.FloorReply(
+                epoch=self.epoch,
+                version=keeper.settled,
+                floor=keeper.floor,
+                under=floors.shut_out(keeper.floor, watching) if keeper.floor else [],
+                **more,
+            )
+
         if not request.floor:
             return reply()
         if await self.made_before(request.id, context) is not None:
@@ -214,14 +246,15 @@
             await asyncio.sleep(LOOK_S)
             if self.broken is not None or self.staged:
                 continue
-            floor = floors.by_rule(self.settled_at, now(), round(self.fleet.behind_s * 10_000), self.managers(),
-                                   self.fleet.floor_share)
+            floor = floors.by_rule(
+                self.settled_at, now(), round(self.fleet.behind_s * 10_000), self.managers(), self.fleet.floor_share
+            )
             if floor is not None and floor > self.keeper.floor:
                 delta = self.keeper.stage_floor(floor, "", f"settled for {self.fleet.behind_s:g} s")
                 try:
                     await self.durable(delta)
                 except grpc.aio.AbortError:
-                    continue            # the store failed: said where it did
+                    continue  # the store failed: said where it did
                 self.log.info("floor raised", floor=floor, version=delta.version, who="rule")
 
     def settle(self):
@@ -262,8 +295,9 @@
             keeper.compact()
             return {"records": records, "compacted": True}
         if task == "floors":
-            floor = floors.by_rule(self.settled_at, now(), round(self.fleet.behind_s * 10_000), self.managers(),
-                                   self.fleet.floor_share)
+            floor = floors.by_rule(
+                self.settled_at, now(), round(self.fleet.behind_s * 10_000), self.managers(), self.fleet.floor_share
+            )
             if floor is None or floor <= keeper.floor or self.staged:
                 return {"floor": keeper.floor, "raised": False}
             delta = keeper.stage_floor(floor, owner[:100], f"settled for {self.fleet.behind_s:g} s")
@@ -287,7 +321,7 @@
             return
         if first.epoch == self.epoch and first.version > self.keeper.settled:
             self.outlived(first.name, first.version)
-        await context.send_initial_metadata(())     # so that it knows that it is heard, with nothing to tell
+        await context.send_initial_metadata(())  # so that it knows that it is heard, with nothing to tell
         watcher = Watcher(first.name, first.role, first.epoch, first.version if first.epoch else None, self.epoch)
         wake = asyncio.Event()
         self.watchers[first.name], self.wakes[first.name] = watcher, wake
@@ -306,19 +340,19 @@
                 jobs.add(job)
                 job.add_done_callback(jobs.discard)
             wake.set()
+
         reader = asyncio.ensure_future(hear_all(context, hear, wake))
         try:
             while not self.stopped.is_set() and not reader.done():
                 wake.clear()
                 while answers:
                     await context.write(answers.pop(0))
-                while self.watchers.get(first.name) is watcher and (
-                        message := watcher.next(self.keeper)) is not None:
+                while self.watchers.get(first.name) is watcher and (message := watcher.next(self.keeper)) is not None:
                     if self.record and (isinstance(message, Delta) or message.last):
                         self.record.put("told", watcher=first.name, version=message.version)
                     await context.write(wire.reply_out(self.epoch, message))
                 if self.watchers.get(first.name) is not watcher:
-                    return                  # it came again by another stream
+                    return  # it came again by another stream
                 await wake.wait()
         finally:
             reader.cancel()
@@ -342,9 +376,22 @@
     def tell_record(self, version, titles, floor=0):
         """What a version says, for whoever judges a day."""
         if self.record:
-            self.record.put("version", version=version, floor=floor, epoch=self.epoch, titles={
-                name: t and {"holders": {str(b): s for b, s in t.holders}, "seats": dict(t.seats), "low": t.low,
-                             "top": t.top} for name, t in titles.items()})
+            self.record.put(
+                "version",
+                version=version,
+                floor=floor,
+                epoch=self.epoch,
+                titles={
+                    name: t
+                    and {
+                        "holders": {str(b): s for b, s in t.holders},
+                        "seats": dict(t.seats),
+                        "low": t.low,
+                        "top": t.top,
+                    }
+                    for name, t in titles.items()
+                },
+            )
 
     # Looking
 
@@ -355,17 +402,38 @@
         if titles is None:
             await context.abort(grpc.StatusCode.NOT_FOUND, f"version {version} is not known here")
         rows = [titles[name] for name in request.titles if name in titles] if request.titles else list(titles.values())
-        parts = [rows[n:n + PART] for n in range(0, len(rows), PART)] or [[]]
+        parts = [rows[n : n + PART] for n in range(0, len(rows), PART)] or [[]]
         for n, part in enumerate(parts):
             yield wire.part_out(Whole(version, part, n == 0, n + 1 == len(parts), keeper.floor))
 
     async def History(self, request, context):
-        versions = [v for v in self.keeper.history if v <= self.keeper.settled][-(request.last or 20):]
-        return pb.HistoryReply(changes=[pb.Change(
-            version=v, who=self.keeper.history[v][1], why=self.keeper.history[v][2],
-            titles=list(self.keeper.history[v][0].titles)[:1000]) for v in versions])
+        versions = [v for v in self.keeper.history if v <= self.keeper.settled][-(request.last or 20) :]
+        return pb.HistoryReply(
+            changes=[
+                pb.Change(
+                    version=v,
+                    who=self.keeper.history[v][1],
+                    why=self.keeper.history[v][2],
+                    titles=list(self.keeper.history[v][0].titles)[:1000],
+                )
+                for v in versions
+            ]
+        )
 
     async def Who(self, request, context):
-        return pb.WhoReply(epoch=self.epoch, version=self.keeper.settled, watchers=[pb.Watcher(
-            name=w.name, role=w.role, acked=w.acked, refused=w.refused, why=w.why, connected=name in self.wakes,
-            heard_ms_ago=(now() - w.heard_at) // 10) for name, w in sorted(self.watchers.items())])
+        return pb.WhoReply(
+            epoch=self.epoch,
+            version=self.keeper.settled,
+            watchers=[
+                pb.Watcher(
+                    name=w.name,
+                    role=w.role,
+                    acked=w.acked,
+                    refused=w.refused,
+                    why=w.why,
+                    connected=name in self.wakes,
+                    heard_ms_ago=(now() - w.heard_at) // 10,
+                )
+                for name, w in sorted(self.watchers.items())
+            ],
+        )
--- a/flaxscale/catalogued/streams.py
+++ b/flaxscale/catalogued/streams.py
@@ -1,4 +1,5 @@
 """What all gRPC streams here have in common: a first message that names, a channel, an end, and coming back."""
+
 import asyncio
 import contextlib
 
@@ -8,16 +9,22 @@
 from ..serve.limit import within
 
 RETRY_S, RETRY_MOST_S = 0.2, 3.0
-LASTED = 50_000             # a stream that was up so long is asked for again at once
+LASTED = 50_000  # a stream that was up so long is asked for again at once
 AGAIN_S = 0.2
 LARGE = 64 << 20
 
 
 def channel_to(address):
-    return grpc.aio.insecure_channel(address, options=[
-        ("grpc.max_receive_message_length", LARGE), ("grpc.max_send_message_length", LARGE),
-        ("grpc.use_local_subchannel_pool", 1), ("grpc.initial_reconnect_backoff_ms", 200),
-        ("grpc.enable_http_proxy", 0)])
+    return grpc.aio.insecure_channel(
+        address,
+        options=[
+            ("grpc.max_receive_message_length", LARGE),
+            ("grpc.max_send_message_length", LARGE),
+            ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.initial_reconnect_backoff_ms", 200),
+            ("grpc.enable_http_proxy", 0),
+        ],
+    )
 
 
 async def first_of(context):
--- a/flaxscale/catalogued/watch.py
+++ b/flaxscale/catalogued/watch.py
@@ -3,6 +3,7 @@
 The owner hears changed(titles) after each version taken. What is kept on disk is a log of its own: the deltas as they
 come, and the whole in slices between answers, so that a large catalogue never holds up a set-up.
 """
+
 import asyncio
 import time
 from collections import deque
@@ -19,17 +20,18 @@
 from ..store.log import Log, StoreError
 from .streams import channel_to, come_back, ended
 
-SLICE = 1_000               # titles encoded between two turns of the loop
-KEEP_EVERY = 5_000          # deltas in the log before the whole is written again
-RECENT = 500                # deltas and digests that are known, to hand over and to compare
+SLICE = 1_000  # titles encoded between two turns of the loop
+KEEP_EVERY = 5_000  # deltas in the log before the whole is written again
+RECENT = 500  # deltas and digests that are known, to hand over and to compare
 
 
 class KeptStart(msgspec.Struct, array_like=True):
     """The head of a kept whole."""
+
     shape: int
     epoch: str
     version: int
-    wall: float                 # when it was kept, by the wall clock: to say how old it is after a start
+    wall: float  # when it was kept, by the wall clock: to say how old it is after a start
     titles: list[Title]
     floor: int = 0
 
@@ -51,8 +53,7 @@
     def start(self):
         if self.files is not None:
             self.load()
-        self.task = asyncio.get_running_loop().create_task(
-            come_back(self.one_stream, self.closed, self.sooner))
+        self.task = asyncio.get_running_loop().create_task(come_back(self.one_stream, self.closed, self.sooner))
 
     # On disk
 
@@ -103,22 +104,28 @@
         epoch, version, titles, floor = f.epoch, f.version, list(f.titles.values()), f.floor
         parts = []
         for n in range(0, len(titles), SLICE):
-            parts.append(b"".join(msgspec.msgpack.encode(t) for t in titles[n:n + SLICE]))
+            parts.append(b"".join(msgspec.msgpack.encode(t) for t in titles[n : n + SLICE]))
             await asyncio.sleep(0)
         head = msgspec.msgpack.encode([1, epoch, version, time.time()])
         # An array of six with an array of so many titles in it, put together from its slices.
-        data = (b"\x96" + head[1:] + b"\xdd" + len(titles).to_bytes(4, "big") + b"".join(parts)
-                + msgspec.msgpack.encode(floor))
+        data = (
+            b"\x96"
+            + head[1:]
+            + b"\xdd"
+            + len(titles).to_bytes(4, "big")
+            + b"".join(parts)
+            + msgspec.msgpack.encode(floor)
+        )
         self.saving = None
         try:
-            self.store.append(b"whole")         # so that this snapshot has a number of its own
+            self.store.append(b"whole")  # so that this snapshot has a number of its own
             self.store.commit()
             self.store.snapshot(data)
         except OSError as bad:
             self.log.error("catalogue not kept", detail=str(bad))
             self.store = None
             return
-        if f.version != version:                # what came meanwhile was not logged
+        if f.version != version:  # what came meanwhile was not logged
             self.save()
 
     # The stream
@@ -146,7 +153,7 @@
                 return "asked anew"
             self.inner.result()
         except Gap as gap:
-            self.follower.epoch = None          # ask for the whole
+            self.follower.epoch = None  # ask for the whole
             return str(gap)
         finally:
             await ended(self.inner)
@@ -155,9 +162,12 @@
         f = self.follower
         async with channel_to(self.address) as channel:
             call = pb_grpc.CatalogueStub(channel).Watch()
-            await call.write(pb.WatchRequest(name=self.name, role=self.role, epoch=f.epoch or "",
-                                             version=f.version or 0, in_use=self.seats()))
-            await call.initial_metadata()       # it is there, though it may have nothing to tell
+            await call.write(
+                pb.WatchRequest(
+                    name=self.name, role=self.role, epoch=f.epoch or "", version=f.version or 0, in_use=self.seats()
+                )
+            )
+            await call.initial_metadata()  # it is there, though it may have nothing to tell
             self.up, self.heard_at, self.call = True, now(), call
             if self.duties is not None:
                 self.duties.source(True)
@@ -178,7 +188,7 @@
             async with self.writing:
                 await call.write(pb.WatchRequest(name=self.name, **fields))
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
-            return False                # it ended meanwhile; what may have been said is fenced
+            return False  # it ended meanwhile; what may have been said is fenced
         return True
 
     def take(self, reply):
--- a/flaxscale/cli/__init__.py
+++ b/flaxscale/cli/__init__.py
@@ -1,5 +1,6 @@
 """The command line: one small file a program. Exit status: 0 good, 2 bad use or configuration, 3 a rule broken,
 4 managers or their accounts differ."""
+
 import json
 import os
 import sys
--- a/flaxscale/cli/attempt.py
+++ b/flaxscale/cli/attempt.py
@@ -1,4 +1,5 @@
 """flaxscale try: list, catalogue, boxes and a manager in one command on loopback; one set-up, one change shown."""
+
 import asyncio
 import pathlib
 import secrets
@@ -40,42 +41,96 @@
                 listed = "%s:%d" % started[0].address
                 click.echo(f"box list   http://{listed}/boxes")
                 kinds, zones = list(found.fleet.kinds), found.zones
-                service_ = await Process(["catalogue", "serve", site, "--store", str(folder / "store"), "--port", "0",
-                                          "--ready"], folder / "catalogue.log").start()
+                service_ = await Process(
+                    ["catalogue", "serve", site, "--store", str(folder / "store"), "--port", "0", "--ready"],
+                    folder / "catalogue.log",
+                ).start()
                 started.append(service_)
                 catalogue = "%s:%d" % service_.address
                 click.echo(f"catalogue  {catalogue}  (flaxscale catalogue holders {title} --at {catalogue})")
                 cells = found.fleet.cells
                 held = {n + 1: n % cells for n in range(boxes)}
                 async with Client(catalogue) as client:
-                    reply = await client.change([Put(name, t.view, t.push, holders={
-                        str(box): HOLDING for box, cell in held.items() if (cell - t.first_cell) % cells < t.cells
-                    }) for name, t in found.titles.items()], why="from the site file")
+                    reply = await client.change(
+                        [
+                            Put(
+                                name,
+                                t.view,
+                                t.push,
+                                holders={
+                                    str(box): HOLDING
+                                    for box, cell in held.items()
+                                    if (cell - t.first_cell) % cells < t.cells
+                                },
+                            )
+                            for name, t in found.titles.items()
+                        ],
+                        why="from the site file",
+                    )
                 if reply.faults:
                     click.echo(f"flaxscale: {reply.faults[0]}; so few boxes leave titles without holder", err=True)
                     return 2
-                made = await asyncio.gather(*(Process(
-                    ["box", site, "--catalogue", catalogue, "--id", str(n + 1), "--cell", str(n % cells), "--kind",
-                     kinds[n % len(kinds)], "--zone", zones[n % len(zones)], "--list", listed, "--up-ms", "3600000",
-                     "--ready"], folder / f"box-{n + 1}.log").start() for n in range(boxes)))
+                made = await asyncio.gather(
+                    *(
+                        Process(
+                            [
+                                "box",
+                                site,
+                                "--catalogue",
+                                catalogue,
+                                "--id",
+                                str(n + 1),
+                                "--cell",
+                                str(n % cells),
+                                "--kind",
+                                kinds[n % len(kinds)],
+                                "--zone",
+                                zones[n % len(zones)],
+                                "--list",
+                                listed,
+                                "--up-ms",
+                                "3600000",
+                                "--ready",
+                            ],
+                            folder / f"box-{n + 1}.log",
+                        ).start()
+                        for n in range(boxes)
+                    )
+                )
                 started += made
                 for n, box in enumerate(made):
                     click.echo("box {:<6} http://{}:{}".format(n + 1, *box.address))
-                front = await Process(["front", site, "--catalogue", catalogue, "--list", listed, "--port", str(port),
-                                       "--state", str(folder / "state"), "--ready"], folder / "front.log").start()
+                front = await Process(
+                    [
+                        "front",
+                        site,
+                        "--catalogue",
+                        catalogue,
+                        "--list",
+                        listed,
+                        "--port",
+                        str(port),
+                        "--state",
+                        str(folder / "state"),
+                        "--ready",
+                    ],
+                    folder / "front.log",
+                ).start()
                 started.append(front)
                 click.echo("manager    http://{}:{}  (its view of things: /state)".format(*front.address))
                 token = found.front.tokens[0] if found.front.tokens else None
                 player = Player(Recorder(), token)
                 seed = secrets.randbits(60)
-                for n in range(100):        # the list tells its boxes within moments
+                for n in range(100):  # the list tells its boxes within moments
                     wish = Wish(n, title, False, "try", 3.0, 2.0, None, None, None, trace_of(seed, n))
                     seen = await player.ask(front.address, "m0", wish, say_wait=True)
                     if seen.fate == "plays":
                         break
                     await asyncio.sleep(0.1)
-                click.echo(f"\nPOST http://{front.address[0]}:{front.address[1]}/whep/{title}  "
-                           f"(application/sdp, Prefer: wait=3)")
+                click.echo(
+                    f"\nPOST http://{front.address[0]}:{front.address[1]}/whep/{title}  "
+                    f"(application/sdp, Prefer: wait=3)"
+                )
                 click.echo(f"{seen.status} after {seen.after / 10:.1f} ms: {seen.fate}")
                 for name in ("location", "etag", "content-type", "preference-applied"):
                     if name in seen.headers:
@@ -92,18 +147,24 @@
                     reply = await client.change([Put("just-filmed", package, holders={"1": HOLDING, "2": HOLDING})])
                 changed = now()
                 for n in range(100):
-                    after = await player.ask(front.address, "m0", wish._replace(n=102 + n,
-                                                                                trace=trace_of(seed, 102 + n)))
+                    after = await player.ask(
+                        front.address, "m0", wish._replace(n=102 + n, trace=trace_of(seed, 102 + n))
+                    )
                     if after.status != 404:
                         break
-                click.echo(f"\na new title, without a restart: {before.status} before, version {reply.version} of the "
-                           f"catalogue, then {after.status} ({after.fate}), {(now() - changed) / 10:.0f} ms later")
+                click.echo(
+                    f"\na new title, without a restart: {before.status} before, version {reply.version} of the "
+                    f"catalogue, then {after.status} ({after.fate}), {(now() - changed) / 10:.0f} ms later"
+                )
                 await player.pool.close()
                 if stay:
-                    click.echo("\nserving; interrupt to end. Another viewer: "
-                               f"python -m flaxscale view http://{front.address[0]}:{front.address[1]}/whep/{title}")
+                    click.echo(
+                        "\nserving; interrupt to end. Another viewer: "
+                        f"python -m flaxscale view http://{front.address[0]}:{front.address[1]}/whep/{title}"
+                    )
                     await service.until_signal()
                 return 0 if seen.fate == after.fate == "plays" else 1
             finally:
                 await asyncio.gather(*(p.stop() for p in reversed(started)))
+
     sys.exit(service.run(main()))
--- a/flaxscale/cli/catalogue.py
+++ b/flaxscale/cli/catalogue.py
@@ -1,4 +1,5 @@
 """flaxscale catalogue: the service and its operators' commands."""
+
 import contextlib
 import functools
 import getpass
@@ -35,12 +36,20 @@
     from ..leases.duties import tasks_of
     from ..store.files import Files
     from ..store.log import StoreError
+
     found = site_errors(lambda: read_site(site))
     try:
         log = logger(log_level, None, program="catalogue")
-        made = Service(Files(store), frame_of(found), log, Recorder(record) if record else None,
-                       Files(f"{store}/peaks"), found.fleet, Files(f"{store}/leases") if found.duties else None,
-                       tasks_of(found.duties, found.fleet.drift))
+        made = Service(
+            Files(store),
+            frame_of(found),
+            log,
+            Recorder(record) if record else None,
+            Files(f"{store}/peaks"),
+            found.fleet,
+            Files(f"{store}/leases") if found.duties else None,
+            tasks_of(found.duties, found.fleet.drift),
+        )
     except (StoreError, ValueError, OSError) as bad:
         click.echo(f"flaxscale: {store}: {bad}", err=True)
         sys.exit(BAD)
@@ -49,17 +58,20 @@
 
     async def main():
         address = await made.start(host, port)
-        made.log.info("serves", host=address[0], port=address[1], version=made.keeper.settled,
-                      titles=len(made.keeper.now.titles))
+        made.log.info(
+            "serves", host=address[0], port=address[1], version=made.keeper.settled, titles=len(made.keeper.now.titles)
+        )
         if say_ready:
             ready(*address, version=made.keeper.settled)
         await service.until_signal()
         await made.stop()
+
     service.run(main())
 
 
 def talks(command):
     """A command that calls the service; what goes wrong is one line and a status."""
+
     @click.option("--at", default="127.0.0.1:7070", show_default=True, metavar="HOST:PORT")
     @functools.wraps(command)
     def run(at, **rest):
@@ -68,11 +80,13 @@
         async def main():
             async with Client(at) as client:
                 return await command(client, **rest)
+
         try:
             sys.exit(site_errors(lambda: service.run(main())) or 0)
         except ServiceError as bad:
             click.echo(f"flaxscale: {bad}", err=True)
             sys.exit(BAD)
+
     return run
 
 
@@ -92,16 +106,22 @@
     return 0
 
 
-AGAIN_S = 3.0               # without an answer a change is asked for again, under its id
+AGAIN_S = 3.0  # without an answer a change is asked for again, under its id
 
 
 def change_options(command):
-    for option in (click.option("--id", "id", default=None,
-                                help="The change's own: asked for again under it, it is made once. Drawn if left out."),
-                   click.option("--why", default="", help="Kept with the change."),
-                   click.option("--dry", is_flag=True, help="Check only."),
-                   click.option("--force", is_flag=True, help="Let seats go under those in use."),
-                   click.option("--expect", default=None, type=int, help="Only if the catalogue is at this version.")):
+    for option in (
+        click.option(
+            "--id",
+            "id",
+            default=None,
+            help="The change's own: asked for again under it, it is made once. Drawn if left out.",
+        ),
+        click.option("--why", default="", help="Kept with the change."),
+        click.option("--dry", is_flag=True, help="Check only."),
+        click.option("--force", is_flag=True, help="Let seats go under those in use."),
+        click.option("--expect", default=None, type=int, help="Only if the catalogue is at this version."),
+    ):
         command = option(command)
     return command
 
@@ -121,14 +141,16 @@
 async def put(client, file, keep, expect, force, dry, why, id):
     """Make the catalogue what FILE says (Jsonnet or Parquet), in one change set."""
     from ..catalogue.files import ops_to, read_catalogue
+
     puts = read_catalogue(file)
     version, titles = await client.get()
     ops = ops_to(titles, puts, keep)
     if not ops:
         click.echo(f"nothing differs from version {version}")
         return 0
-    return said(await client.change(ops, version if expect is None else expect, force, dry, who(), why, id, AGAIN_S),
-                dry)
+    return said(
+        await client.change(ops, version if expect is None else expect, force, dry, who(), why, id, AGAIN_S), dry
+    )
 
 
 @catalogue.command()
@@ -138,6 +160,7 @@
 async def edit(client, file, expect, force, dry, why, id):
     """Make the change set in FILE: a Jsonnet list of operations."""
     from ..catalogue.files import read_ops
+
     return said(await client.change(read_ops(file), expect, force, dry, who(), why, id, AGAIN_S), dry)
 
 
@@ -148,6 +171,7 @@
 async def diff(client, old, new):
     """What changed from version OLD to NEW (the present one if left out)."""
     from ..catalogue.state import diff as differ
+
     (_, before), (_, after) = await client.get(old), await client.get(new)
     for name, (was, now) in differ(before, after).items():
         if was is None or now is None:
@@ -168,6 +192,7 @@
 async def log(client, last):
     """The last changes, with who made them and why."""
     from ..proto import catalogue_pb2 as pb
+
     for c in (await client.call("History", pb.HistoryRequest(last=last))).changes:
         names = ", ".join(c.titles[:5]) + (f" and {len(c.titles) - 5} more" if len(c.titles) > 5 else "")
         click.echo(f"{c.version}  {c.who or '-'}  {names}  {c.why}")
@@ -181,8 +206,12 @@
     """Make the catalogue what it was at VERSION, as a new version."""
     from ..catalogued.client import new_id
     from ..proto import catalogue_pb2 as pb
-    return said(await client.call("Rollback", pb.RollbackRequest(to=version, expect=expect, who=who(), id=new_id()),
-                                  again_s=AGAIN_S))
+
+    return said(
+        await client.call(
+            "Rollback", pb.RollbackRequest(to=version, expect=expect, who=who(), id=new_id()), again_s=AGAIN_S
+        )
+    )
 
 
 @catalogue.command()
@@ -195,8 +224,10 @@
         click.echo(f"flaxscale: version {version}: no title {title!r}", err=True)
         return BAD
     t = titles[title]
-    click.echo(f"{t.name} at version {version}: view {t.view}, push {t.push}, rungs {t.low} to {t.top}, "
-               f"codecs {', '.join(t.codecs) or '-'}, seats {dict(t.seats) or '-'}")
+    click.echo(
+        f"{t.name} at version {version}: view {t.view}, push {t.push}, rungs {t.low} to {t.top}, "
+        f"codecs {', '.join(t.codecs) or '-'}, seats {dict(t.seats) or '-'}"
+    )
     for box, state in t.holders:
         click.echo(f"  box {box}: {state}")
 
@@ -243,25 +274,43 @@
         stress: float = 1.5
 
     asked = shape(question, evaluate(question), QuestionRow)
-    for key, good, expected in (("boxes", asked.boxes, "at least one box"), ("moves", asked.moves >= 0, "0 or more"),
-                                ("copies", asked.copies >= 1, "1 or more"), ("stress", asked.stress > 1, "over 1"),
-                                ("uplinks", all(r.isdigit() for r in asked.uplinks), "numbers of racks"),
-                                ("demand", all(kb >= 0 for kb in asked.demand.values()), "0 or more each")):
+    for key, good, expected in (
+        ("boxes", asked.boxes, "at least one box"),
+        ("moves", asked.moves >= 0, "0 or more"),
+        ("copies", asked.copies >= 1, "1 or more"),
+        ("stress", asked.stress > 1, "over 1"),
+        ("uplinks", all(r.isdigit() for r in asked.uplinks), "numbers of racks"),
+        ("demand", all(kb >= 0 for kb in asked.demand.values()), "0 or more each"),
+    ):
         if not good:
             raise SiteError(question, key, f"{expected} expected")
     version, titles = await client.get()
     held = {t.name: {b for b, s in t.holders if s == "holding"} for t in titles.values()}
     try:
         with no_banner():
-            found = plan(Question(tuple(Shelf(b.id, b.link_kb, b.rack, b.room) for b in asked.boxes),
-                                  {int(r): kb for r, kb in asked.uplinks.items()}, asked.demand, asked.value,
-                                  asked.moves, asked.copies, asked.stress), held, seconds)
+            found = plan(
+                Question(
+                    tuple(Shelf(b.id, b.link_kb, b.rack, b.room) for b in asked.boxes),
+                    {int(r): kb for r, kb in asked.uplinks.items()},
+                    asked.demand,
+                    asked.value,
+                    asked.moves,
+                    asked.copies,
+                    asked.stress,
+                ),
+                held,
+                seconds,
+            )
     except ValueError as bad:
         raise SiteError(question, "", str(bad)) from None
-    click.echo(f"version {version}: {len(found.add)} copies to add, {len(found.drop)} to drop "
-               f"({found.seconds:.1f} s, within {found.gap:.2%} of the best)")
-    click.echo(f"value of the demand that can be carried: {found.before:.1%} now, {found.after:.1%} then; of a surge "
-               f"{found.before_surge:.1%} now, {found.after_surge:.1%} then")
+    click.echo(
+        f"version {version}: {len(found.add)} copies to add, {len(found.drop)} to drop "
+        f"({found.seconds:.1f} s, within {found.gap:.2%} of the best)"
+    )
+    click.echo(
+        f"value of the demand that can be carried: {found.before:.1%} now, {found.after:.1%} then; of a surge "
+        f"{found.before_surge:.1%} now, {found.after_surge:.1%} then"
+    )
     for title, box in found.add:
         click.echo(f"  + {title} on box {box}")
     for title, box in found.drop:
@@ -269,8 +318,9 @@
     if out:
         with open(out, "wb") as file:
             file.write(msgspec.json.format(msgspec.json.encode([op for ops in found.ops() for op in ops])))
-        click.echo(f"the change set is in {out}; once the copies are there: flaxscale catalogue edit {out} "
-                   f"--expect {version}")
+        click.echo(
+            f"the change set is in {out}; once the copies are there: flaxscale catalogue edit {out} --expect {version}"
+        )
 
 
 @catalogue.command("who")
@@ -278,6 +328,7 @@
 async def who_command(client):
     """Who follows the catalogue, at which version, and who refused one."""
     from ..proto import catalogue_pb2 as pb
+
     reply = await client.call("Who", pb.WhoRequest())
     click.echo(f"version {reply.version}, epoch {reply.epoch}")
     for w in reply.watchers:
--- a/flaxscale/cli/days.py
+++ b/flaxscale/cli/days.py
@@ -1,4 +1,5 @@
 """flaxscale day, check and config."""
+
 import pathlib
 import sys
 
@@ -78,15 +79,17 @@
 @click.argument("file", type=click.Path())
 def config_check(file):
     """Check a site's or a day's FILE."""
+
     def run():
         text = evaluate(file)
         if '"demand"' in text and '"boxes"' in text:
             found = read_day(file, sockets=None)
-            click.echo(f"{file}: a day of {found.length_s:g} s on {found.site.name}: {len(found.boxes)} boxes, "
-                       f"{found.site.managers} managers, {len(found.troubles)} troubles")
+            click.echo(
+                f"{file}: a day of {found.length_s:g} s on {found.site.name}: {len(found.boxes)} boxes, "
+                f"{found.site.managers} managers, {len(found.troubles)} troubles"
+            )
         else:
             found = read_site(file)
             click.echo(f"{file}: the site {found.name}: {len(found.packages)} packages, {len(found.titles)} titles")
-    site_errors(run)
-
 
+    site_errors(run)
--- a/flaxscale/cli/fleet.py
+++ b/flaxscale/cli/fleet.py
@@ -1,4 +1,5 @@
 """flaxscale fleet: the managers as a whole: who goes by which version, who is behind, floors, accounts gathered."""
+
 import asyncio
 import json
 import pathlib
@@ -23,16 +24,19 @@
 async def answers(addresses, token, path="/state"):
     """{address: the bytes of a manager's answer, or the text of why there is none}; each has its own limit."""
     from ..serve.pool import Pool
+
     pool = Pool(ANSWER_S)
 
     async def one(address):
         host, _, port = address.rpartition(":")
         try:
-            result = await pool.ask(host, int(port), "GET", path,
-                                    [("Authorization", f"Bearer {token}")] if token else [], b"", ANSWER_S)
+            result = await pool.ask(
+                host, int(port), "GET", path, [("Authorization", f"Bearer {token}")] if token else [], b"", ANSWER_S
+            )
         except OSError as bad:
             return str(bad)
         return result.body if result.status == 200 else f"status {result.status}"
+
     try:
         return dict(zip(addresses, await asyncio.gather(*(one(a) for a in addresses))))
     finally:
@@ -46,15 +50,26 @@
 
 def asks(command):
     """A command that asks managers."""
+
     def addresses(ctx, param, value):
         for address in value:
             if not address.rpartition(":")[2].isdigit():
                 raise click.BadParameter(f"{address}: HOST:PORT expected")
         return value
-    for option in (click.option("--json", "as_json", is_flag=True, help="JSON lines."),
-                   click.option("--token", default=None, help="A bearer token of the site."),
-                   click.option("--at", "addresses", multiple=True, required=True, metavar="HOST:PORT",
-                                callback=addresses, help="Each manager to ask.")):
+
+    for option in (
+        click.option("--json", "as_json", is_flag=True, help="JSON lines."),
+        click.option("--token", default=None, help="A bearer token of the site."),
+        click.option(
+            "--at",
+            "addresses",
+            multiple=True,
+            required=True,
+            metavar="HOST:PORT",
+            callback=addresses,
+            help="Each manager to ask.",
+        ),
+    ):
         command = option(command)
     return command
 
@@ -75,8 +90,10 @@
         click.echo(json.dumps({"managers": rows, "silent": silent, "differ": differ}))
     else:
         for name, row in sorted(rows.items()):
-            click.echo(f"{name} ({row['at']}): stamp {row['stamp']}: " + ", ".join(
-                f"{f} {row.get(f)}" + (" (differs)" if f in differ else "") for f in FIELDS))
+            click.echo(
+                f"{name} ({row['at']}): stamp {row['stamp']}: "
+                + ", ".join(f"{f} {row.get(f)}" + (" (differs)" if f in differ else "") for f in FIELDS)
+            )
         for address, why in silent.items():
             click.echo(f"{address}: {why}")
     sys.exit(BEHIND if differ or silent else 0)
@@ -84,8 +101,12 @@
 
 def told_of(name, states):
     """What others last knew of a member that gives no answer: (how long ago in seconds, its row), or None."""
-    heard = [(row["heard_s_ago"], row) for state in states for row in [state["fleet"].get("rows", {}).get(name)]
-             if row is not None and name != state["manager"]]
+    heard = [
+        (row["heard_s_ago"], row)
+        for state in states
+        for row in [state["fleet"].get("rows", {}).get(name)]
+        if row is not None and name != state["manager"]
+    ]
     return min(heard, key=lambda pair: pair[0], default=None)
 
 
@@ -99,31 +120,62 @@
     for state in sorted(able, key=lambda s: s["manager"]):
         own = state["fleet"]
         if own["shut_out_for_s"] is not None:
-            lines.append({"name": state["manager"], "why": "shut out", "since_s": own["shut_out_for_s"],
-                          "floor": own["floor"], "by": state["manager"]})
+            lines.append(
+                {
+                    "name": state["manager"],
+                    "why": "shut out",
+                    "since_s": own["shut_out_for_s"],
+                    "floor": own["floor"],
+                    "by": state["manager"],
+                }
+            )
         lines += [{**row, "by": state["manager"]} for row in own["stragglers"]]
     answered = {s["manager"] for s in able}
     for name in sorted({name for s in able for name in s["fleet"]["rows"]} - answered):
         ago, row = told_of(name, able)
-        lines.append({"name": name, "why": "not asked or no answer", "since_s": ago, "by": None,
-                      "last_known": [row["epoch"], row["version"]], "up": row["up"]})
-    silent = {at: s if isinstance(s, str) else "versions are not spread between managers here"
-              for at, s in found.items() if s not in able}
+        lines.append(
+            {
+                "name": name,
+                "why": "not asked or no answer",
+                "since_s": ago,
+                "by": None,
+                "last_known": [row["epoch"], row["version"]],
+                "up": row["up"],
+            }
+        )
+    silent = {
+        at: s if isinstance(s, str) else "versions are not spread between managers here"
+        for at, s in found.items()
+        if s not in able
+    }
     for line in lines:
         if as_json:
             click.echo(json.dumps(line))
             continue
         at, newest = line.get("at"), line.get("newest")
         by = f" (by {line['by']})" if line["by"] else ""
-        where = f", at version {at[1]}" if at else f", last known at {line['last_known'][1]}" if (
-            "last_known" in line) else f", under the floor {line['floor']}" if "floor" in line else ""
-        click.echo(f"{line['name']}: {line['why']} for {line['since_s']:.1f} s{where}"
-                   + (f" of {newest[1]}" if newest else "") + by)
+        where = (
+            f", at version {at[1]}"
+            if at
+            else f", last known at {line['last_known'][1]}"
+            if ("last_known" in line)
+            else f", under the floor {line['floor']}"
+            if "floor" in line
+            else ""
+        )
+        click.echo(
+            f"{line['name']}: {line['why']} for {line['since_s']:.1f} s{where}"
+            + (f" of {newest[1]}" if newest else "")
+            + by
+        )
     for at, why in silent.items():
         click.echo(json.dumps({"at": at, "why": why}) if as_json else f"{at}: {why}")
     if not lines and not silent and not as_json:
-        click.echo(f"nobody is behind: {len(able)} managers at version {able[0]['fleet']['newest'][1]}"
-                   if able and able[0]["fleet"]["newest"] else "no manager has a version yet")
+        click.echo(
+            f"nobody is behind: {len(able)} managers at version {able[0]['fleet']['newest'][1]}"
+            if able and able[0]["fleet"]["newest"]
+            else "no manager has a version yet"
+        )
     sys.exit(BEHIND if lines or silent else 0)
 
 
@@ -139,8 +191,10 @@
     """
     from ..catalogued.client import new_id
     from ..proto import catalogue_pb2 as pb
-    reply = await client.call("Floor", pb.FloorRequest(floor=version or 0, force=force, who=who(), why=why,
-                                                       id=new_id()), again_s=AGAIN_S)
+
+    reply = await client.call(
+        "Floor", pb.FloorRequest(floor=version or 0, force=force, who=who(), why=why, id=new_id()), again_s=AGAIN_S
+    )
     if reply.refused:
         click.echo(f"refused: {reply.refused}", err=True)
         return REFUSED
@@ -151,8 +205,13 @@
 
 @fleet.command("audit")
 @asks
-@click.option("--records", "folder", required=True, type=click.Path(exists=True, path_type=pathlib.Path),
-              help="Where the boxes' own records are.")
+@click.option(
+    "--records",
+    "folder",
+    required=True,
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="Where the boxes' own records are.",
+)
 @click.option("--since", default=0.0, help="Seconds by each manager's steady clock; earlier rows are not asked for.")
 def audit_command(addresses, token, as_json, folder, since):
     """Gather the accounts of managers that serve, and join them with what boxes saw; status 4 at a contradiction.
@@ -172,6 +231,9 @@
     show_findings(judged, as_json)
     for at, why in silent.items():
         click.echo(json.dumps({"at": at, "why": why}) if as_json else f"{at}: {why}: what it did is unknown")
-    click.echo(json.dumps({"actions": judged.actions, "agreed": judged.agreed, "silent": len(silent)}) if as_json
-               else judged.line())
+    click.echo(
+        json.dumps({"actions": judged.actions, "agreed": judged.agreed, "silent": len(silent)})
+        if as_json
+        else judged.line()
+    )
     sys.exit(BEHIND if judged.bad() or silent else 0)
--- a/flaxscale/cli/front.py
+++ b/flaxscale/cli/front.py
@@ -1,4 +1,5 @@
 """flaxscale front: one session manager."""
+
 import asyncio
 import contextlib
 import functools
@@ -27,8 +28,13 @@
 @click.option("--host", default="127.0.0.1", show_default=True)
 @click.option("--port", default=8080, show_default=True, help="0: any free one.")
 @click.option("--list", "list_address", required=True, metavar="HOST:PORT", help="The box list.")
-@click.option("--catalogue", "catalogue_address", default=None, metavar="HOST:PORT",
-              help="The catalogue service; the site file's own titles if left out.")
+@click.option(
+    "--catalogue",
+    "catalogue_address",
+    default=None,
+    metavar="HOST:PORT",
+    help="The catalogue service; the site file's own titles if left out.",
+)
 @click.option("--member-port", default=None, type=int, help="UDP port for other managers; 0: any. No talk if left out.")
 @click.option("--member", "members", multiple=True, metavar="HOST:PORT", help="Another manager's, to begin with.")
 @click.option("--state", default=None, type=click.Path(), help="Folder for the last box list and catalogue.")
@@ -42,9 +48,30 @@
 @click.option("--step", default=None, hidden=True, metavar="STEP:ACT", help="The lab's: killed or stopped there.")
 @click.option("--disk-fault", default=None, type=click.Path(), hidden=True, help="The lab's: full or slow:MS.")
 @click.option("--ready", "say_ready", is_flag=True, help="Print one JSON line with the address once it listens.")
-def front(site, me, zone, host, port, list_address, catalogue_address, member_port, members, state, seed, log_level,
-          log_file, via, clock, older, lies, step, disk_fault, say_ready):
+def front(
+    site,
+    me,
+    zone,
+    host,
+    port,
+    list_address,
+    catalogue_address,
+    member_port,
+    members,
+    state,
+    seed,
+    log_level,
+    log_file,
+    via,
+    clock,
+    older,
+    lies,
+    step,
+    disk_fault,
+    say_ready,
+):
     """Serve WHIP and WHEP as one session manager of SITE (a Jsonnet file)."""
+
     def read():
         found = read_site(site)
         if member_port is not None and not found.allowed.peers:
@@ -58,14 +85,19 @@
         if zone is not None and zone not in found.zones:
             raise SiteError(site, "zones", f"the zone {zone!r} of --zone expected among them")
         return found
+
     found = site_errors(read)
     if clock:
         off, _, rate = clock.partition(":")
         set_wrong(float(off), float(rate or 1))
     paths = json.loads(pathlib.Path(via).read_text()) if via else None
     files = functools.partial(TroubledFiles, pathlib.Path(disk_fault)) if disk_fault else Files
-    made = Sense(found, me, found.zones.index(zone) if zone else 0,
-                 seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)))
+    made = Sense(
+        found,
+        me,
+        found.zones.index(zone) if zone else 0,
+        seed if seed is not None else zlib.crc32(pathlib.Path("/dev/urandom").open("rb").read(8)),
+    )
     log = logger(log_level, log_file, manager=f"m{me}")
     try:
         steps = Steps(step)
@@ -74,14 +106,27 @@
 
     async def main():
         over = asyncio.Event()
-        app = Front(made, log, list_address, state, None, catalogue_address,
-                    list(members) if member_port is not None else None, read, over.set,
-                    paths, files, older, steps)
+        app = Front(
+            made,
+            log,
+            list_address,
+            state,
+            None,
+            catalogue_address,
+            list(members) if member_port is not None else None,
+            read,
+            over.set,
+            paths,
+            files,
+            older,
+            steps,
+        )
         app.fleet.lies = lies
 
         def reload():
-            with contextlib.suppress(SiteError):    # said in the log, by name; the settings in service stay
+            with contextlib.suppress(SiteError):  # said in the log, by name; the settings in service stay
                 app.reload()
+
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
         address = await app.start(host, port, member_port or 0)
         log.info("serves", host=address[0], port=address[1])
@@ -92,4 +137,5 @@
         await service.until_signal(done=over)
         log.info("leaves")
         await app.stop()
+
     service.run(main())
--- a/flaxscale/cli/hunt.py
+++ b/flaxscale/cli/hunt.py
@@ -1,4 +1,5 @@
 """flaxscale hunt: search for the day that hurts most."""
+
 import os
 import sys
 import tempfile
@@ -12,10 +13,13 @@
 
 
 def told(p):
-    names = [f"{row.what}{' ' + row.kind if row.what in ('way', 'disk') else ''} {row.at_s:g}+{row.for_s:g}"
-             for row in p.troubles]
+    names = [
+        f"{row.what}{' ' + row.kind if row.what in ('way', 'disk') else ''} {row.at_s:g}+{row.for_s:g}"
+        for row in p.troubles
+    ]
     what = ", ".join(sorted({kind for kind, _ in p.outcome.breaks})) or (
-        "does not come back" if p.outcome.back is False else f"loses {p.outcome.loss:.1%}")
+        "does not come back" if p.outcome.back is False else f"loses {p.outcome.loss:.1%}"
+    )
     return f"play {p.number}, seed {p.seed}: {what}; {', '.join(names)}"
 
 
@@ -34,6 +38,7 @@
     """Search for troubles on the day of FILE that break a rule, or from which its fleet does not come back, or that
     cost it most. Exit status 3 where a rule or a promise broke."""
     from ..lab import hunts
+
     if replay:
         day = site_errors(lambda: read_day(file, sockets=None))
         with tempfile.TemporaryDirectory() as folder:
@@ -67,15 +72,19 @@
         if p.outcome.breaks or p.outcome.back is False:
             broke += bool(p.outcome.breaks)
             click.echo(told(p))
+
     hunting.run(budget, said)
     plays = hunting.hunt.played
-    click.echo(f"{len(plays)} plays of {day.site.name}: {broke} broke something, "
-               f"{sum(p.outcome.back is False for p in plays)} did not come back, "
-               f"{len(hunting.hunt.marks)} marks reached")
+    click.echo(
+        f"{len(plays)} plays of {day.site.name}: {broke} broke something, "
+        f"{sum(p.outcome.back is False for p in plays)} did not come back, "
+        f"{len(hunting.hunt.marks)} marks reached"
+    )
     for p in hunting.hunt.worst(worst):
         small, tries = hunting.smallest(p)
-        click.echo(f"{told(p)}; {len(p.troubles)} troubles, {len(small)} after {tries} plays: "
-                   f"{hunting.keep(p, small, file)}")
+        click.echo(
+            f"{told(p)}; {len(p.troubles)} troubles, {len(small)} after {tries} plays: {hunting.keep(p, small, file)}"
+        )
     sys.exit(BROKEN if broke else 0)
 
 
--- a/flaxscale/cli/journal.py
+++ b/flaxscale/cli/journal.py
@@ -1,4 +1,5 @@
 """flaxscale journal and flaxscale managers: look at what a manager keeps, and at who is alive."""
+
 import asyncio
 import json
 import pathlib
@@ -10,7 +11,7 @@
 
 from . import BAD, service
 
-AGAIN_S, PAUSE_S, ANSWER_S = 3.0, 0.1, 5.0      # an order without an answer is said again
+AGAIN_S, PAUSE_S, ANSWER_S = 3.0, 0.1, 5.0  # an order without an answer is said again
 
 
 @click.group()
@@ -22,6 +23,7 @@
     """look(its files); a folder that is none, or damaged, ends the program with one line and status 2."""
     from ..store.files import Files
     from ..store.log import StoreError
+
     if not pathlib.Path(folder).is_dir():
         click.echo(f"flaxscale: {folder}: a folder expected", err=True)
         sys.exit(BAD)
@@ -34,6 +36,7 @@
 
 def opened(folder):
     from ..recovery.journal import KeyJournal
+
     return looked_at(folder, lambda files: KeyJournal(files, 0.0))
 
 
@@ -42,8 +45,18 @@
 def inspect(folder):
     """What is kept: one JSON line a key. Tokens and offers are not in it; answers are only counted."""
     for row in opened(folder).rows.values():
-        click.echo(json.dumps({"name": row.name, "title": row.title, "key": row.key, "status": row.status,
-                               "answer_bytes": len(row.body), "left_s": round(row.until - time.time(), 1)}))
+        click.echo(
+            json.dumps(
+                {
+                    "name": row.name,
+                    "title": row.title,
+                    "key": row.key,
+                    "status": row.status,
+                    "answer_bytes": len(row.body),
+                    "left_s": round(row.until - time.time(), 1),
+                }
+            )
+        )
 
 
 @journal.command()
@@ -51,6 +64,7 @@
 def verify(folder):
     """Whether it reads, without changing anything."""
     from ..store.log import verify as check
+
     seq, snapshot, count, torn = looked_at(folder, check)
     kept = "no snapshot" if snapshot is None else f"snapshot at {snapshot}"
     click.echo(f"good: {seq} records, {kept}, {count} after it, {torn} bytes of a torn tail")
@@ -85,8 +99,9 @@
     if not port.isdigit():
         raise OSError("HOST:PORT expected")
     try:
-        result = await pool.ask(host, int(port), method, path,
-                                [("Authorization", f"Bearer {token}")] if token else [], b"", ANSWER_S)
+        result = await pool.ask(
+            host, int(port), method, path, [("Authorization", f"Bearer {token}")] if token else [], b"", ANSWER_S
+        )
     except OSError as bad:
         raise NoAnswer(str(bad)) from None
     if result.status == 307:
@@ -122,6 +137,7 @@
                 await asyncio.sleep(PAUSE_S)
         finally:
             await pool.close()
+
     try:
         return service.run(ask())
     except OSError as bad:
@@ -139,13 +155,22 @@
 def reload(at, token):
     """Let a manager read its settings file again; it refuses by name what it can't take on, and serves on."""
     told = asked(at, token, "POST", "/settings/reload")
-    click.echo(f"{told['site']}: settings {told['mark']} in service; loaded {told['loaded']} times, "
-               f"refused {told['refused']} times")
+    click.echo(
+        f"{told['site']}: settings {told['mark']} in service; loaded {told['loaded']} times, "
+        f"refused {told['refused']} times"
+    )
 
 
 @managers.command()
-@click.option("--at", "addresses", multiple=True, default=("127.0.0.1:8080",), show_default=True, metavar="HOST:PORT",
-              help="A manager; more of them where the first may be gone.")
+@click.option(
+    "--at",
+    "addresses",
+    multiple=True,
+    default=("127.0.0.1:8080",),
+    show_default=True,
+    metavar="HOST:PORT",
+    help="A manager; more of them where the first may be gone.",
+)
 @click.option("--manager", default=None, metavar="NAME", help="Whom to drain; the first that answers if left out.")
 @click.option("--life", default=None, help="In which life; the one that its fellows know of if left out.")
 @click.option("--token", required=True, help="The site's fleet_token.")
@@ -190,9 +215,11 @@
     if row is None:
         click.echo(f"flaxscale: {name}: not known at {at}", err=True)
         sys.exit(BAD)
-    said = {"alive": "it answers probes, its own or those that others were asked for",
-            "suspect": "probes of it got no answer; it may still refute that with a higher incarnation",
-            "dead": "it was suspected for as long as that takes and did not refute; what it played was claimed",
-            "left": "it said that it leaves"}[row["state"]]
+    said = {
+        "alive": "it answers probes, its own or those that others were asked for",
+        "suspect": "probes of it got no answer; it may still refute that with a higher incarnation",
+        "dead": "it was suspected for as long as that takes and did not refute; what it played was claimed",
+        "left": "it said that it leaves",
+    }[row["state"]]
     click.echo(f"{name} is {row['state']} (incarnation {row['incarnation']}, {row['address']}): {said}")
     click.echo(f"the one asked stood still {known['stood_still']} times; it judges nobody by such a time")
--- a/flaxscale/cli/leases.py
+++ b/flaxscale/cli/leases.py
@@ -1,4 +1,5 @@
 """flaxscale leases: who does what for the whole fleet, under which token, until when, and why not somebody else."""
+
 import json
 
 import click
@@ -13,6 +14,7 @@
 
 async def asked(client, **fields):
     from ..proto import catalogue_pb2 as pb
+
     return await client.call("Leases", pb.LeasesRequest(**fields))
 
 
@@ -29,8 +31,17 @@
     reply = await asked(client)
     if as_json:
         for row in reply.rows:
-            click.echo(json.dumps({"piece": row.piece, "owner": row.owner, "token": row.token, "left_ms": row.left_ms,
-                                   "last": json.loads(row.last) if row.last else None}))
+            click.echo(
+                json.dumps(
+                    {
+                        "piece": row.piece,
+                        "owner": row.owner,
+                        "token": row.token,
+                        "left_ms": row.left_ms,
+                        "last": json.loads(row.last) if row.last else None,
+                    }
+                )
+            )
         return
     if not reply.on:
         click.echo("no duties are on here: the site file's `duties` names none")
--- a/flaxscale/cli/logs.py
+++ b/flaxscale/cli/logs.py
@@ -1,4 +1,5 @@
 """Structured logs: one JSON line an event on standard error, or in a file."""
+
 import sys
 
 import structlog
@@ -12,9 +13,18 @@
 
     def clocks(_, __, row):
         from ..serve.clock import now
+
         row["mono"] = now()
         return row
+
     return structlog.wrap_logger(
-        structlog.WriteLogger(out), wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", utc=True), clocks,
-                    structlog.processors.JSONRenderer()], cache_logger_on_first_use=True).bind(**always)
+        structlog.WriteLogger(out),
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper("iso", utc=True),
+            clocks,
+            structlog.processors.JSONRenderer(),
+        ],
+        cache_logger_on_first_use=True,
+    ).bind(**always)
--- a/flaxscale/cli/main.py
+++ b/flaxscale/cli/main.py
@@ -1,16 +1,32 @@
 """The flaxscale command. A program's modules are loaded when it is called: a small one must not pay for the others."""
+
 import importlib
 
 import click
 
-PROGRAMS = {            # program: its module here, and its name there
-    "front": ("front", "front"), "box": ("standins", "box"), "boxlist": ("standins", "boxlist"),
-    "try": ("attempt", "try_command"), "view": ("players", "view"), "push": ("players", "push"), "day": ("days", "day"),
-    "check": ("days", "check_command"), "config": ("days", "config"), "catalogue": ("catalogue", "catalogue"),
-    "peak": ("peaks", "peak"), "model": ("model", "model"), "journal": ("journal", "journal"),
-    "managers": ("journal", "managers"), "platform": ("platform", "platform"), "relay": ("relay", "relay"),
-    "audit": ("audit", "audit"), "fleet": ("fleet", "fleet"), "leases": ("leases", "leases"),
-    "solve": ("solve", "solve"), "hunt": ("hunt", "hunt"), "report": ("report", "report"),
+PROGRAMS = {  # program: its module here, and its name there
+    "front": ("front", "front"),
+    "box": ("standins", "box"),
+    "boxlist": ("standins", "boxlist"),
+    "try": ("attempt", "try_command"),
+    "view": ("players", "view"),
+    "push": ("players", "push"),
+    "day": ("days", "day"),
+    "check": ("days", "check_command"),
+    "config": ("days", "config"),
+    "catalogue": ("catalogue", "catalogue"),
+    "peak": ("peaks", "peak"),
+    "model": ("model", "model"),
+    "journal": ("journal", "journal"),
+    "managers": ("journal", "managers"),
+    "platform": ("platform", "platform"),
+    "relay": ("relay", "relay"),
+    "audit": ("audit", "audit"),
+    "fleet": ("fleet", "fleet"),
+    "leases": ("leases", "leases"),
+    "solve": ("solve", "solve"),
+    "hunt": ("hunt", "hunt"),
+    "report": ("report", "report"),
 }
 
 
--- a/flaxscale/cli/peaks.py
+++ b/flaxscale/cli/peaks.py
@@ -1,4 +1,5 @@
 """flaxscale peak: announce, change, cancel, list, show and plan peaks at the catalogue service."""
+
 import os
 import time
 
@@ -24,12 +25,13 @@
 @click.option("--set", "pairs", multiple=True, metavar="NAME=VALUE", help="An external variable of the file.")
 def rehearse(file, seeds, ways, bound, plot, processes, pairs):
     """Play the day in FILE, with its peaks, in virtual time: held room against none. Figures of a simulated fleet."""
-    os.environ.setdefault("OMP_NUM_THREADS", "1")       # each process has one core; before numpy is loaded
+    os.environ.setdefault("OMP_NUM_THREADS", "1")  # each process has one core; before numpy is loaded
     from ..lab.shapes import read_day
     from ..model import rehearse as work
     from ..model.play import Play
     from ..site.load import SiteError
     from .model import given_of
+
     given = given_of(pairs)
     if odd := [w for w in ways if w not in work.WAYS]:
         raise click.UsageError(f"--way {odd[0]}: one of {', '.join(work.WAYS)} expected")
@@ -39,20 +41,24 @@
         if not found.peaks:
             raise SiteError(file, "peaks", "at least one announcement expected")
         return found
+
     day = site_errors(read)
     began = time.perf_counter()
     ways = [w for w in work.WAYS if w in ways or not ways]
     made = work.compare(file, given, ways, range(1, seeds + 1), processes, bound)
     for line in work.lines(made):
         click.echo(line)
-    click.echo(f"{len(day.boxes)} boxes, {day.site.managers} managers, {seeds} seeds, "
-               f"{time.perf_counter() - began:.0f} s", err=True)
+    click.echo(
+        f"{len(day.boxes)} boxes, {day.site.managers} managers, {seeds} seeds, {time.perf_counter() - began:.0f} s",
+        err=True,
+    )
     if plot:
         work.draw(Play(day, 1, bound_every=work.BOUND_EVERY if bound else 0).run(), plot)
 
 
 async def listed(client):
     from ..proto import peaks_pb2 as pb
+
     return await client.call("List", pb.ListRequest(), stub=client.peaks)
 
 
@@ -60,8 +66,10 @@
     """A change under an id of its own; without an answer it is asked for again, and made once."""
     from ..catalogued.client import new_id
     from ..proto import peaks_pb2 as pb
-    return await client.call("Change", pb.ChangeRequest(who=who(), id=new_id(), **what), stub=client.peaks,
-                             again_s=AGAIN_S)
+
+    return await client.call(
+        "Change", pb.ChangeRequest(who=who(), id=new_id(), **what), stub=client.peaks, again_s=AGAIN_S
+    )
 
 
 def said(reply, what):
@@ -78,6 +86,7 @@
 
 def time_of(text, now_s, option):
     from ..peaks.times import read_time
+
     try:
         return read_time(text, now_s)
     except ValueError as bad:
@@ -86,8 +95,10 @@
 
 def options(needed):
     """The options of an announcement; for a change none is needed."""
+
     def add(command):
-        for option in reversed((
+        for option in reversed(
+            (
                 click.option("--title", "titles", multiple=True, help="A title that is wanted; may be given often."),
                 click.option("--package", "packages", multiple=True, help="All titles of a package."),
                 click.option("--start", required=needed, help="2026-12-05T18:00:00+03:00, or +15m from now."),
@@ -99,9 +110,12 @@
                 click.option("--sure", type=float, help="How sure, over 0 to 1: so much of the room is kept."),
                 click.option("--lead", "lead_s", type=float, help="Seconds before it is needed that room is kept."),
                 click.option("--expect", default=None, type=int, help="Only if announcements are at this version."),
-                click.option("--why", default="", help="Kept with the change."))):
+                click.option("--why", default="", help="Kept with the change."),
+            )
+        ):
             command = option(command)
         return command
+
     return add
 
 
@@ -127,6 +141,7 @@
     """Announce a peak under NAME."""
     from ..peaks import wire
     from ..peaks.announce import Announcement
+
     made = Announcement(name, **fields_of(time.time(), **given))
     reply = await ordered(client, announce=wire.peak_out(made), expect=expect, why=why)
     return said(reply, f"announced {name}")
@@ -139,6 +154,7 @@
 async def change(client, name, expect, why, **given):
     """Change what is announced under NAME; what is not given stays. A planned schedule goes."""
     from ..proto import peaks_pb2 as pb
+
     fields = fields_of(time.time(), **given)
     reply = await ordered(client, change=pb.Fields(name=name, json=msgspec.json.encode(fields)), expect=expect, why=why)
     return said(reply, f"changed {name}")
@@ -170,12 +186,14 @@
     """All announcements, and where each stands."""
     from ..peaks import wire
     from ..peaks.times import say_time
+
     reply = await listed(client)
     click.echo(f"version {reply.version}, {len(reply.peaks)} announced")
     for p in sorted((wire.peak_in(p) for p in reply.peaks), key=lambda p: p.start_s):
         what = ", ".join([*p.titles[:4], *(["..."] if len(p.titles) > 4 else []), *p.packages])
-        click.echo(f"  {p.name}: {what}; {say_time(p.start_s)} to {say_time(p.end_s)}, {p.rate:g}/s; "
-                   f"{stands(p, reply.now_s)}")
+        click.echo(
+            f"  {p.name}: {what}; {say_time(p.start_s)} to {say_time(p.end_s)}, {p.rate:g}/s; {stands(p, reply.now_s)}"
+        )
 
 
 @peak.command()
@@ -185,6 +203,7 @@
     """One announcement: what it says, its room, what managers see come, its history."""
     from ..peaks import wire
     from ..peaks.times import say_time
+
     reply = await listed(client)
     found = next((wire.peak_in(p) for p in reply.peaks if p.name == name), None)
     if found is None:
@@ -192,17 +211,20 @@
         return REFUSED
     click.echo(f"{name}: {stands(found, reply.now_s)}")
     click.echo(f"  titles {', '.join(found.titles) or '-'}; packages {', '.join(found.packages) or '-'}")
-    click.echo(f"  {say_time(found.start_s)} to {say_time(found.end_s)}, ramp {found.ramp_s:g} s, {found.rate:g} a "
-               f"second, each for {found.length_s:g} s; rung {found.rung}, sure {found.sure:g}, "
-               f"lead {found.lead_s:g} s")
+    click.echo(
+        f"  {say_time(found.start_s)} to {say_time(found.end_s)}, ramp {found.ramp_s:g} s, {found.rate:g} a "
+        f"second, each for {found.length_s:g} s; rung {found.rung}, sure {found.sure:g}, "
+        f"lead {found.lead_s:g} s"
+    )
     if found.schedule:
         most = max((kb for b in found.schedule for _, kb in b.steps), default=0.0)
         click.echo(f"  planned on {len(found.schedule)} boxes, at most {most:.0f} kB/s on one")
     for m in reply.managers:
         for seen in m.seen:
             if seen.name == name:
-                click.echo(f"  {m.name}: keeps {seen.kept_kb:.0f} kB/s in all; {seen.came:.0f} came, "
-                           f"{seen.due:.0f} were due")
+                click.echo(
+                    f"  {m.name}: keeps {seen.kept_kb:.0f} kB/s in all; {seen.came:.0f} came, {seen.due:.0f} were due"
+                )
         if m.HasField("refused"):
             click.echo(f"  {m.name} refused version {m.refused}: {m.why}")
     for c in reply.history:
@@ -222,6 +244,7 @@
     from ..peaks import wire
     from ..peaks.plan import Ask, lines, plan_peaks, read_question
     from ..proto import peaks_pb2 as pb
+
     asked = site_errors(lambda: read_question(question))
     reply = await listed(client)
     _, titles = await client.get()
@@ -249,9 +272,10 @@
     if put:
         for name, schedule in made.schedules.items():
             fields = {"schedule": msgspec.to_builtins(schedule), "lead_s": made.leads[name]}
-            status = said(await ordered(
-                client, change=pb.Fields(name=name, json=msgspec.json.encode(fields)), why="planned"),
-                f"schedule of {name} is in service")
+            status = said(
+                await ordered(client, change=pb.Fields(name=name, json=msgspec.json.encode(fields)), why="planned"),
+                f"schedule of {name} is in service",
+            )
             if status:
                 return status
     return 0
--- a/flaxscale/cli/platform.py
+++ b/flaxscale/cli/platform.py
@@ -1,4 +1,5 @@
 """flaxscale platform: one session manager on the operators' platform, told by its environment what it is."""
+
 import asyncio
 import signal
 
@@ -26,8 +27,10 @@
             loop.add_signal_handler(number, host.leave)
         await host.start()
         service.settle_memory()
-        log.info("serves", listen="%s:%d" % config.listen, list=host.bulletin.last,
-                 prices=config.terms.prices._asdict())
+        log.info(
+            "serves", listen="%s:%d" % config.listen, list=host.bulletin.last, prices=config.terms.prices._asdict()
+        )
         await host.done.wait()
         await host.stop()
+
     site_errors(lambda: service.run(main()))
--- a/flaxscale/cli/players.py
+++ b/flaxscale/cli/players.py
@@ -1,4 +1,5 @@
 """flaxscale view and flaxscale push: a WHEP and a WHIP client."""
+
 import asyncio
 import secrets
 import sys
@@ -13,7 +14,8 @@
 
 
 def options(command):
-    for option in reversed([
+    for option in reversed(
+        [
             click.argument("url"),
             click.option("--count", default=1, show_default=True, help="How many, one after another by --rate."),
             click.option("--rate", default=10.0, show_default=True, help="New ones a second."),
@@ -21,7 +23,9 @@
             click.option("--hold", default=2.0, show_default=True, help="Seconds that each plays."),
             click.option("--viewer", default=None, help="Viewer id; one of its own for each if left out."),
             click.option("--token", default=None, help="Bearer token."),
-            click.option("--record", default=None, type=click.Path(), help="Write what was seen to this file.")]):
+            click.option("--record", default=None, type=click.Path(), help="Write what was seen to this file."),
+        ]
+    ):
         command = option(command)
     return command
 
@@ -35,12 +39,13 @@
     address, seed, counts = (parts.hostname, parts.port or 80), secrets.randbits(60), Counter()
 
     async def one(player, n):
-        wish = Wish(n, title, sends, viewer or f"cli-{seed:x}-{n}", patience, hold, None, None, None,
-                    trace_of(seed, n))
+        wish = Wish(n, title, sends, viewer or f"cli-{seed:x}-{n}", patience, hold, None, None, None, trace_of(seed, n))
         seen = await player.ask(address, parts.netloc, wish, say_wait=patience >= 1)
         counts[seen.fate] += 1
-        click.echo(f"{n + 1}: {seen.fate} ({seen.status}) after {seen.after / 10:.1f} ms"
-                   + (f", {seen.location}" if seen.location else ""))
+        click.echo(
+            f"{n + 1}: {seen.fate} ({seen.status}) after {seen.after / 10:.1f} ms"
+            + (f", {seen.location}" if seen.location else "")
+        )
         if seen.fate == "plays":
             counts["whole" if await player.hold(address, parts.netloc, wish, seen) else "broken off"] += 1
 
@@ -52,6 +57,7 @@
                 if n + 1 < count:
                     await asyncio.sleep(1 / rate)
         await player.pool.close()
+
     service.run(main())
     click.echo(", ".join(f"{name} {n}" for name, n in sorted(counts.items())))
     sys.exit(0 if counts["plays"] == count else 1)
--- a/flaxscale/cli/relay.py
+++ b/flaxscale/cli/relay.py
@@ -1,4 +1,5 @@
 """flaxscale relay: the ways between a day's processes, with faults on them by command."""
+
 import json
 import pathlib
 
@@ -21,6 +22,7 @@
     Commands come as JSON lines on standard input: {"target": "b1", "address": "HOST:PORT"}, {"fault": 1, "kind": "cut",
     "ways": [["m0", "b1"]]}, {"heal": 1}, {"count": true}.
     """
+
     def read():
         try:
             found = json.loads(pathlib.Path(pairs).read_text())
@@ -29,6 +31,7 @@
             raise SiteError(pairs, "", f"can't be read: {bad.strerror}") from None
         except (ValueError, TypeError) as bad:
             raise SiteError(pairs, "", f"pairs of names expected ({bad})") from None
+
     found = site_errors(read)
 
     async def main():
@@ -38,4 +41,5 @@
             ready("127.0.0.1", 0, ways=ports)
         await service.until_signal(app.command)
         await app.stop()
+
     service.run(main())
--- a/flaxscale/cli/report.py
+++ b/flaxscale/cli/report.py
@@ -1,4 +1,5 @@
 """flaxscale report: one HTML page of a day, for who was not there."""
+
 import json
 import pathlib
 import sys
@@ -10,8 +11,9 @@
 
 @click.command()
 @click.argument("folder", type=click.Path(path_type=pathlib.Path))
-@click.option("--out", default=None, type=click.Path(path_type=pathlib.Path),
-              help="The page; FOLDER/report.html if left out.")
+@click.option(
+    "--out", default=None, type=click.Path(path_type=pathlib.Path), help="The page; FOLDER/report.html if left out."
+)
 def report(folder, out):
     """Write a page of what happened on the day whose records are in FOLDER: processes, who could reach whom, versions,
     leases, take-overs and answers on one time line."""
@@ -24,6 +26,7 @@
     from ..rules.duties import duties
     from ..rules.promises import NAMES, promises
     from ..rules.records import RecordError
+
     try:
         verdict, unkept, back = check(folder), [*promises(folder), *duties(folder)], of_day(folder)
         day = json.loads((folder / "day.json").read_text())
@@ -38,14 +41,23 @@
     accounts = any(folder.glob("account-*.jsonl"))
     boxes = {file.name: rows_of(file) for file in sorted(folder.glob("box-*.jsonl"))}
     catalogue = folder / "catalogue.jsonl"
-    story = tell(Records(day, lab, clients, boxes, rows_of(catalogue) if catalogue.exists() else [], fronts,
-                         judge(folder).findings if accounts else []))
+    story = tell(
+        Records(
+            day,
+            lab,
+            clients,
+            boxes,
+            rows_of(catalogue) if catalogue.exists() else [],
+            fronts,
+            judge(folder).findings if accounts else [],
+        )
+    )
     file = out or folder / "report.html"
     try:
-        file.write_text(page(story, clients, sorted(breaks, key=lambda b: b[1]), verdict.line(),
-                             back.said if back else ""))
+        file.write_text(
+            page(story, clients, sorted(breaks, key=lambda b: b[1]), verdict.line(), back.said if back else "")
+        )
     except OSError as bad:
         click.echo(f"flaxscale: {file}: can't be written: {bad.strerror}", err=True)
         sys.exit(BAD)
     click.echo(f"{file}: {len(breaks)} breaks, {len(story.take_overs)} taken over, {len(story.twos)} told in two ways")
-
--- a/flaxscale/cli/service.py
+++ b/flaxscale/cli/service.py
@@ -1,4 +1,5 @@
 """How a serving program runs: on uvloop, until a signal, with commands by line where it is a stand-in."""
+
 import asyncio
 import gc
 import json
@@ -26,6 +27,7 @@
                     commands(json.loads(line))
                 except (ValueError, KeyError, TypeError) as bad:
                     print(f"command not taken: {bad}", file=sys.stderr, flush=True)
+
         listener = asyncio.ensure_future(listen())
         await done.wait()
         listener.cancel()
--- a/flaxscale/cli/solve.py
+++ b/flaxscale/cli/solve.py
@@ -2,6 +2,7 @@
 
 For a manager that has others to answer meanwhile: numpy, the solver and the making of its model would hold its loop.
 """
+
 import sys
 from typing import NamedTuple
 
@@ -12,15 +13,15 @@
 
 
 class Asked(NamedTuple):
-    question: dict              # catalogue.plan.Question's fields
+    question: dict  # catalogue.plan.Question's fields
     held: dict[str, list[int]]  # title: boxes that hold it now
-    seconds: float              # for the solver, at most
+    seconds: float  # for the solver, at most
 
 
 class Told(NamedTuple):
     add: list[tuple[str, int]]
     drop: list[tuple[str, int]]
-    before: float               # share of the demand's value that can be carried, now and then
+    before: float  # share of the demand's value that can be carried, now and then
     after: float
 
 
@@ -28,10 +29,14 @@
 def solve():
     """Read an Asked as JSON, write a Told."""
     from ..catalogue.plan import Question, Shelf, plan
+
     try:
         asked = msgspec.json.decode(sys.stdin.buffer.read(), type=Asked)
-        fields = {**asked.question, "boxes": tuple(Shelf(*row) for row in asked.question["boxes"]),
-                  "uplinks": {int(rack): kb for rack, kb in asked.question["uplinks"].items()}}
+        fields = {
+            **asked.question,
+            "boxes": tuple(Shelf(*row) for row in asked.question["boxes"]),
+            "uplinks": {int(rack): kb for rack, kb in asked.question["uplinks"].items()},
+        }
         made = plan(Question(**fields), {title: set(boxes) for title, boxes in asked.held.items()}, asked.seconds)
     except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as bad:
         click.echo(f"flaxscale: the question: {bad}", err=True)
