Review case 3: set-ups go to a draining server while discovery answers slowly

Where all that the bulletin says comes 3 s late, the session manager drops each connection after 1.4, 1.4 and 2.8 s, before the answer that is on its way, and hears of a drain after 9 s (discovery.silence_limit).

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+test -x ../../.venv/bin/python || exit 2
+exec ../../.venv/bin/python case.py
