--- a/review/common/platform_standins.py
+++ b/review/common/platform_standins.py
@@ -352,10 +352,10 @@
         self.process.send_signal(number)
 
     def memory(self):
-        """Resident memory, MB."""
+        """Resident memory, MB of 2**20 bytes."""
         try:
             with open(f"/proc/{self.process.pid}/statm") as file:
-                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
         except OSError:
             return None
 
