--- a/flaxscale/platform/clients.py
+++ b/flaxscale/platform/clients.py
@@ -30,7 +30,7 @@
         self.open_requests, self.validated, self.bad_messages = {}, False, 0
         self.closed = False  # nothing is sent on it any more
         self.reading_stopped = False  # received data is ignored; closed once all open requests are answered
-        self.close_started_at = None  # when the manager closed it
+        self.close_started_at = None  # when the manager or the client closed it
         self.closing_for_room = False  # selected for closing, if still unused after the next poll
         self.accepted_count = 0  # sessions that began on it; releases prefer connections with many
         self.connected_at = self.partial_since = self.received_at = self.used_at = host.now()
@@ -66,6 +66,7 @@
         if not self.closed:
             self.host.client_closed(self)
             self.closed = True
+            self.close_started_at = self.host.now()  # unsent answers may keep the transport open
         return False
 
     def connection_lost(self, exc):
@@ -136,10 +137,16 @@
 
     def answer(self, session, data):
         """Sends the single answer to a request."""
-        self.open_requests.pop(session.call, None)
+        self.remove_request(session.call)
         self.send(data)
         self.close_if_answered()
 
+    def remove_request(self, call):
+        """Removes a request that awaits no answer any more. Without any, the connection may be closed for room."""
+        self.open_requests.pop(call, None)
+        if not self.open_requests:
+            self.host.descriptors.recheck_hold()
+
     def close_if_answered(self):
         if self.reading_stopped and not self.open_requests:
             self.close()
@@ -183,6 +190,7 @@
             self.abort()
         else:
             self.close()
+            self.host.descriptors.recheck_hold()
 
     def close(self):
         """Closes the writing side and discards what is read: closed with unread bytes, TCP would drop sent answers."""
--- a/flaxscale/platform/descriptors.py
+++ b/flaxscale/platform/descriptors.py
@@ -13,6 +13,7 @@
 
     def __init__(self, host):
         self.host = host
+        self.recheck_pending = False
 
     def client_limit(self):
         share, total = CLIENT_SHARE
@@ -43,6 +44,19 @@
             self.abort_closing_clients(1 + over - CLIENT_OVERFLOW_MAX)
         self.host.listener.set_on_hold(len(clients) - self.client_limit() >= CLIENT_OVERFLOW_MAX)
 
+    def recheck_hold(self):
+        """To be called whenever a connection may have become closable: no new one comes while accepting is on hold.
+
+        The check runs in the loop's next iteration, once for all connections of this one.
+        """
+        if self.host.listener.on_hold and not self.recheck_pending:
+            self.recheck_pending = True
+            self.host.loop.call_soon(self.recheck)
+
+    def recheck(self):
+        self.recheck_pending = False
+        self.make_client_room()
+
     def evict_clients(self):
         staying = [client for client in self.host.clients if not (client.closed or client.closing_for_room)]
         over = len(staying) - self.client_limit()
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -95,7 +95,7 @@
         times, elapsed = stop_times(self.config.longest_deadline), now - self.drain_started_at
         if elapsed <= times.stay or not self.loop_watch.caught_up():
             return False
-        return not self.open_request_count() or elapsed > times.answer_by
+        return elapsed > times.answer_by or self.listener.is_accepting() and not self.open_request_count()
 
     async def stop(self):
         """Closes all connections and ends the tasks."""
@@ -253,6 +253,7 @@
             "waiting": self.open_request_count(),
             "servers": len(self.servers.endpoints),
             "viewer_lines": len(self.clients),
+            "accepting": self.listener.is_accepting(),
             "server_lines": sum(len(endpoint.connections) for endpoint in self.servers.active),
             "owed": sum(len(endpoint.pending_releases) for endpoint in self.servers.active),
             "releases": len(self.client_releases),
@@ -282,8 +283,7 @@
         for session in list(client.open_requests.values()):
             self.end_for_client(session)
         client.open_requests.clear()
-        if self.listener.on_hold:
-            self.descriptors.make_client_room()
+        self.descriptors.recheck_hold()
 
     # Client requests
 
@@ -339,7 +339,7 @@
             return
         client.send(messages.encode("ended", message.call))
         self.counts["left"] += 1
-        session.client.open_requests.pop(session.call, None)
+        session.client.remove_request(session.call)
         self.end_for_client(session)
         session.client.close_if_answered()
 
@@ -475,7 +475,7 @@
         elif answer.kind is AnswerKind.ABORTED:
             session.client.answer(session, messages.encode("end", session.call, why=messages.CAUSE_INTERRUPTED))
         else:
-            session.client.open_requests.pop(session.call, None)
+            session.client.remove_request(session.call)
 
     def tell_peers(self, server, kb):
         self.peers.send(PEER_MESSAGE.pack(server, kb))
--- a/flaxscale/platform/listener.py
+++ b/flaxscale/platform/listener.py
@@ -57,6 +57,10 @@
     def address(self):
         return self.socket.getsockname()
 
+    def is_accepting(self):
+        """Whether connections are accepted now; otherwise some may wait in the kernel's queue."""
+        return not self.on_hold and self.resume_timer is None
+
     def resume(self):
         self.resume_timer = None
         if self.socket is not None and not self.on_hold:
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import errno
 import json
 import os
@@ -12,10 +13,10 @@
 import uvloop
 
 from flaxscale import interface
-from flaxscale.platform import clients, discovery, loopwatch
+from flaxscale.platform import clients, descriptors, discovery, loopwatch
 from flaxscale.platform.starttimes import START_AGE_MAX, StartTimes
 from flaxscale.platform.stopping import stop_times
-from tests.platform_rig import ANSWER, DESC, SETTINGS, Platform, accept_all, line
+from tests.platform_rig import ANSWER, DESC, LIMIT, SETTINGS, Platform, accept_all, line
 
 HOUR = 36_000_000  # tenths of a millisecond
 
@@ -220,6 +221,104 @@
             conn.transport.abort()
         self.assertEqual("tested", (await self.lines(late, 1))[0]["op"])
 
+    async def test_unsent_answers_of_a_client_that_closed_do_not_keep_its_connection(self):
+        # Guards against descriptors that are held for good by clients that close one side and read nothing.
+        await self.start()
+        client_socket = await self.raw_client()
+        client = self.manager_side(client_socket)
+        async with asyncio.timeout(LIMIT):
+            while not client.transport.get_write_buffer_size():
+                with contextlib.suppress(BlockingIOError):
+                    client_socket.send(line("test", "ffff") * 100)
+                await self.poll_loop()
+            client_socket.shutdown(socket.SHUT_WR)
+            while not client.closed:
+                await self.poll_loop()
+            self.host.close_expired_clients(self.host.now() + clients.CLOSE_TIMEOUT + 1)
+            while self.host.clients:
+                await self.poll_loop()
+
+
+class AcceptingOnHold(Crossings):
+    """All connections that may be accepted have an open request, and another client waits in the kernel's queue.
+
+    Guards against a listener that stays on hold for good: the manager runs, and answers nobody on a new connection.
+    """
+
+    LIMIT, OVERFLOW = 4, descriptors.CLIENT_OVERFLOW_MAX
+
+    async def fill(self, left=60_000):
+        """Takes all places with open requests and lets another client ask; returns the sockets and its socket."""
+        await self.server(1, lambda conn, row: None)
+        await self.start(1)
+        self.host.descriptors.client_limit = lambda: self.LIMIT
+        self.host.close_expired_clients = lambda now: None  # no timer may be what resumes accepting
+        busy = []
+        async with asyncio.timeout(LIMIT):
+            for number in range(self.LIMIT + self.OVERFLOW):
+                busy.append(socket.create_connection(self.address))
+                self.addCleanup(busy[-1].close)
+                busy[-1].send(offer(f"{number:016x}", left=left))  # before the manager accepts the connection
+                while self.host.open_request_count() <= number:
+                    await self.poll_loop()
+        late = socket.create_connection(self.address)
+        self.addCleanup(late.close)
+        late.setblocking(False)
+        late.send(line("test", "ffff"))
+        await self.poll_loop()
+        self.assertTrue(self.host.listener.on_hold)
+        return busy, late
+
+    async def assert_served(self, late):
+        self.assertEqual("tested", (await self.lines(late, 1))[0]["op"])
+
+    async def accept_set_ups(self, number):
+        await self.seen("offer", number, who=1)
+        for row in self.all("offer", who=1)[:number]:
+            row["conn"].send(line("accept", row["call"], desc=ANSWER))
+
+    async def test_accepting_resumes_once_requests_were_answered_and_their_connections_stay(self):
+        # The clients' sides stay open, also after the manager has closed its own.
+        _, late = await self.fill()
+        await self.accept_set_ups(self.LIMIT + self.OVERFLOW)
+        await self.assert_served(late)
+
+    async def test_one_answered_request_is_enough_for_the_next_connection(self):
+        _, late = await self.fill()
+        await self.accept_set_ups(1)
+        await self.assert_served(late)
+
+    async def test_accepting_resumes_once_requests_were_answered_by_a_timer(self):
+        _, late = await self.fill(left=500)
+        await self.assert_served(late)
+
+    async def test_accepting_resumes_once_requests_were_given_up_by_their_clients(self):
+        busy, late = await self.fill()
+        busy[0].send(line("end", f"{0:016x}", why=16))
+        await self.assert_served(late)
+
+    async def test_accepting_resumes_once_a_connection_was_refused_all_its_requests(self):
+        busy, late = await self.fill()
+        busy[0].send(b"x" * 20_000)  # read no further: closed with the answer of its request
+        await self.seen("read no further")
+        await self.accept_set_ups(1)
+        await self.assert_served(late)
+
+    async def test_a_draining_manager_stays_while_accepting_is_on_hold(self):
+        # Clients in the kernel's queue count as accepted, and would lose their requests.
+        busy, late = await self.fill()
+        self.host.drain()
+        stay_is_over = self.host.now() + stop_times(self.host.config.longest_deadline).stay + 1
+        for client_socket in busy:
+            client = self.manager_side(client_socket)
+            client.open_requests.clear()  # answered, and the loop has not continued yet
+        self.assertFalse(self.host.is_drained(stay_is_over))
+        self.host.descriptors.recheck_hold()
+        await self.assert_served(late)
+        async with asyncio.timeout(LIMIT):
+            while not self.host.is_drained(stay_is_over):
+                await self.poll_loop()
+
 
 class Stall(Crossings):
     """The process stalls: timers are overdue and data is unread when it continues."""
