--- a/flaxscale/front/front.py
+++ b/flaxscale/front/front.py
@@ -891,6 +891,9 @@
             refusal = Refusal(502, f"the video server failed: {answer.outcome.value}", fate="aborted")
         return refusal.answer()
 
+    def session_removed(self, id):
+        """Nothing to do: drop_viewing() removes the front's record, with the answer or with the end of playback."""
+
     def drop_viewing(self, viewing):
         """Removes all state of a viewing."""
         self.viewings.pop(viewing.id, None)
--- a/flaxscale/model/manager.py
+++ b/flaxscale/model/manager.py
@@ -184,6 +184,9 @@
     def answer(self, id, answer):
         self.play.manager_answered(self, self.viewings[id], answer)
 
+    def session_removed(self, id):
+        """Nothing to do: the model's record ends with the answer or with the end of playback."""
+
     def tell_peers(self, server, kb):
         self.play.send_peer_load(self, server, kb)
 
--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -189,6 +189,11 @@
             self.release(session.call, messages.CAUSE_NORMAL)
         return True
 
+    def forget(self, session):
+        """Drops what is held of a session that is over, but for releases that the server has not acknowledged."""
+        self.playing.discard(session.id)
+        self.pending_rungs.pop(session.call, None)
+
     # Releases and rung changes
 
     def release(self, call, cause, connection=None):
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -305,7 +305,6 @@
         client.open_requests[setup.call] = session
         left = span_tenths(setup.remaining_ms) - max(0, self.now() - arrived_at)
         self.runner.session_requested(self.session_request(setup, max(0, left)))
-        self.forget_ended(session)
 
     def session_request(self, setup, left):
         return SessionRequest(
@@ -353,14 +352,6 @@
         ):
             # The settings do not allow cancelling, but a set-up that was not sent yet is never sent.
             self.runner.attempt_ended(session.id, session.nth, Outcome.MOOT, self.now() - session.sent_at)
-        self.forget_ended(session)
-
-    def forget_ended(self, session):
-        """Removes a session that the runner no longer holds."""
-        if session.id not in self.runner.sessions and self.sessions.get(session.id) is session:
-            del self.sessions[session.id]
-            if session.endpoint is not None:
-                session.endpoint.playing.discard(session.id)
 
     def session_by_call(self, call):
         return self.sessions.get(int(call, 16)) if messages.CALL_ID.match(call) else None
@@ -381,7 +372,6 @@
             endpoint.playing.discard(session.id)
             endpoint.release(session.call, messages.CAUSE_NORMAL)
         session.answer = session.desc = None  # not needed again; saves memory with thousands of sessions
-        self.forget_ended(session)
 
     def attempt_failed(self, session, outcome, load=()):
         """Reports a failed attempt to the runner."""
@@ -391,7 +381,6 @@
             f"set-up {outcome.value}", call=session.call, server=server, key=session.key, nth=session.nth, took=duration
         )
         self.runner.attempt_ended(session.id, session.nth, outcome, duration, load)
-        self.forget_ended(session)
 
     def fail_attempt_later(self, session, outcome):
         """Calls attempt_failed() after the runner's current step."""
@@ -404,7 +393,6 @@
         self.counts[f"over {outcome.value}"] += 1
         load = messages.parse_load(message, self.config.load_names)
         self.runner.attempt_ended(session.id, session.nth, outcome, self.now() - session.sent_at, load)
-        self.forget_ended(session)
         if outcome is not Outcome.CANCELLED:
             self.client_releases.release(session, message.why)
 
@@ -417,7 +405,6 @@
         if not session.endpoint.retired:
             session.endpoint.release(session.call, messages.CAUSE_NORMAL)
         self.runner.attempt_ended(id, session.nth, Outcome.RESET, self.now() - session.sent_at)
-        self.forget_ended(session)
         self.client_releases.release(session, messages.CAUSE_INTERRUPTED)
 
     def handle_note(self, endpoint, session, message):
@@ -477,6 +464,11 @@
         else:
             session.client.remove_request(session.call)
 
+    def session_removed(self, id):
+        session = self.sessions.pop(id)
+        if session.endpoint is not None:
+            session.endpoint.forget(session)
+
     def tell_peers(self, server, kb):
         self.peers.send(PEER_MESSAGE.pack(server, kb))
 
--- a/flaxscale/run.py
+++ b/flaxscale/run.py
@@ -58,6 +58,7 @@
     def end_session(self, id: int, nth: int, server: int) -> None: ...  # end a playing session
     def set_rung(self, id: int, nth: int, server: int, rung: int) -> None: ...
     def answer(self, id: int, answer: Answer) -> None: ...
+    def session_removed(self, id: int) -> None: ...  # the runner holds no record of the session any more
     def tell_peers(self, server: int, kb: float) -> None: ...
     def probe(self, server: int) -> None: ...  # always ends in Runner.probe_ended()
     def log(self, text: str) -> None: ...
@@ -76,6 +77,7 @@
 
 
 ATTEMPT_TIMEOUT, MANAGER_TIMER, ANSWER_DUE = range(3)
+TIMERS_BEFORE_PURGE = 1_024  # least number of timers at which those of removed sessions are dropped
 
 
 class Runner:
@@ -86,6 +88,7 @@
         self.manager, self.port, self.observer = Manager(terms), port, observer
         self.sessions, self.pending_events, self.timers = {}, deque(), []
         self.timer_sequence = self.faults = self.overdue = 0
+        self.purge_timers_above = TIMERS_BEFORE_PURGE
         self.now, self.next_wake_at, self.processing = 0, None, False
         self.last_answer_at = None  # of a manager that stops: requests are answered by this time
         self.step_due_at = 0  # when the present event was due: now, or earlier for a timer that fires late
@@ -192,7 +195,7 @@
         session_over, server = session.phase is Phase.PLAYS or session.answered, session.server
         session.phase, session.server, session.outcome = Phase.WAITS, None, outcome
         if session_over:
-            self.sessions.pop(id)
+            self.remove(id)
         self.process(interface.AttemptEnded(id, nth, server, outcome, duration, session_over, load))
         return True
 
@@ -204,7 +207,7 @@
         now = self.port.now()
         if session.phase is Phase.PLAYS:
             self.port.end_session(id, session.nth, session.server)
-            self.sessions.pop(id)
+            self.remove(id)
             self.process(
                 interface.AttemptEnded(
                     id, session.nth, session.server, Outcome.CANCELLED, now - session.sent_at, True, ()
@@ -341,7 +344,12 @@
         """Drops an answered session, unless an attempt of it is pending."""
         session = self.sessions.get(id)
         if session and session.phase is Phase.WAITS:
-            del self.sessions[id]
+            self.remove(id)
+
+    def remove(self, id):
+        """Removes the record of a session, here and in the port: the one place where a record ends."""
+        del self.sessions[id]
+        self.port.session_removed(id)
 
     def report_fault(self, text):
         self.faults += 1
@@ -350,6 +358,14 @@
     def add_timer(self, time, kind, id, nth):
         self.timer_sequence += 1
         heapq.heappush(self.timers, (time, self.timer_sequence, kind, id, nth))
+        if len(self.timers) > self.purge_timers_above:
+            self.purge_timers()
+
+    def purge_timers(self):
+        """Drops the timers of removed sessions: a request may be answered long before its deadline."""
+        self.timers = [timer for timer in self.timers if timer[2] == MANAGER_TIMER or timer[3] in self.sessions]
+        heapq.heapify(self.timers)
+        self.purge_timers_above = max(TIMERS_BEFORE_PURGE, 2 * len(self.timers))
 
     def schedule_wake(self):
         if self.timers and (self.next_wake_at is None or self.timers[0][0] < self.next_wake_at):
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from flaxscale import interface
+from flaxscale.jsonl import messages
 from flaxscale.platform import clients, descriptors, discovery, loopwatch
 from flaxscale.platform.starttimes import START_AGE_MAX, StartTimes
 from flaxscale.platform.stopping import stop_times
@@ -320,6 +321,47 @@
                 await self.poll_loop()
 
 
+class Records(Crossings):
+    """Guards against records that stay after their answer: the process is killed when its memory runs out."""
+
+    async def test_no_record_stays_of_a_request_that_was_refused_by_a_timer(self):
+        await self.server(1)
+        await self.start(1)
+        self.host.runner.manager.servers[1].link.capacity_kb = 1e-6  # no session fits
+        conn = await self.viewer()
+        calls = [self.ask(conn) for _ in range(20)]
+        for call in calls:
+            await self.seen("end", who="viewer", call=call)
+        self.assertEqual([], self.all("offer", who=1))
+        self.assertEqual(({}, {}), (self.host.sessions, self.host.runner.sessions))
+
+    async def test_no_record_stays_of_a_request_that_failed_at_its_deadline(self):
+        await self.server(1, lambda conn, row: None)
+        await self.start(1)
+        conn = await self.viewer()
+        calls = [self.ask(conn, left=300) for _ in range(3)]
+        for call in calls:
+            await self.seen("end", who="viewer", call=call)
+            await self.seen("end", who=1, call=call)
+        self.assertEqual(({}, {}), (self.host.sessions, self.host.runner.sessions))
+        self.assertEqual(({}, set()), (self.endpoint().waiting_sessions, self.endpoint().playing))
+
+    async def test_no_rung_stays_of_a_session_that_is_over(self):
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        call = self.ask(conn)
+        await self.seen("accept", who="viewer", call=call)
+        self.endpoint().pending_rungs[call] = 0  # no connection to send it on
+        self.host.ended_by_server(
+            self.endpoint(), self.host.sessions[int(call, 16)], messages.Message("end", call, why=16)
+        )
+        self.assertEqual({}, self.endpoint().pending_rungs)
+
+    def endpoint(self):
+        return self.host.servers.endpoints[1]
+
+
 class Stall(Crossings):
     """The process stalls: timers are overdue and data is unread when it continues."""
 
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -4,7 +4,7 @@
 
 from flaxscale import interface
 from flaxscale.interface import ListKind, NoteKind, Outcome, ServerStatus
-from flaxscale.run import AnswerKind, Phase, Runner
+from flaxscale.run import TIMERS_BEFORE_PURGE, AnswerKind, Phase, Runner
 from tests.drive import S, pack, site
 
 
@@ -13,6 +13,7 @@
 
     def __init__(self):
         self.clock, self.calls, self.wake_time, self.was_sent = 100 * S, [], None, True
+        self.removed = []
 
     def now(self):
         return self.clock
@@ -36,6 +37,9 @@
     def answer(self, id, answer):
         self.calls.append(("answer", id, answer.kind, answer.outcome))
 
+    def session_removed(self, id):
+        self.removed.append(id)
+
     def tell_peers(self, server, kb):
         self.calls.append(("tell_peers", server))
 
@@ -75,6 +79,82 @@
     def calls(self, name):
         return [row for row in self.port.calls if row[0] == name]
 
+    def test_the_port_is_told_of_each_removed_record_whichever_path_removes_it(self):
+        # Guards against records of sessions that stay in the port after their answer, until memory runs out.
+        def refused_at_the_end_of_a_batch():
+            for server in self.runner.manager.servers.values():
+                server.link.capacity_kb = 1e-6
+            self.request()
+            self.advance(2_000)
+
+        def answered_at_the_deadline():
+            self.runner.manager.batch_ends_at = self.port.clock + 60 * S  # no batch ends before
+            self.request(left=1_000)
+
+        def abandoned_at_the_deadline():
+            self.request(left=1_000)
+            self.advance(60 * S)
+
+        def failed_by_its_server():
+            self.request()
+            while (
+                self.runner.attempt_ended(1, self.runner.sessions[1].nth, Outcome.ERROR, 10) and not self.port.removed
+            ):
+                self.advance(1_000)
+
+        def ended_by_its_server():
+            self.request()
+            self.runner.attempt_succeeded(1, 0, 10)
+            self.runner.attempt_ended(1, 0, Outcome.OK, 10)
+
+        def left_by_its_client():
+            self.request()
+            self.runner.client_left(1)
+
+        def ended_by_its_client():
+            self.request()
+            self.runner.attempt_succeeded(1, 0, 10)
+            self.runner.client_left(1)
+
+        def left_during_an_attempt_that_can_not_be_cancelled():
+            self.runner.manager.allowed = self.runner.manager.allowed._replace(may_cancel=False)
+            self.request()
+            self.runner.client_left(1)
+            self.runner.attempt_succeeded(1, 0, 10)
+
+        def refused_in_a_planned_stop():
+            self.runner.answer_by(self.port.clock)
+            self.request()
+
+        for path in (
+            refused_at_the_end_of_a_batch,
+            answered_at_the_deadline,
+            abandoned_at_the_deadline,
+            failed_by_its_server,
+            ended_by_its_server,
+            left_by_its_client,
+            ended_by_its_client,
+            left_during_an_attempt_that_can_not_be_cancelled,
+            refused_in_a_planned_stop,
+        ):
+            with self.subTest(path.__name__):
+                self.start()
+                path()
+                self.assertEqual(1, len(self.calls("answer")))
+                self.assertEqual([1], self.port.removed)
+                self.assertEqual({}, self.runner.sessions)
+
+    def test_timers_of_answered_requests_do_not_stay_until_their_deadlines(self):
+        # Guards against memory that grows with refused requests whose clients state deadlines of an hour.
+        self.start()
+        for id in range(1, 3 * TIMERS_BEFORE_PURGE):
+            self.request(id, left=3600 * S)
+            self.runner.client_left(id)
+        self.assertLessEqual(len(self.runner.timers), TIMERS_BEFORE_PURGE)
+        self.request(7, left=1_000)
+        self.advance(60 * S)  # the timers that are left still fire
+        self.assertEqual(7, self.calls("answer")[-1][1])
+
     def test_a_session_from_its_request_to_its_end(self):
         self.start()
         self.request()
