--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -23,6 +23,7 @@
 from .listener import Listener
 from .loopwatch import LoopWatch
 from .peers import PeerMessages
+from .recent_ends import RecentEnds, SessionEnd
 from .releases import ClientReleases
 from .serverlist import ServerList
 from .sessions import session_of
@@ -45,6 +46,7 @@
         self.sessions, self.clients = {}, {}
         self.servers, self.descriptors = ServerList(self), Descriptors(self)
         self.client_releases = ClientReleases(self)
+        self.server_ends, self.client_ends = RecentEnds(), RecentEnds()
         self.loop_watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
         self.stopped, self.drain_started_at, self.maintenance_count = False, None, 0
@@ -229,6 +231,8 @@
         now, self.maintenance_count = self.now(), self.maintenance_count + 1
         self.close_expired_clients(now)
         self.client_releases.maintain(now)
+        self.server_ends.expire(now)
+        self.client_ends.expire(now)
         self.servers.maintain(now)
         self.discovery.maintain(now)
         self.peers.maintain(now)
@@ -326,13 +330,37 @@
         if endpoint is None:
             raise MessageError("extras.at: unknown server")
         self.counts["handed over"] += 1
-        session = self.sessions[setup.id] = session_of(setup, client)
+        session = session_of(setup, client)
+        if self.ended_before_handover(session, endpoint):
+            return
+        self.sessions[setup.id] = session
         self.mark_playing(session, endpoint)
         self.runner.session_handed_over(self.session_request(setup, 0), setup.playing_at, None)
 
+    def ended_before_handover(self, session, endpoint):
+        """Whether a session that is handed over is over already; tells that to the side that does not know it."""
+        by_server = self.server_ends.find(session.id, endpoint.server)
+        by_client = self.client_ends.find(session.id, endpoint.server)
+        if by_server is None and by_client is None:
+            return False
+        self.count_and_log("ended before its hand-over", call=session.call, by_viewer=by_client is not None)
+        if by_server is None:
+            self.servers.active.add(endpoint)
+            endpoint.release(session.call, messages.CAUSE_NORMAL)
+        elif by_client is None and messages.OUTCOMES_AFTER_START.get(by_server.cause) is not Outcome.CANCELLED:
+            self.client_releases.release(session, by_server.cause)
+        return True
+
+    def record_end(self, ends, message, server=None):
+        """Records the end of a playing session, or of one that is not held here, for a hand-over that may follow."""
+        if messages.CALL_ID.match(message.call):
+            ends.add(int(message.call, 16), SessionEnd(server, message.why, self.now()))
+
     def handle_end(self, client, message):
         """Handles a client's end: of an open set-up on the same connection, of a playing session on any connection."""
         session = self.session_by_call(message.call)
+        if session is None or session.call not in session.client.open_requests:
+            self.record_end(self.client_ends, message)
         if session is None or session.call in session.client.open_requests and session.client is not client:
             client.send(messages.encode("ended", message.call[:64]))
             return
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -14,7 +14,7 @@
 
 from flaxscale import interface
 from flaxscale.jsonl import messages
-from flaxscale.platform import clients, descriptors, discovery, loopwatch
+from flaxscale.platform import clients, descriptors, discovery, loopwatch, recent_ends
 from flaxscale.platform.starttimes import START_AGE_MAX, StartTimes
 from flaxscale.platform.stopping import stop_times
 from tests.platform_rig import ANSWER, DESC, LIMIT, SETTINGS, Platform, accept_all, line
@@ -362,6 +362,104 @@
         return self.host.servers.endpoints[1]
 
 
+class HandOvers(Crossings):
+    """Guards against sessions that are taken on although they are over: their ends came before their hand-overs."""
+
+    CALL = "00000000000000aa"
+
+    async def server_connection(self):
+        """A connection of the server, opened for the hand-over of another session."""
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        self.ask(conn, call="00000000000000bb", at=1)
+        return conn, (await self.seen("open", who=1))["conn"]
+
+    def assert_not_held(self):
+        self.assertEqual([0xBB], list(self.host.sessions))
+        self.assertEqual([0xBB], list(self.host.runner.sessions))
+        self.assertEqual([0xBB], list(self.host.runner.manager.sessions))
+
+    async def test_a_release_before_the_hand_over_of_its_session_is_passed_on(self):
+        conn, server = await self.server_connection()
+        server.send(line("end", self.CALL, why=16))
+        await self.seen("ended", who=1, call=self.CALL)
+        self.ask(conn, call=self.CALL, at=1)
+        self.assertEqual(16, (await self.seen("end", who="viewer", call=self.CALL))["why"])
+        self.assert_not_held()
+        conn.send(line("ended", self.CALL))
+        async with asyncio.timeout(LIMIT):
+            while len(self.host.client_releases):
+                await self.poll_loop()
+
+    async def test_a_release_of_a_session_that_its_viewer_ended_is_not_passed_on(self):
+        conn, server = await self.server_connection()
+        server.send(line("end", self.CALL, why=31))
+        await self.seen("ended", who=1, call=self.CALL)
+        self.ask(conn, call=self.CALL, at=1)
+        conn.send(line("test", "ffff"))
+        await self.seen("tested", who="viewer")
+        self.assertEqual([], self.all("end", who="viewer"))
+        self.assert_not_held()
+
+    async def test_a_viewers_end_before_the_hand_over_ends_the_session_at_its_server(self):
+        conn, _ = await self.server_connection()
+        other = await self.viewer("other")
+        other.send(line("end", self.CALL, why=16))
+        await self.seen("ended", who="other", call=self.CALL)
+        self.ask(conn, call=self.CALL, at=1)
+        await self.seen("end", who=1, call=self.CALL)
+        self.assertEqual([], self.all("end", who="viewer"))
+        self.assert_not_held()
+
+    async def test_a_hand_over_that_is_repeated_after_its_servers_end_is_not_taken_on(self):
+        conn, server = await self.server_connection()
+        self.ask(conn, call=self.CALL, at=1)
+        server.send(line("end", self.CALL, why=16))
+        await self.seen("end", who="viewer", call=self.CALL)
+        await self.assert_not_taken_on(conn)
+
+    async def test_a_hand_over_that_is_repeated_after_its_viewers_end_is_not_taken_on(self):
+        conn, _ = await self.server_connection()
+        self.ask(conn, call=self.CALL, at=1)
+        conn.send(line("end", self.CALL, why=16))
+        await self.seen("end", who=1, call=self.CALL)
+        await self.assert_not_taken_on(conn)
+
+    async def assert_not_taken_on(self, conn):
+        self.ask(conn, call=self.CALL, at=1)
+        conn.send(line("test", "ffff"))
+        await self.seen("tested", who="viewer")
+        self.assert_not_held()
+
+    async def test_an_end_at_another_server_does_not_end_the_session(self):
+        conn, server = await self.server_connection()
+        await self.server(2)
+        self.host.apply_list_update(self.list_update(self.row(2)))
+        server.send(line("end", self.CALL, why=16))
+        await self.seen("ended", who=1, call=self.CALL)
+        self.ask(conn, call=self.CALL, at=2)
+        conn.send(line("test", "ffff"))
+        await self.seen("tested", who="viewer")
+        self.assertEqual({0xAA, 0xBB}, set(self.host.sessions))
+
+    def list_update(self, row):
+        event = self.event(row)
+        return self.host.bulletin.receive(json.dumps(event).encode())
+
+    def test_ends_are_kept_for_a_time_and_a_number(self):
+        ends = recent_ends.RecentEnds()
+        ends.add(1, recent_ends.SessionEnd(7, 16, received_at=0))
+        ends.expire(recent_ends.KEPT_FOR)
+        self.assertIsNotNone(ends.find(1, 7))
+        ends.expire(recent_ends.KEPT_FOR + 1)
+        self.assertIsNone(ends.find(1, 7))
+        for session in range(recent_ends.ENDS_MAX + 5):
+            ends.add(session, recent_ends.SessionEnd(7, 16, received_at=0))
+        self.assertEqual(recent_ends.ENDS_MAX, len(ends))
+        self.assertIsNone(ends.find(4, 7))
+
+
 class Stall(Crossings):
     """The process stalls: timers are overdue and data is unread when it continues."""
 
