--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -359,9 +359,10 @@
     def handle_end(self, client, message):
         """Handles a client's end: of an open set-up on the same connection, of a playing session on any connection."""
         session = self.session_by_call(message.call)
-        if session is None or session.call not in session.client.open_requests:
+        is_open = session is not None and session.call in session.client.open_requests
+        if not is_open:
             self.record_end(self.client_ends, message)
-        if session is None or session.call in session.client.open_requests and session.client is not client:
+        if session is None or is_open and session.client is not client:
             client.send(messages.encode("ended", message.call[:64]))
             return
         client.send(messages.encode("ended", message.call))
