Review cases 6 to 10: one layout of their code

Cause: lines over the project's width and an unused import.

Done: formatted with the project's formatter; the first line of case 9's text is shorter. Nothing else is changed.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,7 +20,10 @@
 async def case(fleet):
     servers = [Server(fleet, n + 1, n, host=f"127.7.0.{2 + n}") for n in range(SERVERS)]
     await fleet.start_manager(
-        *servers, sockets=SOCKETS, specifics__cells=SERVERS, specifics__shelves=SERVERS // 9,
+        *servers,
+        sockets=SOCKETS,
+        specifics__cells=SERVERS,
+        specifics__shelves=SERVERS // 9,
         specifics__fleetKb=60888.0 * SERVERS / 12,
     )
     viewer = await fleet.viewer()
@@ -43,10 +46,18 @@
     never = [call for call in late if told[call] is None]
     opened = sum(what == "server: connection opened" for server in servers for _, what, _ in server.log)
     unconnected = sum(not any(what == "server: connection opened" for _, what, _ in server.log) for server in servers)
-    fleet.record.write("viewings that came to their end", all=len(told), told_late_or_never=len(late),
-                       never=len(never), connections_made=opened, servers_never_connected=unconnected)
-    print(f"{len(told)} viewings came to their end, of {len(late)} the viewer was told over {TOLD_WITHIN_S} s later or "
-          f"never ({len(never)}); {opened} connections made, none at all to {unconnected} servers")
+    fleet.record.write(
+        "viewings that came to their end",
+        all=len(told),
+        told_late_or_never=len(late),
+        never=len(never),
+        connections_made=opened,
+        servers_never_connected=unconnected,
+    )
+    print(
+        f"{len(told)} viewings came to their end, of {len(late)} the viewer was told over {TOLD_WITHIN_S} s later or "
+        f"never ({len(never)}); {opened} connections made, none at all to {unconnected} servers"
+    )
     return BROKEN if late else HELD
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,8 @@
-"""A manager is killed; a server is removed before it is back. The hand-overs of what played there shut out the others."""
+"""A manager is killed while a server is removed. The hand-overs of what played there shut out all others."""
 
 import asyncio
 import pathlib
 import random
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
@@ -57,8 +56,10 @@
     untold = [call for call in over if call not in viewer.ends]
     fleet.record.write("viewings that ended at the other servers", all=len(told), told_late_or_never=len(late))
     fleet.record.write("viewings that ended with the removed server", all=len(over), never_told=len(untold))
-    print(f"{len(told)} viewings came to their end at other servers, of {len(late)} the viewer was told late or never; "
-          f"of the {len(over)} that ended with the removed server {len(untold)} were never told")
+    print(
+        f"{len(told)} viewings came to their end at other servers, of {len(late)} the viewer was told late or never; "
+        f"of the {len(over)} that ended with the removed server {len(untold)} were never told"
+    )
     return BROKEN if late else HELD
 
 
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -25,35 +25,112 @@
 SETTINGS = {
     "callers": {"marksRetry": True},
     "caps": {
-        "cancelling": True, "cpuUsPerRequest": 0.0, "cpuUsPerS": 500000, "dialTimeoutMs": 250.0,
-        "idleCloseMs": 15000.0, "maxRetryAfterMs": 500.0, "mayProbe": False, "openCap": 1000000,
-        "parallelTries": False, "peers": False, "retryAfter": True, "streamsPerConn": 32, "tryLimit": 5,
+        "cancelling": True,
+        "cpuUsPerRequest": 0.0,
+        "cpuUsPerS": 500000,
+        "dialTimeoutMs": 250.0,
+        "idleCloseMs": 15000.0,
+        "maxRetryAfterMs": 500.0,
+        "mayProbe": False,
+        "openCap": 1000000,
+        "parallelTries": False,
+        "peers": False,
+        "retryAfter": True,
+        "streamsPerConn": 32,
+        "tryLimit": 5,
     },
     "classes": [
-        {"deadlineMs": 3000.0, "effect": "safe", "goalTimeMs": 1500.0, "group": "all", "lateShare": 0.0,
-         "name": "dock-live", "repeatWindowMs": 5000.0, "stream": True, "worth": 3.0},
-        {"deadlineMs": 3000.0, "effect": "safe", "goalTimeMs": 1500.0, "group": "all", "lateShare": 0.0,
-         "name": "boat-tour", "repeatWindowMs": 5000.0, "stream": True, "worth": 1.0},
-        {"deadlineMs": 3000.0, "effect": "safe", "goalTimeMs": 800.0, "group": "all", "lateShare": 0.0,
-         "name": "route-clip", "repeatWindowMs": 5000.0, "stream": True, "worth": 1.0},
+        {
+            "deadlineMs": 3000.0,
+            "effect": "safe",
+            "goalTimeMs": 1500.0,
+            "group": "all",
+            "lateShare": 0.0,
+            "name": "dock-live",
+            "repeatWindowMs": 5000.0,
+            "stream": True,
+            "worth": 3.0,
+        },
+        {
+            "deadlineMs": 3000.0,
+            "effect": "safe",
+            "goalTimeMs": 1500.0,
+            "group": "all",
+            "lateShare": 0.0,
+            "name": "boat-tour",
+            "repeatWindowMs": 5000.0,
+            "stream": True,
+            "worth": 1.0,
+        },
+        {
+            "deadlineMs": 3000.0,
+            "effect": "safe",
+            "goalTimeMs": 800.0,
+            "group": "all",
+            "lateShare": 0.0,
+            "name": "route-clip",
+            "repeatWindowMs": 5000.0,
+            "stream": True,
+            "worth": 1.0,
+        },
     ],
-    "countedBy": "request", "discovery": "push", "domainType": "streams", "flavors": ["std-2core"],
+    "countedBy": "request",
+    "discovery": "push",
+    "domainType": "streams",
+    "flavors": ["std-2core"],
     "loadInfo": {"how": "inline", "names": ["x0"]},
-    "me": 0, "myZone": 0,
+    "me": 0,
+    "myZone": 0,
     "objectiveMix": {"whole": 0.5, "worstClass": 0.2, "worstTenant": 0.0, "worstWindow": 0.3},
-    "obligations": {"drainGraceMs": 1000.0, "fallMs": 1000.0, "graceToAnswerMs": 40.0, "mustAskInMs": 10000.0,
-                    "startCapacity": 0.4, "tipMultiple": 3.0, "warmWithinMs": 12000.0},
-    "overShareWorth": 0.1, "peersTotal": 1,
-    "penalties": {"connection": 0.0, "crossZone": 0.022, "discovery": 0.0, "handshake": 0.0, "lateFail": 0.08,
-                  "moves": 0.058, "origin": 0.0, "peer": 0.012, "probe": 0.0, "waste": 0.0},
-    "periodMs": 10.0, "realms": [],
-    "specifics": {"cells": 12, "fleetKb": 60888.0, "guard": 0.0, "highestRung": [4, 3, 4], "join": 0.3,
-                  "kbPerWeight": 30560.0, "kindSlots": [33], "levelKb": [181.0, 299.0, 494.0, 816.0, 1349.0],
-                  "levelWorth": [0.2, 0.43, 0.63, 0.82, 1.0], "licenceCap": [6, 0, 0],
-                  "live": [True, False, False], "lowestRung": [1, 0, 0], "scaleByClass": [1.0, 1.0, 0.7],
-                  "seenAfterMs": 957.3, "shelves": 3, "stall": 6.0, "switchCostS": 0.6, "tellMs": 3500.0,
-                  "uplinkKb": 243550.0},
-    "tier": 0, "tiers": ["media-fleet"], "weightSource": "rough",
+    "obligations": {
+        "drainGraceMs": 1000.0,
+        "fallMs": 1000.0,
+        "graceToAnswerMs": 40.0,
+        "mustAskInMs": 10000.0,
+        "startCapacity": 0.4,
+        "tipMultiple": 3.0,
+        "warmWithinMs": 12000.0,
+    },
+    "overShareWorth": 0.1,
+    "peersTotal": 1,
+    "penalties": {
+        "connection": 0.0,
+        "crossZone": 0.022,
+        "discovery": 0.0,
+        "handshake": 0.0,
+        "lateFail": 0.08,
+        "moves": 0.058,
+        "origin": 0.0,
+        "peer": 0.012,
+        "probe": 0.0,
+        "waste": 0.0,
+    },
+    "periodMs": 10.0,
+    "realms": [],
+    "specifics": {
+        "cells": 12,
+        "fleetKb": 60888.0,
+        "guard": 0.0,
+        "highestRung": [4, 3, 4],
+        "join": 0.3,
+        "kbPerWeight": 30560.0,
+        "kindSlots": [33],
+        "levelKb": [181.0, 299.0, 494.0, 816.0, 1349.0],
+        "levelWorth": [0.2, 0.43, 0.63, 0.82, 1.0],
+        "licenceCap": [6, 0, 0],
+        "live": [True, False, False],
+        "lowestRung": [1, 0, 0],
+        "scaleByClass": [1.0, 1.0, 0.7],
+        "seenAfterMs": 957.3,
+        "shelves": 3,
+        "stall": 6.0,
+        "switchCostS": 0.6,
+        "tellMs": 3500.0,
+        "uplinkKb": 243550.0,
+    },
+    "tier": 0,
+    "tiers": ["media-fleet"],
+    "weightSource": "rough",
     "zones": ["boathouse", "office-block", "workshop"],
 }
 
@@ -151,9 +228,16 @@
         self.log = []  # (time, what, call)
 
     def row(self):
-        return {"id": f"s-{self.number:08x}", "addr": f"{self.host}:{self.port}", "zone": self.zone,
-                "kind": "std-2core", "cell": self.cell, "state": self.state, "weight": 4,
-                "started_ms": self.started_ms}
+        return {
+            "id": f"s-{self.number:08x}",
+            "addr": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "kind": "std-2core",
+            "cell": self.cell,
+            "state": self.state,
+            "weight": 4,
+            "started_ms": self.started_ms,
+        }
 
     async def start(self):
         self.listener = await asyncio.get_running_loop().create_server(lambda: Lines(self), self.host, self.port)
@@ -345,8 +429,12 @@
         more = "".join(f";{key}:{value}" for key, value in extras.items())
         self.events.setdefault(call, asyncio.Event())
         self.fleet.record.write("viewer: set-up", viewer=self.name, call=call, left=left, **extras)
-        fields = {"class": package, "left": str(left), "key": title,
-                  "extras": f"home:{home};copies:{copies};top:{top};viewer:{call}" + more}
+        fields = {
+            "class": package,
+            "left": str(left),
+            "key": title,
+            "extras": f"home:{home};copies:{copies};top:{top};viewer:{call}" + more,
+        }
         self.conn.send(line("offer", call, desc=DESC, **fields))
         return call
 
@@ -355,8 +443,12 @@
         self.events.setdefault(call, asyncio.Event())
         self.answers[call] = self.fleet.record.now(), "at", server.number
         self.fleet.record.write("viewer: hands over", viewer=self.name, call=call, at=server.number)
-        fields = {"class": package, "left": "3000", "key": title,
-                  "extras": f"home:{home};copies:{copies};top:{top};viewer:{call};at:s-{server.number:08x}"}
+        fields = {
+            "class": package,
+            "left": "3000",
+            "key": title,
+            "extras": f"home:{home};copies:{copies};top:{top};viewer:{call};at:s-{server.number:08x}",
+        }
         self.conn.send(line("offer", call, desc=DESC, **fields))
         return call
 
@@ -376,8 +468,13 @@
                     return
             else:
                 self.ends.setdefault(call, []).append((now, why))
-                self.fleet.record.write("viewer: " + ("release" if op == "end" else "second answer"),
-                                        viewer=self.name, call=call, op=op, why=why)
+                self.fleet.record.write(
+                    "viewer: " + ("release" if op == "end" else "second answer"),
+                    viewer=self.name,
+                    call=call,
+                    op=op,
+                    why=why,
+                )
             if op == "end":
                 conn.send(line("ended", call))
         elif op in ("tested", "ended", "redirect"):
@@ -449,7 +546,9 @@
         listen = "%s:%d" % self.manager_address
         self.config_file = self.scratch / "config.json"
         self.config = {
-            "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
+            "name": "n0",
+            "listen": listen,
+            "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "bulletin": f"{self.bulletin.host}:{self.bulletin.port}",
             "known": {"no": len(self.bulletin.events), "items": list(self.bulletin.events)},
@@ -463,8 +562,13 @@
         folder = self.scratch / "tmp"
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir()
-        env = {**os.environ, "BALANCER_NAME": "n0", "BALANCER_LISTEN": self.config["listen"],
-               "BALANCER_CONFIG": str(self.config_file), "TMPDIR": str(folder)}
+        env = {
+            **os.environ,
+            "BALANCER_NAME": "n0",
+            "BALANCER_LISTEN": self.config["listen"],
+            "BALANCER_CONFIG": str(self.config_file),
+            "TMPDIR": str(folder),
+        }
         limited = f"ulimit -n {self.config['limits']['sockets']}; {run}"  # the platform's limit on descriptors
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", limited, cwd=ROOT, env=env, stdout=self.log_file, stderr=self.log_file
