Log the longest silence of a server with sessions, and how many have no connection

The log could not tell a server that is never dialled from one whose release is lost on a connection that is closed at once: it has the number of connections and of dials only.

Change: two figures in each "state" line, over the servers with sessions that play.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -293,7 +293,7 @@
         for call, release in list(self.pending_releases.items()):
             if now - release.requested_at > RELEASE_TIMEOUT:
                 del self.pending_releases[call]
-        connected = any(connection.usable() for connection in self.connections)
+        connected = self.is_connected()
         if self.refusals >= 2 and not connected:
             self.pending_releases.clear()  # the process is gone, and its sessions with it
         elif (self.pending_releases or self.pending_rungs) and now >= self.retry_at:
@@ -313,6 +313,9 @@
                 self.host.counts["dialled to prove the way"] += 1
                 self.dial(None)
 
+    def is_connected(self):
+        return any(connection.usable() for connection in self.connections)
+
     def close_idle(self, now):
         idle_timeout = self.host.config.idle_timeout * 4 // 5
         for connection in list(self.connections):
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -260,6 +260,8 @@
             "accepting": self.listener.is_accepting(),
             "server_lines": sum(len(endpoint.connections) for endpoint in self.servers.active),
             "owed": sum(len(endpoint.pending_releases) for endpoint in self.servers.active),
+            "unconnected": self.servers.unconnected_count(),
+            "longest_silence": self.servers.longest_silence(self.now()),
             "releases": len(self.client_releases),
             "list": self.bulletin.last_number,
             "counts": dict(self.counts),
--- a/flaxscale/platform/serverlist.py
+++ b/flaxscale/platform/serverlist.py
@@ -48,6 +48,14 @@
             elif not endpoint.in_use():
                 self.active.discard(endpoint)
 
+    def unconnected_count(self):
+        """How many servers with playing sessions have no connection, on which they could report an end."""
+        return sum(bool(endpoint.playing) and not endpoint.is_connected() for endpoint in self.active)
+
+    def longest_silence(self, now):
+        """The longest time for which a server with playing sessions was not heard, in tenths of a millisecond."""
+        return max((now - endpoint.received_at for endpoint in self.active if endpoint.playing), default=0)
+
     def remove(self, endpoint):
         endpoint.retire()
         self.active.discard(endpoint)
