Servers with sessions take turns where there are more of them than descriptors

Cause: each maintenance pass dialled each unconnected server with sessions, in the fixed order of a set, and closed the connection that was idle for longest, which belongs to another such server (endpoints.maintain, descriptors.make_server_room). So each pass dialled the 90 that had just lost theirs and the first 90 others.

Ruled out: descriptors running out, releases lost on connections that are closed at once.

Why this works: one queue for all connections to servers, ordered by when the server was heard last; none that is due is passed over, whatever the order of a set. A server is due after the time in which silence is checked, 2 to 5.4 s, so a turn and two failed dials fit into the protocol's 8 s. What needs room closes the connection idle for longest, and waits until its transport is closed. Decisions are in connection_budget, pure.

Failed tries: a connection was taken for idle between its opening and its set-up, and closed for room (caught by a test).

--- a/bench/growth.py
+++ b/bench/growth.py
@@ -201,7 +201,8 @@
     async def measure(self):
         self.loop = asyncio.get_running_loop()
         ServerSide.made = 0
-        listeners = [await self.loop.create_server(ServerSide, "127.0.0.1", 0) for _ in range(self.servers)]
+        protocols = [self.server_protocol(number + 1) for number in range(self.servers)]
+        listeners = [await self.loop.create_server(protocol, "127.0.0.1", 0) for protocol in protocols]
         self.ports = [one.sockets[0].getsockname()[1] for one in listeners]
         discovery = await self.loop.create_server(DiscoverySide, "127.0.0.1", 0)
         with tempfile.TemporaryDirectory() as folder:
@@ -211,6 +212,10 @@
                 for one in [*listeners, discovery]:
                     one.close()
 
+    def server_protocol(self, number):
+        """The factory of the connections of one server."""
+        return ServerSide
+
     async def with_manager(self, folder, discovery_port):
         probe = await self.loop.create_server(Lines, "127.0.0.1", 0)
         address = probe.sockets[0].getsockname()
--- a/flaxscale/platform/connection_budget.py
+++ b/flaxscale/platform/connection_budget.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+CONTACT_TIME_MIN = 500  # tenths of a millisecond; a contact is open for so long, for what its server has to say
+
 # Parts of the connections to servers, as fractions: (parts, of so many).
 SET_UP_HEADROOM = 1, 16  # contacts leave these free, so that a set-up finds a free descriptor at once
 CONTACT_RESERVE = 1, 8  # set-ups leave these to contacts, however many servers do not answer them
--- a/flaxscale/platform/descriptors.py
+++ b/flaxscale/platform/descriptors.py
@@ -1,4 +1,4 @@
-"""The descriptor budget: a reserve, a share for clients and the rest for servers; closes connections to make room."""
+"""The descriptor budget: a reserve, a share for clients, the rest for servers; closes client connections for room."""
 
 import heapq
 import resource
@@ -9,7 +9,7 @@
 
 
 class Descriptors:
-    """Limits the client and server connections of one manager."""
+    """Limits the client connections of one manager, and tells the limit of its server connections."""
 
     def __init__(self, host):
         self.host = host
@@ -22,18 +22,6 @@
     def server_limit(self):
         return self.host.config.sockets - RESERVED - self.client_limit()
 
-    def make_server_room(self):
-        """Whether one more server connection may be opened; closes the longest idle one if that is needed."""
-        active = self.host.servers.active
-        used = sum(len(endpoint.connections) + endpoint.dials_pending for endpoint in active)
-        if used < self.server_limit():
-            return True
-        idle = [connection for endpoint in active for connection in endpoint.connections if connection.is_idle()]
-        if not idle:
-            return False
-        min(idle, key=lambda connection: connection.used_at).close()
-        return True
-
     def make_client_room(self):
         """Closes connections above the clients' share, and stops accepting while none can be closed."""
         clients = self.host.clients
--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -11,6 +11,7 @@
 from ..jsonl import messages
 from ..jsonl.lines import LineBuffer
 from ..jsonl.messages import MessageError
+from .connection_budget import IdleConnection
 from .localerrors import is_local
 
 # Spans in tenths of a millisecond.
@@ -23,6 +24,7 @@
 RECONNECT_PAUSE = 2_000  # after a failed connection
 MAINTENANCE_PERIOD = 1_000  # time between two maintenance passes
 RECONNECT_PAUSE_LONG = 10_000  # after FAILURES_TO_LOSE failures; a recovered server answers on its open connections
+CONNECTION_TIME_MIN = 10_000  # a server that ends connections sooner is left alone as after a failure
 WRITE_BUFFER_BYTES_MAX = 64 * 1024  # unsent data above this aborts the connection
 IDLE_CONNECTIONS_MAX = 4  # idle connections kept to one server
 CLOSE_TIMEOUT = 10_000  # reading on after the manager's close, for messages in transit
@@ -41,24 +43,35 @@
 class ServerConnection(asyncio.Protocol):
     """One connection with at most one set-up, which is open (`open_call`) or abandoned (`abandoned_call`)."""
 
-    def __init__(self, endpoint):
+    def __init__(self, endpoint, for_set_up):
         self.endpoint, self.lines, self.transport = endpoint, LineBuffer(), None
+        self.dialling, self.for_set_up = True, for_set_up  # until its endpoint takes it
         self.open_call = self.abandoned_call = None
-        self.closed, self.used_at = False, endpoint.host.now()
+        self.closed = False
+        self.opened_at = self.used_at = endpoint.host.now()
         self.half_closed = False  # closed by the manager, and read until the server closes it too
 
     def connection_made(self, transport):
         self.transport = transport
+        self.opened_at = self.used_at = self.endpoint.host.now()
+        if self.closed:  # its dial was given up
+            transport.abort()
+            return
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES_MAX)
 
     def eof_received(self):
         """Handles the server's close: nothing may be sent from now on, even before the transport reports the loss."""
+        if not self.closed:
+            self.endpoint.ended_by_server(self)
         self.closed_by_server()
         return False
 
     def connection_lost(self, exc):
+        if not self.closed:
+            self.endpoint.ended_by_server(self)
         self.half_closed = False
         self.closed_by_server()
+        self.endpoint.host.server_connections.remove(self)
         self.endpoint.connection_lost(self, exc)
 
     def closed_by_server(self):
@@ -87,6 +100,7 @@
     def abort_unreadable(self):
         """Aborts after data that can't be read: the framing of what follows is unknown."""
         self.endpoint.host.counts["spoilt by a server"] += 1
+        self.endpoint.ended_by_server(self)
         self.abort()
 
     def send(self, data):
@@ -116,12 +130,39 @@
             self.closed, self.half_closed = True, False
             self.transport.abort()
 
+    def give_up_dial(self):
+        """Ends a connection that did not come up in time."""
+        self.closed = True
+        if self.transport is None:
+            self.endpoint.host.server_connections.remove(self)
+        else:  # it came up as the time ran out
+            self.transport.abort()
+
     def usable(self):
         """Whether data written to the connection can still arrive."""
-        return not self.closed and not self.transport.is_closing()
+        return self.transport is not None and not self.closed and not self.transport.is_closing()
+
+    def is_busy(self):
+        """Whether it serves a set-up, one that was abandoned included."""
+        if self.closed:
+            return False
+        if self.dialling:
+            return self.for_set_up
+        return self.open_call is not None or self.abandoned_call is not None
 
     def is_idle(self):
-        return self.open_call is None and self.abandoned_call is None and self.usable()
+        return not self.dialling and self.open_call is None and self.abandoned_call is None and self.usable()
+
+    def may_make_room(self, opened_before):
+        """Whether it may be closed for another one: it is idle, and its server had time to say what it has to say."""
+        return self.is_idle() and (self.opened_at <= opened_before or not self.endpoint.needs_connection())
+
+    def idle_state(self):
+        endpoint = self.endpoint
+        is_only_one = bool(endpoint.playing) and not any(
+            other.usable() for other in endpoint.connections if other is not self
+        )
+        return IdleConnection(self.used_at, is_only_one, bool(endpoint.pending_releases))
 
 
 class Endpoint:
@@ -135,7 +176,9 @@
         self.pending_releases, self.pending_rungs = {}, {}  # call -> PendingRelease; call -> rung to set
         self.playing = set()  # ids of the sessions that play there
         self.received_at = host.now()
+        self.contact_requested_at = None  # when there was something to tell or to hear, and no connection
         self.failures = self.refusals = self.retry_at = 0  # failed connections since the last that was opened
+        self.short_connections = 0  # in a row, ended by the server within CONNECTION_TIME_MIN
         self.retired = False  # replaced at its address, moved or removed
         self.list_state, self.started_at = ServerStatus.READY, started_at
 
@@ -147,13 +190,25 @@
             self.host.fail_attempt_later(session, Outcome.UNREACHED)
         elif connection := self.idle_connection():
             self.send_set_up(connection, session)
-        elif self.host.descriptors.make_server_room():
+        else:
             self.waiting_sessions[session.call] = session
-            self.host.counts["dialled for a set-up"] += 1
-            self.dial(session)
+            self.host.servers.active.add(self)
+            if not self.host.server_connections.connect_for_set_up(self, session):
+                del self.waiting_sessions[session.call]
+                self.host.counts["no descriptor"] += 1
+                self.host.fail_attempt_later(session, Outcome.MOOT)
+
+    def connect_waiting(self, session):
+        """Continues a set-up that waited for a descriptor, unless it was cancelled meanwhile."""
+        if self.waiting_sessions.get(session.call) is not session:
+            return
+        if self.retired:
+            del self.waiting_sessions[session.call]
+            self.host.fail_attempt_later(session, Outcome.UNREACHED)
+        elif connection := self.idle_connection():
+            self.send_set_up(connection, session)
         else:
-            self.host.counts["no descriptor"] += 1
-            self.host.fail_attempt_later(session, Outcome.MOOT)
+            self.dial(session)
 
     def idle_connection(self):
         idle = [connection for connection in self.connections if connection.is_idle()]
@@ -207,16 +262,14 @@
         self.flush()
 
     def flush(self, connection=None):
-        """Sends pending releases and rungs on this connection or any usable one; opens one if there is none."""
+        """Sends pending releases and rungs on this connection or any usable one; requests one if there is none."""
         if not self.pending_releases and not self.pending_rungs:
             return
         if connection is None or not connection.usable():
             usable = (candidate for candidate in self.connections if candidate.usable())
             connection = self.idle_connection() or next(usable, None)
         if connection is None:
-            if not self.dials_pending and not self.retired:
-                self.host.counts["dialled to say something"] += 1
-                self.dial(None)
+            self.request_contact()
             return
         for call, release in self.pending_releases.items():
             if release.connection is None or release.connection.closed:
@@ -228,31 +281,69 @@
 
     # Connections
 
+    def contact_soon(self):
+        """Makes a connection due at the next maintenance pass, unless there is one."""
+        if self.contact_requested_at is None and not self.is_connected():
+            self.contact_requested_at = self.host.now()
+
+    def request_contact(self):
+        """Requests a connection at once, as there is something to tell."""
+        self.contact_soon()
+        self.host.servers.active.add(self)
+        self.request_due_contact(self.host.now())
+
+    def request_due_contact(self, now):
+        if self.contact_due_at(now) is not None:
+            self.host.server_connections.request_contact(self, now)
+
+    def contact_due_at(self, now):
+        """When a new connection is due, None: the server needs none, or none may be opened now.
+
+        Before it is due, a server without a connection gets one if a descriptor is free.
+        """
+        if self.retired or self.dials_pending or now < self.retry_at or not self.needs_connection():
+            return None
+        due_at = self.received_at + self.silence_limit()
+        if self.is_connected():
+            return max(self.retry_at, due_at) if self.playing and due_at < now else None
+        if self.contact_requested_at is not None:
+            due_at = min(due_at, self.contact_requested_at)
+        return max(self.retry_at, due_at)
+
+    def needs_connection(self):
+        return bool(self.playing or self.pending_releases or self.pending_rungs)
+
     def dial(self, session):
+        connection = ServerConnection(self, session is not None)
         self.dials_pending += 1
+        self.host.counts["dialled for a contact" if session is None else "dialled for a set-up"] += 1
         self.host.servers.active.add(self)
-        self.host.start_task(self.open_connection(session))
+        self.host.server_connections.add(connection)
+        self.host.start_task(self.open_connection(connection, session))
 
-    async def open_connection(self, session):
+    async def open_connection(self, connection, session):
         host = self.host
         try:
             async with asyncio.timeout(host.config.terms.allowed.dial_timeout / 10_000):
-                connection = await host.connect(lambda: ServerConnection(self), self.address)
+                await host.connect(lambda: connection, self.address)
         except (OSError, TimeoutError) as error:
             self.dials_pending -= 1
+            connection.give_up_dial()
             self.dial_failed(session, error)
             return
         self.dials_pending -= 1
         self.failures = self.refusals = 0
-        still_waiting = session is not None and session.call in self.waiting_sessions
+        still_waiting = session is not None and self.waiting_sessions.get(session.call) is session
         if not connection.usable() or host.stopped:
             connection.abort()
             if still_waiting:
                 del self.waiting_sessions[session.call]
                 host.attempt_failed(session, Outcome.UNREACHED)
             return
+        connection.dialling = False
         self.connections.add(connection)
         self.received_at = host.now()
+        self.contact_requested_at = None
         if still_waiting:
             self.send_set_up(connection, session)
         self.flush(connection)
@@ -270,9 +361,23 @@
             self.refusals += refused
             outcome = Outcome.UNREACHED
         self.retry_at = host.now() + (RECONNECT_PAUSE if self.failures < FAILURES_TO_LOSE else RECONNECT_PAUSE_LONG)
-        if session is not None and self.waiting_sessions.pop(session.call, None):
+        if session is not None and self.waiting_sessions.get(session.call) is session:
+            del self.waiting_sessions[session.call]
             host.attempt_failed(session, outcome)
 
+    def ended_by_server(self, connection):
+        """Handles a close or reset by the server, or data that can't be read.
+
+        A server that ends each connection soon is not dialled again at once for a contact.
+        """
+        now = self.host.now()
+        if now - connection.opened_at > CONNECTION_TIME_MIN:
+            self.short_connections = 0
+            return
+        self.short_connections += 1
+        pause = RECONNECT_PAUSE if self.short_connections < FAILURES_TO_LOSE else RECONNECT_PAUSE_LONG
+        self.retry_at = max(self.retry_at, now + pause)
+
     def connection_lost(self, connection, error):
         self.connections.discard(connection)
         call, connection.open_call = connection.open_call, None
@@ -289,29 +394,26 @@
 
     def maintain(self, now):
         """Closes idle connections, expires releases, checks silent servers and detects lost ones."""
-        self.close_idle(now)
-        for call, release in list(self.pending_releases.items()):
-            if now - release.requested_at > RELEASE_TIMEOUT:
-                del self.pending_releases[call]
-        connected = self.is_connected()
-        if self.refusals >= 2 and not connected:
-            self.pending_releases.clear()  # the process is gone, and its sessions with it
-        elif (self.pending_releases or self.pending_rungs) and now >= self.retry_at:
+        if self.connections:
+            self.close_idle(now)
+        if self.pending_releases:
+            self.expire_releases(now)
+        process_gone = self.refusals >= 2 and not self.is_connected()
+        if process_gone:
+            self.pending_releases.clear()  # its sessions are gone with it
+        elif self.pending_releases or self.pending_rungs:
             self.flush()
-        if not self.playing:
-            return
-        if self.retired or (self.refusals >= 2 and not connected):
-            self.lose_sessions()  # the process is gone, and its sessions with it
-        elif self.failures >= FAILURES_TO_LOSE and now - self.received_at > SERVER_LOST_TIMEOUT:
+        silent_for = now - self.received_at
+        if self.retired or process_gone or (self.failures >= FAILURES_TO_LOSE and silent_for > SERVER_LOST_TIMEOUT):
             self.lose_sessions()
-        elif (
-            not self.dials_pending
-            and now >= self.retry_at
-            and (not connected or now - self.received_at > self.silence_limit())
-        ):
-            if self.host.descriptors.make_server_room():
-                self.host.counts["dialled to prove the way"] += 1
-                self.dial(None)
+        else:
+            self.request_due_contact(now)
+
+    def expire_releases(self, now):
+        """Drops releases after RELEASE_TIMEOUT, but for those that waited for a descriptor all the time."""
+        for call, release in list(self.pending_releases.items()):
+            if now - release.requested_at > RELEASE_TIMEOUT and (release.connection is not None or self.failures):
+                del self.pending_releases[call]
 
     def is_connected(self):
         return any(connection.usable() for connection in self.connections)
@@ -322,7 +424,7 @@
             if connection.abandoned_call is not None and now - connection.used_at > ABANDONED_TIMEOUT:
                 connection.close()
             elif connection.is_idle() and now - connection.used_at > idle_timeout:
-                if not self.playing or len(self.connections) > 1:
+                if not self.playing or sum(other.usable() for other in self.connections) > 1:
                     connection.close()
         idle = sorted(
             (connection for connection in self.connections if connection.is_idle()),
@@ -359,14 +461,7 @@
 
     def in_use(self):
         """Whether it has connections, sessions or pending work, and so needs maintenance."""
-        return bool(
-            self.connections
-            or self.dials_pending
-            or self.waiting_sessions
-            or self.playing
-            or self.pending_releases
-            or self.pending_rungs
-        )
+        return bool(self.connections or self.dials_pending or self.waiting_sessions or self.needs_connection())
 
     def is_removable(self):
         """Whether it is off the list and has no sessions or pending work."""
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -25,6 +25,7 @@
 from .peers import PeerMessages
 from .recent_ends import RecentEnds, SessionEnd
 from .releases import ClientReleases
+from .server_connections import ServerConnections
 from .serverlist import ServerList
 from .sessions import session_of
 from .stopping import stop_times
@@ -45,6 +46,7 @@
         self.counts = Counter()
         self.sessions, self.clients = {}, {}
         self.servers, self.descriptors = ServerList(self), Descriptors(self)
+        self.server_connections = ServerConnections(self)
         self.client_releases = ClientReleases(self)
         self.server_ends, self.client_ends = RecentEnds(), RecentEnds()
         self.loop_watch = LoopWatch(self.now())
@@ -337,6 +339,7 @@
             return
         self.sessions[setup.id] = session
         self.mark_playing(session, endpoint)
+        endpoint.contact_soon()
         self.runner.session_handed_over(self.session_request(setup, 0), setup.playing_at, None)
 
     def ended_before_handover(self, session, endpoint):
--- a/flaxscale/platform/server_connections.py
+++ b/flaxscale/platform/server_connections.py
@@ -10,9 +10,7 @@
 import bisect
 from collections import deque
 
-from .connection_budget import closing_rank, shares
-
-CONTACT_TIME_MIN = 500  # tenths of a millisecond; a connection is left open for so long, for what its server has to say
+from .connection_budget import CONTACT_TIME_MIN, closing_rank, shares
 
 
 class ContactRequest:
