A set-up whose dial outlasts its server does not go to the successor at the address

What callers would see: a set-up at a server that the session may not go to.

Cause: Endpoint.open_connection sent the set-up as soon as the dial came up, without a look at whether the list had given the address to another server meanwhile (retired).

Change: such a connection is aborted, and the attempt ends as never sent, so it is tried elsewhere. Test: test_a_set_up_does_not_go_to_the_successor_at_the_address_of_a_replaced_server, which fails without the condition.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -334,7 +334,7 @@
         self.dials_pending -= 1
         self.failures = self.refusals = 0
         still_waiting = session is not None and self.waiting_sessions.get(session.call) is session
-        if not connection.usable() or host.stopped:
+        if not connection.usable() or self.retired or host.stopped:
             connection.abort()
             if still_waiting:
                 del self.waiting_sessions[session.call]
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -228,6 +228,25 @@
         await self.run_for(SECOND)
         self.assertEqual({*calls} - {waiting}, {row["call"] for row in self.all("offer")})
 
+    async def test_a_set_up_does_not_go_to_the_successor_at_the_address_of_a_replaced_server(self):
+        await self.start_with(servers=1, limit=2)
+        connect, may_connect = self.host.connect, asyncio.Event()
+
+        async def connect_later(*arguments):
+            await may_connect.wait()
+            return await connect(*arguments)
+
+        self.host.connect = connect_later
+        self.ask(self.conn)
+        replaced = self.host.servers.endpoints[1]
+        await self.until(lambda: replaced.dials_pending)
+        self.tell(self.row(1, "DELETED"), self.row(2, port=self.port(self.servers[1])))
+        may_connect.set()
+        await self.until(lambda: not replaced.dials_pending)
+        self.assertEqual(1, self.host.counts["set-up unreached"])
+        await self.until(lambda: self.all("offer"))
+        self.assertEqual(set(), replaced.connections)
+
 
 class SharesOfDescriptors(unittest.TestCase):
     def test_contacts_and_set_ups_leave_room_to_each_other_at_any_size(self):
