Hand-overs at a server off the list are taken on, waited for or told, never a bad message

Cause: Host.handle_handover raised MessageError for a server that is not on the list. A client can't know of the removal, so the message is an ordinary one; 16 of them stopped all reading on the connection (count_bad_message), and the hand-overs behind were lost.

Ruled out: releases lost on the way (each one was acknowledged), connections that broke (none before the 16th message).

Change: addresses of servers that left the list are kept (serverlist.removed). A hand-over at one is taken on at that address: its process may run on, as before a kill; refused connections or 6.5 s of silence show that it does not, and the client is told. Where a successor has the address, the client is told at once. A server that the list has not named yet is waited for, 4 s at most, as the protocol counts an event as told by then: the claim takes the immediate end for right, but it cut what plays at a server that this manager hears of later. The end goes by ClientReleases, until it is acknowledged. A connection with nothing but such hand-overs is closed after 1.5 s like a silent one.

--- a/flaxscale/platform/clients.py
+++ b/flaxscale/platform/clients.py
@@ -1,9 +1,9 @@
 """Client connections: bounded reading of their messages, which are passed to the host.
 
 A bad message is refused on its own and does not affect valid requests that are open on the same connection. After a
-framing error, or too many bad messages, reading stops; open requests still get their answers, then the connection is
-closed. Connections that send nothing valid or leave a line incomplete are closed after a timeout. When the clients'
-share of descriptors is used up, connections that never sent a valid message are closed first.
+framing error, or too many bad messages in a row, reading stops; open requests still get their answers, then the
+connection is closed. Connections that send nothing valid or leave a line incomplete are closed after a timeout. When
+the clients' share of descriptors is used up, connections that never sent a valid message are closed first.
 """
 
 import asyncio
@@ -101,14 +101,14 @@
 
     def handle_offer(self, message, arrived_at):
         try:
-            self.host.handle_offer(self, message, arrived_at)
+            is_known_fleet = self.host.handle_offer(self, message, arrived_at)
         except CallInUse:
             raise
         except MessageError as error:
             self.count_bad_message(error, message.call.encode())
             self.send(messages.encode("end", message.call[:64], why=messages.CAUSE_INVALID))
             return
-        self.validated = True
+        self.validated |= is_known_fleet
 
     def reject_line(self, error, line):
         """Refuses a line without naming a call, which may be the call of a valid request."""
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -23,6 +23,7 @@
 from .listener import Listener
 from .loopwatch import LoopWatch
 from .peers import PeerMessages
+from .pending_handovers import PendingHandover, PendingHandovers
 from .recent_ends import RecentEnds, SessionEnd
 from .releases import ClientReleases
 from .server_connections import ServerConnections
@@ -49,6 +50,7 @@
         self.server_connections = ServerConnections(self)
         self.client_releases = ClientReleases(self)
         self.server_ends, self.client_ends = RecentEnds(), RecentEnds()
+        self.pending_handovers = PendingHandovers()
         self.loop_watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
         self.stopped, self.drain_started_at, self.maintenance_count = False, None, 0
@@ -235,6 +237,8 @@
         self.client_releases.maintain(now)
         self.server_ends.expire(now)
         self.client_ends.expire(now)
+        for handover in self.pending_handovers.expire(now):
+            self.refuse_handover(handover.client, handover.setup)
         self.servers.maintain(now)
         self.discovery.maintain(now)
         self.peers.maintain(now)
@@ -265,6 +269,7 @@
             "unconnected": self.servers.unconnected_count(),
             "longest_silence": self.servers.longest_silence(self.now()),
             "releases": len(self.client_releases),
+            "handovers_waiting": len(self.pending_handovers),
             "list": self.bulletin.last_number,
             "counts": dict(self.counts),
         }
@@ -296,16 +301,17 @@
     # Client requests
 
     def handle_offer(self, client, message, arrived_at):
-        """Handles a set-up. Its deadline counts from the arrival of its line, which may be before it was read."""
+        """Handles a set-up. Its deadline counts from the arrival of its line, which may be before it was read.
+
+        False: it hands over a session at a server that is not known, so its sender may not know this fleet.
+        """
         known = self.session_by_call(message.call) is not None
         try:
             setup = messages.parse_offer(message, self.config.packages)
         except MessageError as error:
             raise CallInUse(str(error)) if known else error from None
         if setup.playing_at is not None:
-            if not known:  # the manager may hold the session already
-                self.handle_handover(client, setup)
-            return
+            return known or self.handle_handover(client, setup)  # the manager may hold the session already
         if known:
             raise CallInUse("call: used by another session")
         self.counts["asked"] += 1
@@ -313,6 +319,7 @@
         client.open_requests[setup.call] = session
         left = span_tenths(setup.remaining_ms) - max(0, self.now() - arrived_at)
         self.runner.session_requested(self.session_request(setup, max(0, left)))
+        return True
 
     def session_request(self, setup, left):
         return SessionRequest(
@@ -330,17 +337,43 @@
         )
 
     def handle_handover(self, client, setup):
-        endpoint = self.servers.endpoints.get(setup.playing_at)
+        """Takes on a session that plays already. False: its server is not known yet, or not any more."""
+        endpoint = self.servers.endpoint_of_session(setup.playing_at)
         if endpoint is None:
-            raise MessageError("extras.at: unknown server")
+            self.handle_unlisted_handover(client, setup)
+            return False
         self.counts["handed over"] += 1
         session = session_of(setup, client)
         if self.ended_before_handover(session, endpoint):
-            return
+            return True
         self.sessions[setup.id] = session
         self.mark_playing(session, endpoint)
         endpoint.contact_soon()
         self.runner.session_handed_over(self.session_request(setup, 0), setup.playing_at, None)
+        return True
+
+    def handle_unlisted_handover(self, client, setup):
+        """Keeps a hand-over until the list names its server; the session is over if that has gone."""
+        if not self.servers.names(setup.playing_at):
+            self.counts["handed over before the list"] += 1
+            if self.pending_handovers.add(PendingHandover(setup, setup.playing_at, client, self.now())):
+                return
+        self.refuse_handover(client, setup)
+
+    def refuse_handover(self, client, setup):
+        """Tells a client that a session which it handed over is over: its server has gone."""
+        if setup.id in self.sessions:
+            return
+        self.count_and_log("handed over at a server that has gone", call=setup.call, server=f"{setup.playing_at:08x}")
+        if self.client_ends.find(setup.id, setup.playing_at) is None:
+            by_server = self.server_ends.find(setup.id, setup.playing_at)
+            self.tell_end(session_of(setup, client), by_server.cause if by_server else messages.CAUSE_INTERRUPTED)
+
+    def take_on_pending_handovers(self):
+        """Takes on the hand-overs whose servers the list names by now."""
+        for handover in self.pending_handovers.take(self.servers.names):
+            if handover.setup.id not in self.sessions:
+                self.handle_handover(handover.client, handover.setup)
 
     def ended_before_handover(self, session, endpoint):
         """Whether a session that is handed over is over already; tells that to the side that does not know it."""
@@ -352,10 +385,15 @@
         if by_server is None:
             self.servers.active.add(endpoint)
             endpoint.release(session.call, messages.CAUSE_NORMAL)
-        elif by_client is None and messages.OUTCOMES_AFTER_START.get(by_server.cause) is not Outcome.CANCELLED:
-            self.client_releases.release(session, by_server.cause)
+        elif by_client is None:
+            self.tell_end(session, by_server.cause)
         return True
 
+    def tell_end(self, session, cause):
+        """Tells a client that its session has ended at its server, unless it ended the session itself."""
+        if messages.OUTCOMES_AFTER_START.get(cause) is not Outcome.CANCELLED:
+            self.client_releases.release(session, cause)
+
     def record_end(self, ends, message, server=None):
         """Records the end of a playing session, or of one that is not held here, for a hand-over that may follow."""
         if messages.CALL_ID.match(message.call):
@@ -427,8 +465,7 @@
         self.counts[f"over {outcome.value}"] += 1
         load = messages.parse_load(message, self.config.load_names)
         self.runner.attempt_ended(session.id, session.nth, outcome, self.now() - session.sent_at, load)
-        if outcome is not Outcome.CANCELLED:
-            self.client_releases.release(session, message.why)
+        self.tell_end(session, message.why)
 
     def session_lost(self, id):
         """Ends a playing session whose server is lost."""
@@ -455,6 +492,8 @@
         self.servers.apply_list_update(update)
         self.counts["events"] += 1
         self.runner.server_list_changed(update.kind, update.entries)
+        if len(self.pending_handovers):
+            self.take_on_pending_handovers()
 
     # The runner's port
 
--- a/flaxscale/platform/serverlist.py
+++ b/flaxscale/platform/serverlist.py
@@ -1,15 +1,23 @@
 """The endpoints of the listed media servers; only those in use are maintained."""
 
+from collections import OrderedDict
+
 from ..interface import ServerStatus
 from .endpoints import Endpoint
 
+REMOVED_MAX = 4_096  # servers that left the list, whose addresses are kept; the oldest are dropped
+
 
 class ServerList:
-    """endpoints: by server number. addresses: the endpoint that serves at each. active: endpoints in use."""
+    """endpoints: by server number. addresses: the endpoint that serves at each. active: endpoints in use.
+
+    removed: the addresses of servers that left the list and have no endpoint, by server number.
+    """
 
     def __init__(self, host):
         self.host = host
         self.endpoints, self.addresses, self.active = {}, {}, set()
+        self.removed = OrderedDict()
 
     def apply_list_update(self, update):
         """Applies a list update from discovery."""
@@ -21,9 +29,12 @@
         if endpoint is not None:
             endpoint.update_from_list(row)
         if row.state is ServerStatus.GONE:
-            if endpoint is not None and endpoint.is_removable():
+            if endpoint is None:
+                self.keep_address(row.server, address)
+            elif endpoint.is_removable():
                 self.remove(endpoint)
             return
+        self.removed.pop(row.server, None)
         ready = row.state is ServerStatus.READY
         if endpoint is not None and endpoint.address == address and not (endpoint.retired and ready):
             return
@@ -40,6 +51,32 @@
         if ready or previous is None:
             self.addresses[address] = self.endpoints[row.server]
 
+    def names(self, server):
+        """Whether the list names a server, or named it before the server left the list."""
+        return server in self.endpoints or server in self.removed
+
+    def endpoint_of_session(self, server):
+        """The endpoint of a server at which a session is said to play, None: it has none, or a successor's address.
+
+        A server that left the list gets an endpoint again: its process may run on with its sessions, and if it does
+        not, the refused connections show it.
+        """
+        endpoint, address = self.endpoints.get(server), self.removed.get(server)
+        if endpoint is not None or address is None or address in self.addresses:
+            return endpoint
+        del self.removed[server]
+        endpoint = self.endpoints[server] = self.addresses[address] = Endpoint(self.host, server, address, 0)
+        endpoint.list_state = ServerStatus.GONE
+        self.active.add(endpoint)
+        return endpoint
+
+    def keep_address(self, server, address):
+        """Keeps the address of a server that left the list."""
+        self.removed[server] = address
+        self.removed.move_to_end(server)
+        if len(self.removed) > REMOVED_MAX:
+            self.removed.popitem(last=False)
+
     def maintain(self, now):
         self.host.server_connections.collect()
         for endpoint in list(self.active):
@@ -63,5 +100,6 @@
         self.active.discard(endpoint)
         if self.endpoints.get(endpoint.server) is endpoint:
             del self.endpoints[endpoint.server]
+            self.keep_address(endpoint.server, endpoint.address)
         if self.addresses.get(endpoint.address) is endpoint:
             del self.addresses[endpoint.address]
