Bad messages between good ones don't add up to the end of a connection

What callers would see: a client's connection that carries many sessions for hours is read no further after its 16th bad message in all, and what stands behind that is lost.

Change: the 16 count in a row; a message that is in order begins the count anew. A sender of noise alone is shut out as before; each bad message is still refused on its own.

Test: test_bad_messages_between_good_ones_do_not_add_up (45 bad ones, each 15 followed by a good one), which fails without the change.

--- a/flaxscale/platform/clients.py
+++ b/flaxscale/platform/clients.py
@@ -17,7 +17,7 @@
 PARTIAL_LINE_TIMEOUT = 20_000  # for completing a line, once all open requests are answered
 NEWCOMER_GRACE = 2_000  # a new connection's first request may still be in transit for this long
 WRITE_BUFFER_BYTES_MAX = 256 * 1024  # unsent answers above this abort the connection
-BAD_MESSAGES_MAX = 16  # on one connection, before reading stops
+BAD_MESSAGES_MAX = 16  # in a row on one connection, before reading stops
 CLOSE_TIMEOUT = 10_000  # reading on after the manager's close: unread bytes would make TCP drop sent answers
 POLL_SECONDS = 0.002  # after a timer of this length the loop has polled and has read what had arrived
 
@@ -80,10 +80,13 @@
     # Received messages
 
     def handle_line(self, line, arrived_at):
+        bad_before = self.bad_messages
         try:
             self.dispatch(messages.decode(line), arrived_at)
         except MessageError as error:
             self.reject_line(error, line)
+        if self.bad_messages == bad_before:
+            self.bad_messages = 0
 
     def dispatch(self, message: Message, arrived_at):
         operation = message.op
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -189,3 +189,17 @@
         self.assertFalse(client.validated)
         self.hand_over(1, 0xBB)
         await self.until(lambda: client.validated)
+
+
+class BadMessages(Crossings):
+    """Guards against sound clients that are shut out for a few bad messages among many good ones."""
+
+    async def test_bad_messages_between_good_ones_do_not_add_up(self):
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        for _ in range(3):
+            conn.send(*[b"noise\n"] * (clients.BAD_MESSAGES_MAX - 1), line("test", "ffff"))
+        call = self.ask(conn)
+        await self.seen("accept", who="viewer", call=call)
+        self.assertEqual([], self.all("closed", who="viewer"))
