--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from flaxscale.platform import clients, pending_handovers
+from flaxscale.platform import clients, pending_handovers, serverlist
 from flaxscale.platform.endpoints import SERVER_LOST_TIMEOUT
 from tests.platform_rig import LIMIT, line
 from tests.test_platform_crossings import Crossings
@@ -158,16 +158,18 @@
 
     async def test_a_request_under_the_call_of_a_waiting_hand_over_is_answered_once(self):
         await self.start_with()
-        call = self.hand_over(2, 0xAA)
-        self.ask(self.conn, call=call)
-        await self.seen("accept", who="viewer", call=call)
-        self.offset += pending_handovers.LIST_DELAY_MAX + 1
-        self.host.maintain()
+        calls = [self.hand_over(2, 0xAA), self.hand_over(3, 0xBB)]
+        for call in calls:
+            self.ask(self.conn, call=call)
+            await self.seen("accept", who="viewer", call=call)
         await self.server(2)
         self.tell(self.row(2))
+        self.offset += pending_handovers.LIST_DELAY_MAX + 1
+        self.host.maintain()
         await self.everything_was_read()
+        self.assertEqual(0, len(self.host.pending_handovers))
         self.assertEqual([], self.all("end", who="viewer"))
-        self.assertEqual(1, self.host.sessions[0xAA].endpoint.server)
+        self.assertEqual({1}, {session.endpoint.server for session in self.host.sessions.values()})
 
     async def test_hand_overs_that_wait_are_bounded_and_those_above_are_told(self):
         await self.start_with()
@@ -190,6 +192,14 @@
         self.hand_over(1, 0xBB)
         await self.until(lambda: client.validated)
 
+    async def test_addresses_of_servers_that_left_the_list_are_bounded_and_go_when_they_return(self):
+        await self.start_with(removed=[2])
+        self.tell(self.row(2))
+        self.assertEqual([], list(self.host.servers.removed))
+        gone = range(10, 10 + serverlist.REMOVED_MAX + 5)
+        self.tell(*(self.row(number, "DELETED", port=1) for number in gone))
+        self.assertEqual(list(gone)[5:], list(self.host.servers.removed))
+
 
 class BadMessages(Crossings):
     """Guards against sound clients that are shut out for a few bad messages among many good ones."""
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -10,6 +10,7 @@
 
 from flaxscale.platform import endpoints
 from flaxscale.platform.connection_budget import IdleConnection, closing_rank, shares
+from flaxscale.platform.server_connections import ContactRequest
 from tests.platform_rig import ANSWER, LIMIT, SETTINGS, StandIn, accept_all, line
 from tests.test_platform_crossings import Crossings
 
@@ -227,6 +228,32 @@
             row["conn"].send(line("accept", row["call"], desc=ANSWER))
         await self.run_for(SECOND)
         self.assertEqual({*calls} - {waiting}, {row["call"] for row in self.all("offer")})
+        self.assertEqual(2, self.host.counts["dialled for a set-up"])
+
+    async def test_a_connection_that_came_up_for_a_set_up_does_not_make_room_before_the_set_up_is_sent(self):
+        await self.start_with(servers=1, limit=2)
+        connect, states = self.host.connect, []
+
+        async def connect_and_look(*arguments):
+            connection = await connect(*arguments)
+            states.append((connection.is_idle(), connection.is_busy()))
+            return connection
+
+        self.host.connect = connect_and_look
+        call = self.ask(self.conn)
+        await self.seen("accept", who="viewer", call=call)
+        self.assertEqual([(False, True)], states)
+
+    async def test_one_connection_is_closed_for_one_contact_however_late_its_server_closes(self):
+        await self.start_with(servers=6, limit=4)
+        await self.hand_over(*range(1, 7))
+        await self.run_for(SECOND)
+        connections, later = self.host.server_connections, self.host.now() + SECOND
+        unconnected = next(one for one in self.host.servers.active if not one.is_connected())
+        connections.contacts = [ContactRequest(0, unconnected)]
+        for _ in range(2):
+            connections.make_room(later)
+            self.assertEqual(1, sum(connection.closed for connection in connections.open))
 
     async def test_a_set_up_does_not_go_to_the_successor_at_the_address_of_a_replaced_server(self):
         await self.start_with(servers=1, limit=2)
