A note that can't be read costs its server nothing else; numbers have more digits

Cause: messages.DECIMAL took 15 digits behind the point and no exponent; the MessageError of a note went through ServerConnection.data_received, which aborts, as after a line whose framing is lost.

Change: figures as repr() writes them are read; a note that can't be used is counted ("bad note") and dropped alone. Both tests fail without the change (Notes, test_numbers_are_read_as_programs_write_them).

--- a/flaxscale/jsonl/messages.py
+++ b/flaxscale/jsonl/messages.py
@@ -12,7 +12,8 @@
 CALL_ID = re.compile(r"[0-9a-f]{16}\Z")
 KEY_PATTERN = re.compile(r"[0-9a-f]{1,16}\Z")
 SERVER_NAME = re.compile(r"s-([0-9a-f]{8})\Z")
-DECIMAL = re.compile(r"-?[0-9]{1,15}(\.[0-9]{1,15})?\Z")
+# As programs write floating-point numbers: up to 17 significant digits behind zeros, or an exponent.
+DECIMAL = re.compile(r"-?[0-9]{1,15}(\.[0-9]{1,21})?([eE][-+]?[0-9]{1,3})?\Z")
 MAX_REMAINING_MS = 3_600_000  # longest remaining wait that a viewer may state
 MAX_COUNT = 65_535  # limit for cell and rung numbers
 
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -483,7 +483,11 @@
         if session is None or kind is None or session.id not in endpoint.playing:
             self.counts["notes on nothing"] += 1
             return
-        value = messages.parse_number(message.fields.get("value", ""), "value")
+        try:
+            value = messages.parse_number(message.fields.get("value", ""), "value")
+        except MessageError as error:  # what its server says beside it is readable
+            self.count_and_log("bad note", call=session.call, why=str(error))
+            return
         self.accounting_check.compare(endpoint.server, kind, value)
         self.runner.playback_note(session.id, kind, value)
 
--- a/tests/test_jsonl.py
+++ b/tests/test_jsonl.py
@@ -104,6 +104,11 @@
         for left in (None, "", "0", "-1"):
             self.assertEqual(0x00C41F7A, parse_offer(left=left, extras=EXTRAS + ";at:s-00c41f7a").playing_at)
 
+    def test_numbers_are_read_as_programs_write_them(self):
+        # Guards against sound senders whose computed figures have more digits, or an exponent.
+        for value in (0.1 + 0.2, 1e-05, 1.0000000000000002, 5e-324, 123456789012345.6, 1e22, 0.0001234567890123456):
+            self.assertEqual(value, messages.parse_number(repr(value), "value"))
+
     def test_an_invalid_field_is_refused_by_name(self):
         for named, line in (
             ("call", offer(call="")),
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -321,6 +321,23 @@
                 await self.poll_loop()
 
 
+class Notes(Crossings):
+    """Guards against servers whose connection is cut, with what stands behind, for a note that can't be used."""
+
+    async def test_what_stands_behind_a_note_that_can_not_be_read_is_heard(self):
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        call = self.ask(conn)
+        await self.seen("accept", who="viewer", call=call)
+        server = self.all("offer", who=1)[0]["conn"]
+        notes = [line("info", call, note="share", value=value) for value in ("", "much", "1e999")]
+        server.send(*notes, line("info", call, note="share"), line("end", call, why=16))
+        self.assertEqual(16, (await self.seen("end", who="viewer", call=call))["why"])
+        self.assertEqual(4, self.host.counts["bad note"])
+        self.assertEqual([], self.all("closed", who=1))
+
+
 class Records(Crossings):
     """Guards against records that stay after their answer: the process is killed when its memory runs out."""
 
