--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,6 +9,10 @@
 import sys
 import time
 
+from flaxscale.decisions import slow_start
+from flaxscale.platform import config as configuration
+from flaxscale.platform.clients import POLL_SECONDS
+from flaxscale.units import SECOND
 from tests.platform_rig import ANSWER, SETTINGS, Platform, line
 from tests.rig import LIMIT
 from tests.seam import FaultInjector
@@ -284,6 +288,18 @@
             await self.seen("accept", who=n, call=call)
         await self.terminate()
 
+    async def early_in_a_turn(self, step):
+        """Returns in the first half of a turn of slow start, so that no other one begins within a second."""
+        rules, slots = configuration.read(str(self.file)).terms.rules, SETTINGS["specifics"]["kindSlots"][0]
+
+        def turn(ahead_s):
+            return slow_start.turn_at(round((time.time() + step + ahead_s) * SECOND), rules, slots)
+
+        while turn(0) != turn(1.0) or turn(0) != turn(-0.05):
+            polled = self.loop.create_future()
+            self.loop.call_later(POLL_SECONDS, polled.set_result, None)
+            await polled
+
     async def test_started_while_the_wall_clock_is_an_hour_off_servers_that_start_are_cold(self):
         cold = {**SETTINGS, "obligations": {**SETTINGS["obligations"], "warmWithinMs": 60_000.0}}
         cold["peersTotal"] = 1
@@ -297,7 +313,8 @@
                 row = {**self.row(2, started=time.time() * 1000), "weight": 50}
                 feed.send(json.dumps(self.event({**self.row(1), "state": "DELETED"}, row)).encode() + b"\n")
                 conn = await self.viewer(step)
-                # At 0.7 of 3 x 0.4 x 30 slots a minute, about one set-up in two seconds is allowed there.
+                # At 0.7 of 3 x 0.4 x 30 slots a minute, about one set-up in two seconds is allowed there: one a turn.
+                await self.early_in_a_turn(step)
                 conn.send(*(offer(f"{n:016x}", left=600) for n in range(1, 9)))
                 await self.seen("end", 7, who=step)
                 self.assertLessEqual(len(self.all("offer", who=2)), 1)
