--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -532,7 +532,7 @@
     def handle_release(self, connection, session, message):
         """Handles a release of a playing session, or of one that awaits its answer elsewhere."""
         if session is None or session.id in self.playing:
-            self.host.record_end(self.host.server_ends, message, self.server)
+            self.host.handovers.record_server_end(message, self.server)
         if session is not None and session.id in self.playing:
             self.host.ended_by_server(self, session, message)
         elif session is not None:
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -20,11 +20,10 @@
 from .clients import POLL_SECONDS, ClientConnection
 from .descriptors import Descriptors
 from .discovery import DiscoveryWatch
+from .handovers import Handovers
 from .listener import Listener
 from .loopwatch import LoopWatch
 from .peers import PeerMessages
-from .pending_handovers import PendingHandover, PendingHandovers
-from .recent_ends import RecentEnds, SessionEnd
 from .releases import ClientReleases
 from .server_connections import ServerConnections
 from .serverlist import ServerList
@@ -49,8 +48,7 @@
         self.servers, self.descriptors = ServerList(self), Descriptors(self)
         self.server_connections = ServerConnections(self)
         self.client_releases = ClientReleases(self)
-        self.server_ends, self.client_ends = RecentEnds(), RecentEnds()
-        self.pending_handovers = PendingHandovers()
+        self.handovers = Handovers(self)
         self.loop_watch = LoopWatch(self.now())
         self.tasks, self.loop = set(), None
         self.stopped, self.drain_started_at, self.maintenance_count = False, None, 0
@@ -235,10 +233,7 @@
         now, self.maintenance_count = self.now(), self.maintenance_count + 1
         self.close_expired_clients(now)
         self.client_releases.maintain(now)
-        self.server_ends.expire(now)
-        self.client_ends.expire(now)
-        for handover in self.pending_handovers.expire(now):
-            self.refuse_handover(handover.client, handover.setup)
+        self.handovers.expire(now)
         self.servers.maintain(now)
         self.discovery.maintain(now)
         self.peers.maintain(now)
@@ -269,7 +264,7 @@
             "unconnected": self.servers.unconnected_count(),
             "longest_silence": self.servers.longest_silence(self.now()),
             "releases": len(self.client_releases),
-            "handovers_waiting": len(self.pending_handovers),
+            "handovers_waiting": len(self.handovers.pending),
             "list": self.bulletin.last_number,
             "counts": dict(self.counts),
         }
@@ -311,7 +306,7 @@
         except MessageError as error:
             raise CallInUse(str(error)) if known else error from None
         if setup.playing_at is not None:
-            return known or self.handle_handover(client, setup)  # the manager may hold the session already
+            return known or self.handovers.handle(client, setup)  # the manager may hold the session already
         if known:
             raise CallInUse("call: used by another session")
         self.counts["asked"] += 1
@@ -336,75 +331,12 @@
             setup.is_retry,
         )
 
-    def handle_handover(self, client, setup):
-        """Takes on a session that plays already. False: its server is not known yet, or not any more."""
-        endpoint = self.servers.endpoint_of_session(setup.playing_at)
-        if endpoint is None:
-            self.handle_unlisted_handover(client, setup)
-            return False
-        self.counts["handed over"] += 1
-        session = session_of(setup, client)
-        if self.ended_before_handover(session, endpoint):
-            return True
-        self.sessions[setup.id] = session
-        self.mark_playing(session, endpoint)
-        endpoint.contact_soon()
-        self.runner.session_handed_over(self.session_request(setup, 0), setup.playing_at, None)
-        return True
-
-    def handle_unlisted_handover(self, client, setup):
-        """Keeps a hand-over until the list names its server; the session is over if that has gone."""
-        if not self.servers.names(setup.playing_at):
-            self.counts["handed over before the list"] += 1
-            if self.pending_handovers.add(PendingHandover(setup, setup.playing_at, client, self.now())):
-                return
-        self.refuse_handover(client, setup)
-
-    def refuse_handover(self, client, setup):
-        """Tells a client that a session which it handed over is over: its server has gone."""
-        if setup.id in self.sessions:
-            return
-        self.count_and_log("handed over at a server that has gone", call=setup.call, server=f"{setup.playing_at:08x}")
-        if self.client_ends.find(setup.id, setup.playing_at) is None:
-            by_server = self.server_ends.find(setup.id, setup.playing_at)
-            self.tell_end(session_of(setup, client), by_server.cause if by_server else messages.CAUSE_INTERRUPTED)
-
-    def take_on_pending_handovers(self):
-        """Takes on the hand-overs whose servers the list names by now."""
-        for handover in self.pending_handovers.take(self.servers.names):
-            if handover.setup.id not in self.sessions:
-                self.handle_handover(handover.client, handover.setup)
-
-    def ended_before_handover(self, session, endpoint):
-        """Whether a session that is handed over is over already; tells that to the side that does not know it."""
-        by_server = self.server_ends.find(session.id, endpoint.server)
-        by_client = self.client_ends.find(session.id, endpoint.server)
-        if by_server is None and by_client is None:
-            return False
-        self.count_and_log("ended before its hand-over", call=session.call, by_viewer=by_client is not None)
-        if by_server is None:
-            self.servers.active.add(endpoint)
-            endpoint.release(session.call, messages.CAUSE_NORMAL)
-        elif by_client is None:
-            self.tell_end(session, by_server.cause)
-        return True
-
-    def tell_end(self, session, cause):
-        """Tells a client that its session has ended at its server, unless it ended the session itself."""
-        if messages.OUTCOMES_AFTER_START.get(cause) is not Outcome.CANCELLED:
-            self.client_releases.release(session, cause)
-
-    def record_end(self, ends, message, server=None):
-        """Records the end of a playing session, or of one that is not held here, for a hand-over that may follow."""
-        if messages.CALL_ID.match(message.call):
-            ends.add(int(message.call, 16), SessionEnd(server, message.why, self.now()))
-
     def handle_end(self, client, message):
         """Handles a client's end: of an open set-up on the same connection, of a playing session on any connection."""
         session = self.session_by_call(message.call)
         is_open = session is not None and session.call in session.client.open_requests
         if not is_open:
-            self.record_end(self.client_ends, message)
+            self.handovers.record_client_end(message)
         if session is None or is_open and session.client is not client:
             client.send(messages.encode("ended", message.call[:64]))
             return
@@ -465,7 +397,8 @@
         self.counts[f"over {outcome.value}"] += 1
         load = messages.parse_load(message, self.config.load_names)
         self.runner.attempt_ended(session.id, session.nth, outcome, self.now() - session.sent_at, load)
-        self.tell_end(session, message.why)
+        if outcome is not Outcome.CANCELLED:
+            self.client_releases.release(session, message.why)
 
     def session_lost(self, id):
         """Ends a playing session whose server is lost."""
@@ -496,8 +429,7 @@
         self.servers.apply_list_update(update)
         self.counts["events"] += 1
         self.runner.server_list_changed(update.kind, update.entries)
-        if len(self.pending_handovers):
-            self.take_on_pending_handovers()
+        self.handovers.list_changed()
 
     # The runner's port
 
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -154,7 +154,7 @@
         await self.everything_was_read()
         self.offset += pending_handovers.LIST_DELAY_MAX + 1
         self.host.maintain()
-        self.assertEqual((0, 0), (len(self.host.pending_handovers), len(self.host.client_releases)))
+        self.assertEqual((0, 0), (len(self.host.handovers.pending), len(self.host.client_releases)))
 
     async def test_a_request_under_the_call_of_a_waiting_hand_over_is_answered_once(self):
         await self.start_with()
@@ -167,7 +167,7 @@
         self.offset += pending_handovers.LIST_DELAY_MAX + 1
         self.host.maintain()
         await self.everything_was_read()
-        self.assertEqual(0, len(self.host.pending_handovers))
+        self.assertEqual(0, len(self.host.handovers.pending))
         self.assertEqual([], self.all("end", who="viewer"))
         self.assertEqual({1}, {session.endpoint.server for session in self.host.sessions.values()})
 
@@ -179,14 +179,14 @@
         self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
         self.hand_over(2, 0x1000)  # a repeated one takes no further place
         await self.everything_was_read()
-        self.assertEqual(pending_handovers.HANDOVERS_MAX, len(self.host.pending_handovers))
+        self.assertEqual(pending_handovers.HANDOVERS_MAX, len(self.host.handovers.pending))
         self.assertEqual({call}, {row["call"] for row in self.all("end", who="viewer")})
 
     async def test_a_client_that_only_names_unknown_servers_is_closed_like_a_silent_one(self):
         # Bad clients are owed a refusal or a close within 3 s; a close costs a sound client nothing.
         await self.start_with()
         self.hand_over(2, 0xAA)
-        await self.until(lambda: len(self.host.pending_handovers))
+        await self.until(lambda: len(self.host.handovers.pending))
         (client,) = self.host.clients
         self.assertFalse(client.validated)
         self.hand_over(1, 0xBB)
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -63,7 +63,7 @@
         return [
             json.loads(line)
             for file in sorted(self.out.glob("box-*.jsonl"))
-            for line in file.read_text().splitlines()
+            for line in written_lines(file.read_text())
             if f'"what":"{what}"' in line
         ]
 
