The late end of an abandoned set-up settles that one, not the next attempt under its call

Cause: Endpoint.handle_release took any `end` under the call of an attempt that is out (or plays) for its own, also on the connection whose set-up under that call had been given up.

Change: an `end` on a connection whose set-up was given up settles that attempt alone.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -531,6 +531,9 @@
 
     def handle_release(self, connection, session, message):
         """Handles a release of a playing session, or of one that awaits its answer elsewhere."""
+        if session is not None and connection.abandoned_call == message.call:
+            self.abandoned_attempt_ended(connection, message)
+            return
         if session is None or session.id in self.playing:
             self.host.handovers.record_server_end(message, self.server)
         if session is not None and session.id in self.playing:
@@ -545,6 +548,18 @@
         self.release_acknowledged(connection, message.call)
         self.acknowledge_release(connection, message.call)
 
+    def abandoned_attempt_ended(self, connection, message):
+        """Handles a late answer or end of a set-up that was given up on this connection.
+
+        A later attempt under the same call, which may play at this server by now, is not concerned.
+        """
+        self.host.count_and_log("late end of an abandoned set-up", call=message.call, why=message.why)
+        pending = self.pending_releases.get(message.call)
+        if pending is not None and pending.connection is connection:
+            del self.pending_releases[message.call]
+        connection.abandoned_call, connection.used_at = None, self.host.now()
+        self.acknowledge_release(connection, message.call)
+
     def acknowledge_release(self, connection, call):
         """Acknowledges the server's release, on another connection if this one is closed."""
         if connection.closed:
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -321,6 +321,49 @@
                 await self.poll_loop()
 
 
+class LateEnds(Crossings):
+    """Guards against a late end of an earlier attempt that ends what stands by now, for its client alone."""
+
+    async def second_attempt(self):
+        """A set-up that was given up and tried again at the same server; returns its call and both connections."""
+        await self.server(1, lambda conn, row: None)
+        await self.start(1)
+        call = self.ask(await self.viewer(), left=60_000)
+        await self.seen("offer", 2, who=1, call=call)
+        first, second = (row["conn"] for row in self.all("offer", who=1)[:2])
+        self.assertIsNot(first, second)
+        return call, first, second
+
+    async def assert_plays_until_its_server_ends_it(self, call, server):
+        self.assertEqual([], self.all("end", who="viewer"))
+        self.assertEqual([int(call, 16)], list(self.host.runner.sessions))
+        server.send(line("end", call, why=16))
+        self.assertEqual(16, (await self.seen("end", who="viewer", call=call))["why"])
+
+    async def test_a_late_error_does_not_end_the_next_attempt_that_is_out(self):
+        call, first, second = await self.second_attempt()
+        first.send(line("end", call, why=47))
+        await self.seen("late end of an abandoned set-up")
+        second.send(line("accept", call, desc=ANSWER))
+        await self.seen("accept", who="viewer", call=call)
+        await self.assert_plays_until_its_server_ends_it(call, second)
+
+    async def test_a_late_error_does_not_end_the_session_of_the_next_attempt(self):
+        call, first, second = await self.second_attempt()
+        second.send(line("accept", call, desc=ANSWER))
+        await self.seen("accept", who="viewer", call=call)
+        first.send(line("end", call, why=47))
+        await self.seen("late end of an abandoned set-up")
+        await self.assert_plays_until_its_server_ends_it(call, second)
+
+    async def test_a_session_is_ended_on_the_connection_of_an_earlier_attempt_once_that_is_settled(self):
+        call, first, second = await self.second_attempt()
+        first.send(line("ended", call))
+        second.send(line("accept", call, desc=ANSWER))
+        await self.seen("accept", who="viewer", call=call)
+        await self.assert_plays_until_its_server_ends_it(call, first)
+
+
 class Notes(Crossings):
     """Guards against servers whose connection is cut, with what stands behind, for a note that can't be used."""
 
