What was set up at a successor before the list told of it is ended there too

Cause: Host.session_lost sends no release where the endpoint is retired, as the old process took its sessions with it; those set up since the successor's start play at the successor. The case is allowed: PROTOCOL.md, "A new video server may have the address of one that has gone".

Change: an endpoint knows its successor. What was set up after that one's start, and releases that wait, go to it.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -180,6 +180,7 @@
         self.failures = self.refusals = self.retry_at = 0  # failed connections since the last that was opened
         self.short_connections = 0  # in a row, ended by the server within CONNECTION_TIME_MIN
         self.retired = False  # replaced at its address, moved or removed
+        self.successor = None  # the endpoint of the server that replaced it at its address
         self.list_state, self.started_at = ServerStatus.READY, started_at
 
     # Attempts
@@ -269,6 +270,8 @@
             usable = (candidate for candidate in self.connections if candidate.usable())
             connection = self.idle_connection() or next(usable, None)
         if connection is None:
+            if self.successor is not None:
+                self.hand_on_releases()
             self.request_contact()
             return
         for call, release in self.pending_releases.items():
@@ -482,13 +485,33 @@
         for id in list(self.playing):
             self.host.session_lost(id)
 
-    def retire(self):
+    def release_lost(self, session):
+        """Ends a session that is over for its client at the process that may play it.
+
+        What was set up at this address after the successor's start, before the list told of it, plays at the successor.
+        """
+        if not self.retired:
+            self.release(session.call, messages.CAUSE_NORMAL)
+        elif self.successor is not None and session.sent_at >= self.successor.started_at:
+            self.successor.release(session.call, messages.CAUSE_NORMAL)
+
+    def retire(self, successor=None):
         """Starts no further attempt at this server and closes its idle connections."""
         self.retired = True
+        if successor is not None:
+            self.successor = successor
+            self.hand_on_releases()
         for connection in list(self.connections):
             if connection.is_idle():
                 connection.close()
 
+    def hand_on_releases(self):
+        """Gives the successor the releases that may concern it: those of attempts since it started."""
+        for call, release in list(self.pending_releases.items()):
+            if release.requested_at >= self.successor.started_at:
+                del self.pending_releases[call]
+                self.successor.release(call, release.cause)
+
     # Received messages
 
     def handle_message(self, connection, message):
--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -406,8 +406,7 @@
         if session is None:
             return
         self.counts["cut with its server"] += 1
-        if not session.endpoint.retired:
-            session.endpoint.release(session.call, messages.CAUSE_NORMAL)
+        session.endpoint.release_lost(session)
         self.runner.attempt_ended(id, session.nth, Outcome.RESET, self.now() - session.sent_at)
         self.client_releases.release(session, messages.CAUSE_INTERRUPTED)
 
--- a/flaxscale/platform/serverlist.py
+++ b/flaxscale/platform/serverlist.py
@@ -39,17 +39,17 @@
         if endpoint is not None and endpoint.address == address and not (endpoint.retired and ready):
             return
         # The serving server owns the address; a later row of its previous owner must not take it back.
-        previous = self.addresses.get(address)
+        previous, new = self.addresses.get(address), Endpoint(self.host, row.server, address, row.started_at)
         if ready and previous is not None and previous.server != row.server:
-            previous.retire()
+            previous.retire(successor=new)
             self.active.add(previous)
         if endpoint is not None:
             endpoint.retire()
             endpoint.lose_sessions()
             self.active.add(endpoint)
-        self.endpoints[row.server] = Endpoint(self.host, row.server, address, row.started_at)
+        self.endpoints[row.server] = new
         if ready or previous is None:
-            self.addresses[address] = self.endpoints[row.server]
+            self.addresses[address] = new
 
     def names(self, server):
         """Whether the list names a server, or named it before the server left the list."""
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -9,6 +9,7 @@
 import json
 import os
 import socket
+import time
 
 import uvloop
 
@@ -364,6 +365,43 @@
         await self.assert_plays_until_its_server_ends_it(call, first)
 
 
+class Successors(Crossings):
+    """Guards against sessions that stand at the successor at a server's address, and are over for their client."""
+
+    async def replaced(self, started_ago_s):
+        """A session, and then a list in which its server's address has a new server that started so long ago."""
+        await self.server(1)
+        await self.start(1)
+        call = self.ask(await self.viewer())
+        await self.seen("accept", who="viewer", call=call)
+        row = self.row(2, port=self.port(self.servers[1]), started=(time.time() - started_ago_s) * 1000)
+        self.host.apply_list_update(self.host.bulletin.receive(json.dumps(self.event(row)).encode()))
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
+        return call
+
+    async def test_a_session_set_up_after_the_successors_start_ends_at_both_sides(self):
+        call = await self.replaced(started_ago_s=20)
+        await self.seen("end", who=1, call=call)
+
+    async def test_the_successor_hears_nothing_of_sessions_from_before_its_start(self):
+        await self.replaced(started_ago_s=0)
+        self.host.servers.endpoints[2].release("00000000000000bb", 16)
+        await self.seen("end", who=1, call="00000000000000bb")
+        self.assertEqual(1, len(self.all("end", who=1)))
+
+    async def test_the_successor_hears_of_set_ups_that_were_given_up_since_its_start(self):
+        await self.server(1)
+        await self.start(1)
+        endpoint = self.host.servers.endpoints[1]
+        endpoint.retry_at = 1 << 62  # its release is not sent yet
+        endpoint.release("00000000000000bb", 16)
+        row = self.row(2, port=self.port(self.servers[1]), started=(time.time() - 20) * 1000)
+        self.host.apply_list_update(self.host.bulletin.receive(json.dumps(self.event(row)).encode()))
+        await self.seen("end", who=1, call="00000000000000bb")
+        endpoint.release("00000000000000cc", 16)  # of an attempt that was out when the list told
+        await self.seen("end", who=1, call="00000000000000cc")
+
+
 class Notes(Crossings):
     """Guards against servers whose connection is cut, with what stands behind, for a note that can't be used."""
 
