A server that refused connections for a while hears which of its sessions ended

Cause: two refused connections were taken for proof that the process is gone, so the releases that it was owed were dropped (Endpoint.maintain); refusals from while a connection was open counted at its close. The case is allowed: WIRE, "down, unreachable, or at its connection limit".

Change: releases are dropped only after a reset, as PROTOCOL has a dying process reset its connections; refusals count from the close of the last connection. Refusals: two of the three tests fail without the change, the third uses a new name.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -19,6 +19,7 @@
 ABANDONED_TIMEOUT = 20_000  # an abandoned attempt may be answered for this long; then its connection is closed
 SERVER_LOST_TIMEOUT = 65_000  # silence after which a server is lost: clients must be told within 8 s (PROTOCOL)
 FAILURES_TO_LOSE = 2  # failed connections since then that are also required; one may fail by chance
+REFUSALS_TO_LOSE = 2  # refused connections after which the process is taken for gone
 SILENCE_MIN = 20_000  # least silence of a server with playing sessions before a new connection checks it
 NOTE_INTERVAL_FACTOR = 1.25  # the same in load report intervals: a check costs each manager a connection
 RECONNECT_PAUSE = 2_000  # after a failed connection
@@ -177,7 +178,9 @@
         self.playing = set()  # ids of the sessions that play there
         self.received_at = host.now()
         self.contact_requested_at = None  # when there was something to tell or to hear, and no connection
-        self.failures = self.refusals = self.retry_at = 0  # failed connections since the last that was opened
+        self.failures = self.retry_at = 0  # failed connections since the last that was opened
+        self.refusals = 0  # refused connections since the last that was opened or lost
+        self.was_reset = False  # whether the last connection was, as a dying process does (PROTOCOL)
         self.short_connections = 0  # in a row, ended by the server within CONNECTION_TIME_MIN
         self.retired = False  # replaced at its address, moved or removed
         self.successor = None  # the endpoint of the server that replaced it at its address
@@ -383,6 +386,7 @@
 
     def connection_lost(self, connection, error):
         self.connections.discard(connection)
+        self.refusals, self.was_reset = 0, isinstance(error, ConnectionResetError)
         call, connection.open_call = connection.open_call, None
         session = call and self.host.session_by_call(call)
         if session and session.connection is connection:
@@ -401,9 +405,10 @@
             self.close_idle(now)
         if self.pending_releases:
             self.expire_releases(now)
-        process_gone = self.refusals >= 2 and not self.is_connected()
-        if process_gone:
-            self.pending_releases.clear()  # its sessions are gone with it
+        # A server at its connection limit refuses, too: only after a reset its sessions are known to be gone with it.
+        process_gone = self.refusals >= REFUSALS_TO_LOSE and not self.is_connected()
+        if process_gone and self.was_reset:
+            self.pending_releases.clear()
         elif self.pending_releases or self.pending_rungs:
             self.flush()
         silent_for = now - self.received_at
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -9,6 +9,7 @@
 import json
 import os
 import socket
+import struct
 import time
 
 import uvloop
@@ -402,6 +403,48 @@
         await self.seen("end", who=1, call="00000000000000cc")
 
 
+class Refusals(Crossings):
+    """Guards against sessions that stand at a server which refused connections for a while, as it was at its limit."""
+
+    async def playing(self):
+        """A session, its endpoint, and its server's connection."""
+        await self.server(1)
+        await self.start(1)
+        call = self.ask(await self.viewer())
+        await self.seen("accept", who="viewer", call=call)
+        return call, self.host.servers.endpoints[1], self.all("open", who=1)[0]["conn"]
+
+    async def test_a_server_that_refused_is_told_of_the_ended_sessions_when_it_accepts_again(self):
+        call, _, connection = await self.playing()
+        port = self.port(self.servers[1])
+        self.servers[1].close()
+        connection.transport.close()
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
+        await self.server(1, port=port)
+        await self.seen("end", who=1, call=call)
+
+    async def test_a_process_that_reset_its_connection_and_refuses_is_told_nothing(self):
+        call, endpoint, connection = await self.playing()
+        self.servers[1].close()
+        linger = struct.pack("ii", 1, 0)  # close(2) resets the connection
+        connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.transport.abort()
+        await self.seen("end", who="viewer", call=call)
+        async with asyncio.timeout(LIMIT):
+            while endpoint in self.host.servers.active:
+                await self.poll_loop()
+        self.assertTrue(endpoint.was_reset)
+
+    async def test_refusals_while_a_connection_was_open_do_not_count_once_it_is_closed(self):
+        call, endpoint, connection = await self.playing()
+        endpoint.refusals = endpoint.failures = 2
+        connection.transport.close()
+        await self.seen("open", 2, who=1)
+        self.assertEqual([], self.all("end", who="viewer"))
+        self.all("open", who=1)[1]["conn"].send(line("end", call, why=16))
+        self.assertEqual(16, (await self.seen("end", who="viewer", call=call))["why"])
+
+
 class Notes(Crossings):
     """Guards against servers whose connection is cut, with what stands behind, for a note that can't be used."""
 
