A reported rung that the ladder does not have is dropped as a bad note

Change: the figure is checked against the ladder where notes are read; such a note is counted ("bad note") and dropped alone. The test fails without the change (KeyError (0, 2), a second set-up without its answer).

--- a/flaxscale/platform/host.py
+++ b/flaxscale/platform/host.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import Counter
 
-from ..interface import Outcome, SessionRequest
+from ..interface import NoteKind, Outcome, SessionRequest
 from ..jsonl import messages
 from ..jsonl.messages import CallInUse, MessageError
 from ..run import AnswerKind, Runner
@@ -416,13 +416,19 @@
             self.counts["notes on nothing"] += 1
             return
         try:
-            value = messages.parse_number(message.fields.get("value", ""), "value")
+            value = self.note_value(kind, message.fields.get("value", ""))
         except MessageError as error:  # what its server says beside it is readable
             self.count_and_log("bad note", call=session.call, why=str(error))
             return
         self.accounting_check.compare(endpoint.server, kind, value)
         self.runner.playback_note(session.id, kind, value)
 
+    def note_value(self, kind, text):
+        """The figure of a note; MessageError if it is none, or a rung that the ladder does not have."""
+        if kind is NoteKind.RUNG:
+            return messages.parse_integer(text, "value", 0, len(self.config.terms.ladder.kb) - 1)
+        return messages.parse_number(text, "value")
+
     def apply_list_update(self, update):
         """Applies a list update from discovery."""
         self.servers.apply_list_update(update)
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -461,6 +461,21 @@
         self.assertEqual(4, self.host.counts["bad note"])
         self.assertEqual([], self.all("closed", who=1))
 
+    async def test_a_rung_that_the_ladder_does_not_have_is_not_taken_on(self):
+        # Each event that touched the session's server failed from then on, that of the batch timer too.
+        await self.server(1)
+        await self.start(1)
+        conn = await self.viewer()
+        call = self.ask(conn)
+        await self.seen("accept", who="viewer", call=call)
+        server, rungs = self.all("offer", who=1)[0]["conn"], len(SETTINGS["specifics"]["levelKb"])
+        for value in (rungs, -1, 0.5):
+            server.send(line("info", call, note="step", value=str(value)))
+        server.send(line("info", call, note="step", value=str(rungs - 1)))
+        await self.seen("accept", who="viewer", call=self.ask(conn))
+        self.assertEqual(3, self.host.counts["bad note"])
+        self.assertEqual(rungs - 1, self.host.runner.manager.sessions[int(call, 16)].rung)
+
 
 class Records(Crossings):
     """Guards against records that stay after their answer: the process is killed when its memory runs out."""
