A set-up that waits for a descriptor is given up before its server is blamed for the time

Found by reading once more: a set-up that waited for a descriptor until its attempt timed out was reported as unreached, which counts against a server that was never dialled. It is given up as moot after the time that a dial may take. Descriptions of hand-overs, 16 KiB at most and not needed, are no longer kept. Both tests fail without the change.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -198,9 +198,14 @@
             self.waiting_sessions[session.call] = session
             self.host.servers.active.add(self)
             if not self.host.server_connections.connect_for_set_up(self, session):
-                del self.waiting_sessions[session.call]
-                self.host.counts["no descriptor"] += 1
-                self.host.fail_attempt_later(session, Outcome.MOOT)
+                self.no_descriptor(session)
+
+    def no_descriptor(self, session):
+        """Ends an attempt that found no descriptor; the server is not concerned."""
+        if self.waiting_sessions.get(session.call) is session:
+            del self.waiting_sessions[session.call]
+            self.host.counts["no descriptor"] += 1
+            self.host.fail_attempt_later(session, Outcome.MOOT)
 
     def connect_waiting(self, session):
         """Continues a set-up that waited for a descriptor, unless it was cancelled meanwhile."""
--- a/flaxscale/platform/handovers.py
+++ b/flaxscale/platform/handovers.py
@@ -36,7 +36,7 @@
 
     def handle(self, client, setup):
         """Takes on a session that plays already. False: its server is not known yet, or not any more."""
-        host = self.host
+        host, setup = self.host, setup._replace(desc="")  # not needed; saves memory with thousands of sessions
         endpoint = host.servers.endpoint_of_session(setup.playing_at)
         if endpoint is None:
             self.handle_unlisted(client, setup)
--- a/flaxscale/platform/server_connections.py
+++ b/flaxscale/platform/server_connections.py
@@ -26,7 +26,7 @@
 
 
 class ServerConnections:
-    """open: all that hold a descriptor. waiting: (endpoint, session) of set-ups that wait for one."""
+    """open: all that hold a descriptor. waiting: (since when, endpoint, session) of set-ups that wait for one."""
 
     def __init__(self, host):
         self.host = host
@@ -47,7 +47,7 @@
             return False
         if self.waiting or len(self.open) >= available.total:
             self.host.counts["set-ups that waited for a descriptor"] += 1
-            self.waiting.append((endpoint, session))
+            self.waiting.append((self.host.now(), endpoint, session))
         else:
             endpoint.dial(session)
         self.make_room(self.host.now())
@@ -72,6 +72,7 @@
     def serve_collected(self, now):
         """Ends a maintenance pass."""
         self.collecting = False
+        self.expire_waiting(now)
         self.contacts.sort(key=ContactRequest.order)
         self.serve(now)
 
@@ -98,7 +99,7 @@
             return
         total = self.shares().total
         while self.waiting and len(self.open) < total:
-            endpoint, session = self.waiting.popleft()
+            _, endpoint, session = self.waiting.popleft()
             endpoint.connect_waiting(session)
         limit = self.shares().contact_limit(self.busy_count())
         while self.contacts and len(self.open) < limit:
@@ -108,6 +109,13 @@
                 endpoint.dial(None)
         self.make_room(now)
 
+    def expire_waiting(self, now):
+        """Gives up set-ups that waited for as long as a dial may take, before their server is blamed for the time."""
+        wait_max = self.host.config.terms.allowed.dial_timeout
+        while self.waiting and now - self.waiting[0][0] > wait_max:
+            _, endpoint, session = self.waiting.popleft()
+            endpoint.no_descriptor(session)
+
     def make_room(self, now):
         """Closes idle connections for set-ups that wait and contacts that are due, and for the next set-up."""
         staying = sum(not connection.closed for connection in self.open)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -117,6 +117,7 @@
         call = self.hand_over(2, 0xAA)
         await self.everything_was_read()
         self.assertEqual({}, self.host.sessions)
+        self.assertEqual("", self.host.handovers.pending.pending[0xAA].setup.desc)  # 16 KiB at most, and not needed
         await self.server(2)
         self.tell(self.row(2))
         self.assertEqual([0xAA], list(self.host.sessions))
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -221,7 +221,7 @@
         connections.shares = lambda: shares(2)._replace(set_ups=9)
         calls = [self.ask(self.conn, left=60_000) for _ in range(3)]
         await self.until(lambda: connections.waiting)
-        waiting = connections.waiting[0][1].call
+        waiting = connections.waiting[0][2].call
         self.conn.send(line("end", waiting, why=16))
         await self.until(lambda: int(waiting, 16) not in self.host.sessions)
         for row in self.all("offer"):
@@ -230,6 +230,21 @@
         self.assertEqual({*calls} - {waiting}, {row["call"] for row in self.all("offer")})
         self.assertEqual(2, self.host.counts["dialled for a set-up"])
 
+    async def test_a_server_is_not_blamed_for_a_set_up_that_waited_for_a_descriptor(self):
+        await self.start_with(servers=2, limit=2, handler=hang)
+        connections = self.host.server_connections
+        connections.shares = lambda: shares(2)._replace(set_ups=9)
+        for _ in range(3):
+            self.ask(self.conn, left=60_000)
+        await self.until(lambda: connections.waiting)
+        session = connections.waiting[0][2]
+        self.offset += self.host.config.terms.allowed.dial_timeout + STEP
+        self.host.maintain()
+        self.assertEqual((0, 1), (len(connections.waiting), self.host.counts["no descriptor"]))
+        self.assertNotIn(session.call, session.endpoint.waiting_sessions)
+        await self.until(lambda: self.host.counts["set-up moot"])
+        self.assertEqual(0, self.host.counts["set-up unreached"])
+
     async def test_a_connection_that_came_up_for_a_set_up_does_not_make_room_before_the_set_up_is_sent(self):
         await self.start_with(servers=1, limit=2)
         connect, states = self.host.connect, []
