--- a/bench/server_contacts.py
+++ b/bench/server_contacts.py
@@ -17,7 +17,7 @@
 import time
 from typing import NamedTuple
 
-from bench.growth import COPIES, DESCRIPTION, SERVERS_A_CELL, Lines, Run, figures_of, message
+from bench.growth import COPIES, DESCRIPTION, SERVERS_A_CELL, ClientSide, Lines, Run, figures_of, message
 
 SESSIONS = 3  # at each server, but no more than SESSIONS_MAX in all, and one at least
 SESSIONS_MAX = 600
@@ -91,17 +91,14 @@
             self.say(message("ended", row["call"]))
 
 
-class Client(Lines):
-    served = refused = 0
+class Client(ClientSide):
+    """A client that notes when it hears of an end."""
 
     def heard(self, line):
+        super().heard(line)
         row = json.loads(line)
-        if row["op"] == "accept":
-            self.served += 1
-        elif row["op"] == "end":
-            self.refused += row["why"] not in (16, 41)
+        if row["op"] == "end":
             ContactsRun.current.client_heard.setdefault(row["call"], time.monotonic())
-            self.say(message("ended", row["call"]))
 
 
 class ContactsRun(Run):
