A server's silence counts from the first hand-over; an error at one server stops no contacts

A session handed over at a server that had none, and so was not heard for long, ended after two dials that failed by chance, 0.5 s after the hand-over: the 6.5 s of silence counted from before it. And an error in one server's maintenance would have kept the queue of contacts from being served for good. Each has a test that fails without its change.

--- a/flaxscale/platform/endpoints.py
+++ b/flaxscale/platform/endpoints.py
@@ -297,6 +297,12 @@
         if self.contact_requested_at is None and not self.is_connected():
             self.contact_requested_at = self.host.now()
 
+    def expect_session(self):
+        """Prepares for a session that is handed over: a server without any may have been silent for long."""
+        if not self.playing and not self.is_connected():
+            self.received_at = self.host.now()
+        self.contact_soon()
+
     def request_contact(self):
         """Requests a connection at once, as there is something to tell."""
         self.contact_soon()
--- a/flaxscale/platform/handovers.py
+++ b/flaxscale/platform/handovers.py
@@ -45,8 +45,8 @@
         session = session_of(setup, client)
         if not self.has_ended(session, endpoint):
             host.sessions[setup.id] = session
+            endpoint.expect_session()
             host.mark_playing(session, endpoint)
-            endpoint.contact_soon()
             host.runner.session_handed_over(host.session_request(setup, 0), setup.playing_at, None)
         return True
 
--- a/flaxscale/platform/serverlist.py
+++ b/flaxscale/platform/serverlist.py
@@ -79,13 +79,15 @@
 
     def maintain(self, now):
         self.host.server_connections.collect()
-        for endpoint in list(self.active):
-            endpoint.maintain(now)
-            if endpoint.is_removable():
-                self.remove(endpoint)
-            elif not endpoint.in_use():
-                self.active.discard(endpoint)
-        self.host.server_connections.serve_collected(now)
+        try:
+            for endpoint in list(self.active):
+                endpoint.maintain(now)
+                if endpoint.is_removable():
+                    self.remove(endpoint)
+                elif not endpoint.in_use():
+                    self.active.discard(endpoint)
+        finally:  # an error at one server must not keep the others from their connections
+            self.host.server_connections.serve_collected(now)
 
     def unconnected_count(self):
         """How many servers with playing sessions have no connection, on which they could report an end."""
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,7 +4,7 @@
 import json
 
 from flaxscale.platform import clients, pending_handovers, serverlist
-from flaxscale.platform.endpoints import SERVER_LOST_TIMEOUT
+from flaxscale.platform.endpoints import FAILURES_TO_LOSE, SERVER_LOST_TIMEOUT
 from tests.platform_rig import LIMIT, line
 from tests.test_platform_crossings import Crossings
 
@@ -88,6 +88,24 @@
         self.offset += SERVER_LOST_TIMEOUT + 1
         self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
 
+    async def test_the_silence_of_a_server_counts_from_the_first_hand_over(self):
+        # A server without sessions is not heard for long; two dials that failed by chance ended what was handed over.
+        await self.start_with()
+        self.offset += 60 * SECOND
+
+        async def never_connects(*arguments):
+            raise TimeoutError
+
+        self.host.connect = never_connects
+        call = self.hand_over(1, 0xAA)
+        await self.until(lambda: self.host.sessions)
+        await self.until(lambda: self.host.servers.endpoints[1].failures >= FAILURES_TO_LOSE)
+        self.host.maintain()
+        await self.everything_was_read()
+        self.assertEqual([], self.all("end", who="viewer"))
+        self.offset += SERVER_LOST_TIMEOUT + 1
+        self.assertEqual(41, (await self.seen("end", who="viewer", call=call))["why"])
+
     async def test_a_session_whose_servers_address_has_a_successor_is_over_at_once(self):
         await self.start_with(removed=[2])
         self.tell(self.row(3, port=self.port(self.servers[2])))
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -157,6 +157,21 @@
         self.assertEqual(1, len(self.opened_at[99]))
         self.assertLessEqual(self.most_descriptors, 4)
 
+    async def test_an_error_at_one_server_keeps_no_other_from_its_connection(self):
+        await self.start_with(servers=4, limit=2)
+        await self.hand_over(1)
+        failing = self.host.servers.endpoints[1]
+
+        def fail(now):
+            raise RuntimeError("at one server")
+
+        failing.maintain = fail
+        self.host.servers.active = {failing}
+        with self.assertRaises(RuntimeError):
+            self.host.servers.maintain(self.host.now())
+        self.host.servers.endpoints[2].release("00000000000000bb", 16)
+        await self.seen("end", who=2, call="00000000000000bb")
+
     async def test_set_ups_are_served_while_servers_take_turns(self):
         await self.start_with(servers=12, limit=4)
         await self.hand_over(*range(1, 13))
