The connection to a media server stands in a module of its own

Moved without a change; Endpoint.ended_by_server is connection_ended_by_server, as Host has an ended_by_server for sessions.

--- a/flaxscale/platform/sessions.py
+++ b/flaxscale/platform/sessions.py
@@ -7,7 +7,8 @@
 
 if TYPE_CHECKING:
     from .clients import ClientConnection
-    from .endpoints import Endpoint, ServerConnection
+    from .endpoints import Endpoint
+    from .server_connection import ServerConnection
 
 
 @dataclass(slots=True, eq=False)
